--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,217 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/standin/worker"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	operatorToken = "operator-token"
+	teamToken     = "team-token"
+)
+
+func (o engineOptions) build() engine.Options {
+	return engine.Options{
+		Options: upstream.Options{
+			Name:   state.Upstream(o.Name),
+			Slots:  o.Slots,
+			Faults: o.Upstream,
+		},
+		TokenDelay:    time.Duration(o.TokenMillis) * time.Millisecond,
+		DefaultTokens: 5,
+		ChecksFencing: !o.Ignore,
+	}
+}
+
+func (o workerOptions) build() worker.Options {
+	return worker.Options{Options: upstream.Options{
+		Name:   state.Upstream(o.Name),
+		Slots:  o.Slots,
+		Faults: o.Upstream,
+	}}
+}
+
+// fleet is one platform with upstreams and routers around it.
+type fleet struct {
+	t           *testing.T
+	platform    *process
+	platformURL string
+	routers     map[string]*router
+	seed        string
+	root        config.Root
+}
+
+// router is a figstiled process with its addresses.
+type router struct {
+	*process
+	callers string
+	admin   string
+	peers   string
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, routers: make(map[string]*router)}
+	f.platform, f.platformURL = f.standIn("platform", "platform", nil)
+	f.root.OperatorTokens = []string{config.DigestOf(operatorToken).String()}
+	return f
+}
+
+func (f *fleet) standIn(name, role string, options any) (*process, string) {
+	encoded, err := json.Marshal(options)
+	require.NoError(f.t, err)
+	self, err := os.Executable()
+	require.NoError(f.t, err)
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), roleVariable+"="+role, optionsVariable+"="+string(encoded))
+	p := start(f.t, name, cmd)
+	return p, p.find(f.t, "listening")
+}
+
+// service adds a service to the settings; configure writes them.
+func (f *fleet) service(s config.Service) { f.root.Services = append(f.root.Services, s) }
+
+// team adds a team with one workspace per name; a caller's token is the
+// workspace's name followed by "-token".
+func (f *fleet) team(name string, share float64, workspaces ...string) {
+	f.root.Teams = append(f.root.Teams, config.TeamShare{
+		Name:   state.Team(name),
+		Share:  share,
+		Tokens: []string{config.DigestOf(name + "-" + teamToken).String()},
+	})
+	subtree := config.Subtree{Team: state.Team(name)}
+	for _, ws := range workspaces {
+		subtree.Workspaces = append(subtree.Workspaces, config.Workspace{
+			Name:   state.Workspace(ws),
+			Weight: 1,
+			Tokens: []string{config.DigestOf(ws + "-token").String()},
+		})
+	}
+	f.put(config.TeamKey(state.Team(name)), subtree)
+}
+
+// configure writes the root straight to the platform, as the first one must
+// be: no router serves operators before there is an operator's token.
+func (f *fleet) configure() { f.put("config/root", f.root) }
+
+func (f *fleet) put(key string, value any) {
+	body, err := json.Marshal(value)
+	require.NoError(f.t, err)
+	req, err := http.NewRequest(http.MethodPut, f.platformURL+"/v1/objects/"+key+"?expected=0", bytes.NewReader(body))
+	require.NoError(f.t, err)
+	status, answer := do(f.t, req)
+	require.Equal(f.t, http.StatusOK, status, answer)
+}
+
+// startRouter starts a router that joins through the first one.
+func (f *fleet) startRouter(name, dc string, extra ...string) *router {
+	args := []string{
+		"--router", name, "--data-centre", dc, "--platform", f.platformURL,
+		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+	}
+	if f.seed != "" {
+		args = append(args, "--peers", f.seed)
+	}
+	cmd := exec.Command(daemonBinary, append(args, extra...)...)
+	cmd.Env = append(os.Environ(), "FIGSTILE_FLEET_TOKEN=fleet-token")
+	p := start(f.t, name, cmd)
+	r := &router{
+		process: p,
+		callers: p.find(f.t, "callers"),
+		admin:   p.find(f.t, "admin"),
+		peers:   p.find(f.t, "peers"),
+	}
+	if f.seed == "" {
+		f.seed = r.peers
+	}
+	f.routers[name] = r
+	return r
+}
+
+// cli runs figstile against a router and returns its output and exit code.
+func (f *fleet) cli(r *router, token string, args ...string) (string, int) {
+	cmd := exec.Command(cliBinary, append(args, "--server", "http://"+r.admin)...)
+	cmd.Env = append(os.Environ(), "FIGSTILE_TOKEN="+token)
+	out, err := cmd.CombinedOutput()
+	if err == nil {
+		return string(out), 0
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// call sends a request of a workspace to a router.
+func call(t *testing.T, r *router, workspace, path, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.callers+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+workspace+"-token")
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp, ""
+	}
+	return resp, string(answer)
+}
+
+func do(t *testing.T, req *http.Request) (int, string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(body)
+}
+
+// ledger reads what an upstream received.
+func ledger(t *testing.T, baseURL string) []upstream.Entry {
+	t.Helper()
+	var entries []upstream.Entry
+	getJSON(t, baseURL+"/ledger", &entries)
+	return entries
+}
+
+func getJSON(t *testing.T, url string, into any) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	require.NoError(t, err)
+	status, body := do(t, req)
+	require.Equal(t, http.StatusOK, status, body)
+	require.NoError(t, json.Unmarshal([]byte(body), into), body)
+}
+
+// patience ends a test that waits for something that never comes. It is no
+// expectation on speed: every wait ends as soon as its condition holds.
+const patience = 2 * time.Minute
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	gaveUp := time.After(patience)
+	for !holds() {
+		select {
+		case <-gaveUp:
+			t.Fatalf("gave up waiting until %s", what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/transport/host/host.go
@@ -0,0 +1,272 @@
+package host
+
+import (
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+)
+
+// Stepper is the scheduler as the host sees it.
+type Stepper interface {
+	Step(now time.Time, ev scheduler.Event) []scheduler.Action
+}
+
+// PeerLink sends envelopes to other routers without blocking.
+type PeerLink interface {
+	Send(to state.Router, env *peerpb.Envelope) bool
+	Broadcast(env *peerpb.Envelope)
+}
+
+// Recorder keeps what the scheduler saw and decided.
+type Recorder interface {
+	Record(now time.Time, ev scheduler.Event, actions []scheduler.Action)
+}
+
+// Options configure a Host. Scheduler, Peers and Poll are required.
+type Options struct {
+	Scheduler Stepper
+	Peers     PeerLink
+	// Poll replaces the set of upstreams whose load reports are fetched.
+	Poll func(upstreams []state.Upstream)
+	// Recorder is nil unless a trace is wanted.
+	Recorder Recorder
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// OnDrained is called once when a draining router has finished.
+	OnDrained func()
+	// OnPanic is called when the scheduler panics. Its state may then be
+	// half changed, so the process must end rather than serve on.
+	OnPanic func(err error)
+}
+
+// Host feeds events to one scheduler and performs its actions. Its methods
+// are safe for concurrent use and do not block on the scheduler, except
+// Inspect.
+type Host struct {
+	options Options
+	system  *actor.ActorSystem
+	pid     *actor.PID
+	lastID  atomic.Uint64
+}
+
+type (
+	submission struct {
+		request    scheduler.Request
+		directives chan scheduler.Action
+	}
+	inspection struct {
+		read func()
+		done chan struct{}
+	}
+)
+
+// New starts the actor. Stop ends it.
+func New(options Options) *Host {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	h := &Host{options: options, system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))}
+	props := actor.PropsFromProducer(func() actor.Actor { return newRunner(h) })
+	h.pid = h.system.Root.Spawn(props)
+	return h
+}
+
+// quietLogger drops the actor library's own lines, which are not in the
+// project's log format. What matters of them, a panic, reaches OnPanic.
+func quietLogger(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
+
+// Stop ends the actor after the messages it already holds.
+func (h *Host) Stop() {
+	_ = h.system.Root.PoisonFuture(h.pid).Wait()
+	h.system.Shutdown()
+}
+
+// Post hands an event to the scheduler.
+func (h *Host) Post(ev scheduler.Event) {
+	h.system.Root.Send(h.pid, ev)
+}
+
+// NextID numbers a new request.
+func (h *Host) NextID() state.RequestID {
+	return state.RequestID(h.lastID.Add(1))
+}
+
+// Submit hands a request to the scheduler. The channel delivers one Dispatch
+// or Refuse at a time and is closed after the request's last one.
+func (h *Host) Submit(req scheduler.Request) <-chan scheduler.Action {
+	directives := make(chan scheduler.Action, directiveBuffer)
+	h.system.Root.Send(h.pid, submission{request: req, directives: directives})
+	return directives
+}
+
+// Left says that the caller went away. The channel of Submit then delivers at
+// most one Dispatch that was already decided, which must be answered with
+// Ended, and is closed.
+func (h *Host) Left(id state.RequestID) {
+	h.Post(scheduler.Left{ID: id})
+}
+
+// Progressed reports cost since the last report.
+func (h *Host) Progressed(id state.RequestID, cost state.Cost) {
+	h.Post(scheduler.Progressed{ID: id, Cost: cost})
+}
+
+// Ended reports how a Dispatch ended.
+func (h *Host) Ended(id state.RequestID, cost state.Cost, outcome scheduler.Outcome) {
+	h.Post(scheduler.Ended{ID: id, Cost: cost, Outcome: outcome})
+}
+
+// Inspect runs read between two steps and waits for it.
+func (h *Host) Inspect(read func()) {
+	done := make(chan struct{})
+	h.system.Root.Send(h.pid, inspection{read: read, done: done})
+	<-done
+}
+
+// directiveBuffer holds every directive that can be under way for one
+// request: the scheduler gives the next one only after Ended.
+const directiveBuffer = 2
+
+// runner is the actor. Its fields are touched by its own goroutine only.
+type runner struct {
+	host    *Host
+	waiting map[state.RequestID]*pending
+}
+
+type pending struct {
+	directives chan scheduler.Action
+	dispatched bool
+}
+
+func newRunner(h *Host) *runner {
+	return &runner{host: h, waiting: make(map[state.RequestID]*pending)}
+}
+
+// Receive handles one message.
+func (r *runner) Receive(ctx actor.Context) {
+	defer r.failStop()
+	switch msg := ctx.Message().(type) {
+	case submission:
+		r.waiting[msg.request.ID] = &pending{directives: msg.directives}
+		r.step(scheduler.Arrived{Request: msg.request})
+	case inspection:
+		msg.read()
+		close(msg.done)
+	case scheduler.Event:
+		r.step(msg)
+	}
+}
+
+// failStop ends the process on a panic. The actor library would restart the
+// actor with its state lost, and callers would wait for ever.
+func (r *runner) failStop() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if r.host.options.OnPanic == nil {
+		panic(cause)
+	}
+	r.host.options.OnPanic(fmt.Errorf("scheduler: %v", cause))
+}
+
+func (r *runner) step(ev scheduler.Event) {
+	now := r.host.options.Now()
+	actions := r.host.options.Scheduler.Step(now, ev)
+	if r.host.options.Recorder != nil {
+		r.host.options.Recorder.Record(now, ev, actions)
+	}
+	r.settle(ev)
+	for _, a := range actions {
+		r.perform(a)
+	}
+}
+
+// settle updates who still waits for directives after an event.
+func (r *runner) settle(ev scheduler.Event) {
+	switch e := ev.(type) {
+	case scheduler.Left:
+		p, ok := r.waiting[e.ID]
+		if ok && !p.dispatched {
+			r.finish(e.ID, p)
+		}
+	case scheduler.Ended:
+		r.settleEnded(e)
+	}
+}
+
+func (r *runner) settleEnded(e scheduler.Ended) {
+	p, ok := r.waiting[e.ID]
+	if !ok {
+		return
+	}
+	p.dispatched = false
+	if e.Outcome == scheduler.OutcomeNotSent || e.Outcome == scheduler.OutcomeLost {
+		return
+	}
+	r.finish(e.ID, p)
+}
+
+func (r *runner) finish(id state.RequestID, p *pending) {
+	close(p.directives)
+	delete(r.waiting, id)
+}
+
+func (r *runner) perform(a scheduler.Action) {
+	switch act := a.(type) {
+	case scheduler.Dispatch:
+		r.dispatch(act)
+	case scheduler.Refuse:
+		r.refuse(act)
+	case scheduler.Owned:
+		r.host.options.Poll(act.Upstreams)
+	case scheduler.Drained:
+		if r.host.options.OnDrained != nil {
+			r.host.options.OnDrained()
+		}
+	default:
+		r.send(a)
+	}
+}
+
+// dispatch hands the directive to the caller's goroutine. A request that
+// nobody waits for any more is ended at once, so that its slot is freed.
+func (r *runner) dispatch(act scheduler.Dispatch) {
+	p, ok := r.waiting[act.ID]
+	if !ok {
+		r.host.Ended(act.ID, 0, scheduler.OutcomeAbandoned)
+		return
+	}
+	p.dispatched = true
+	p.directives <- act
+}
+
+func (r *runner) refuse(act scheduler.Refuse) {
+	p, ok := r.waiting[act.ID]
+	if !ok {
+		return
+	}
+	p.directives <- act
+	r.finish(act.ID, p)
+}
+
+func (r *runner) send(a scheduler.Action) {
+	env, to, ok := wire.ToEnvelope(a)
+	if !ok {
+		return
+	}
+	if to == "" {
+		r.host.options.Peers.Broadcast(env)
+		return
+	}
+	r.host.options.Peers.Send(to, env)
+}
--- /dev/null
+++ b/transport/metrics/metrics.go
@@ -0,0 +1,161 @@
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally hands its figures to the reporter. A
+// scraper that asks every 15 s then sees figures at most a second old.
+const reportInterval = time.Second
+
+// MaxSeries bounds the pairs of workspace and class that have histograms of
+// their own. One pair costs about 100 buckets, so that 512 pairs stay in a few
+// MB; later pairs share the tag value "other". Without the bound a fleet of
+// thousands of workspaces, or a caller that invents classes, would fill the
+// router's memory.
+const MaxSeries = 512
+
+// other is the tag value of pairs beyond MaxSeries.
+const other = "other"
+
+// Metrics is safe for concurrent use.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	mu     sync.Mutex
+	series map[seriesKey]*Series
+}
+
+type seriesKey struct {
+	workspace state.Workspace
+	class     string
+}
+
+// Series holds the histograms of one workspace and class.
+type Series struct {
+	scope    tally.Scope
+	wait     tally.Histogram
+	first    tally.Histogram
+	between  tally.Histogram
+	total    tally.Histogram
+	cost     tally.Histogram
+	attempts tally.Counter
+}
+
+// New returns metrics with a registry of their own, so that several routers
+// can live in one process. Close flushes and stops it.
+func New(router state.Router, dc state.DataCentre) *Metrics {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "figstile",
+		Tags:                   map[string]string{"router": string(router), "data_centre": string(dc)},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        sanitizeOptions(),
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{
+		scope:   scope,
+		closer:  closer,
+		handler: reporter.HTTPHandler(),
+		series:  make(map[seriesKey]*Series),
+	}
+}
+
+// sanitizeOptions keeps the reporter's rules for names but allows hyphens and
+// dots in tag values: with the reporter's own rules the workspaces "a-b" and
+// "a_b" would share one series.
+func sanitizeOptions() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'-', '_', '.', '/'},
+	}
+	return &options
+}
+
+// Handler serves the figures in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close reports what is left and stops reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Gauge sets a gauge of the whole router.
+func (m *Metrics) Gauge(name string, value float64) {
+	m.scope.Gauge(name).Update(value)
+}
+
+// Count adds to a counter of the whole router.
+func (m *Metrics) Count(name string, delta int64) {
+	m.scope.Counter(name).Inc(delta)
+}
+
+// For returns the histograms of a workspace and class.
+func (m *Metrics) For(ws state.Workspace, class string) *Series {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := seriesKey{workspace: ws, class: class}
+	if s, ok := m.series[key]; ok {
+		return s
+	}
+	if len(m.series) >= MaxSeries {
+		key = seriesKey{workspace: other, class: other}
+	}
+	if s, ok := m.series[key]; ok {
+		return s
+	}
+	s := newSeries(m.scope.Tagged(map[string]string{"workspace": string(key.workspace), "class": key.class}))
+	m.series[key] = s
+	return s
+}
+
+// The buckets: waits and answers from 1 ms to about 17 minutes, gaps between
+// tokens from 1 ms to 2 s, costs from 0.1 to about 100,000 units.
+var (
+	waitBuckets    = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 21)
+	betweenBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 20)
+	costBuckets    = tally.MustMakeExponentialValueBuckets(0.1, 2, 21)
+)
+
+func newSeries(scope tally.Scope) *Series {
+	return &Series{
+		scope:    scope,
+		wait:     scope.Histogram("queue_wait_seconds", waitBuckets),
+		first:    scope.Histogram("first_token_seconds", waitBuckets),
+		between:  scope.Histogram("between_tokens_seconds", betweenBuckets),
+		total:    scope.Histogram("request_seconds", waitBuckets),
+		cost:     scope.Histogram("cost_units", costBuckets),
+		attempts: scope.Counter("attempts"),
+	}
+}
+
+// Dispatched records the time a request waited for its turn.
+func (s *Series) Dispatched(wait time.Duration) {
+	s.attempts.Inc(1)
+	s.wait.RecordDuration(wait)
+}
+
+// FirstByte records the time from arrival to the first part of the answer.
+func (s *Series) FirstByte(d time.Duration) { s.first.RecordDuration(d) }
+
+// Between records the time between two parts of an answer.
+func (s *Series) Between(d time.Duration) { s.between.RecordDuration(d) }
+
+// Finished records a final answer.
+func (s *Series) Finished(r result.Result, total time.Duration, cost state.Cost) {
+	s.total.RecordDuration(total)
+	s.cost.RecordValue(float64(cost) / float64(state.CostUnit))
+	s.scope.Tagged(map[string]string{"result": result.Lookup(r.Code).Name, "ran": r.Ran.String()}).Counter("results").Inc(1)
+}
