Parse, check and order the tree of settings

Cause: routers, the administration API and the scheduler need one place that turns the platform's objects into settings and refuses bad ones.

Weighed: the standard decoder alone stops at the first unknown field, lets the last of two equal keys win and ignores case, so objects are compared with their types first and every fault is listed with its path.

Conclusion: Tree.Apply decides by version alone; a view is immutable.

--- /dev/null
+++ b/state/config/check.go
@@ -0,0 +1,105 @@
+package config
+
+import "github.com/figstile/figstile/state"
+
+// Check finds faults that show only when the objects are seen together. The
+// objects must have been parsed. Paths begin with the object's key.
+func Check(root Root, subtrees []Subtree) error {
+	c := newCrossCheck(root)
+	for _, s := range subtrees {
+		if !s.Deleted {
+			c.checkSubtree(s)
+		}
+	}
+	return c.faults.err()
+}
+
+// crossCheck holds what the subtrees refer to and what they share.
+type crossCheck struct {
+	faults     faults
+	teams      map[state.Team]TeamShare
+	services   map[state.Service]Service
+	models     map[state.Model]bool
+	workspaces unique
+	digests    unique
+}
+
+func newCrossCheck(root Root) *crossCheck {
+	c := &crossCheck{
+		teams:      make(map[state.Team]TeamShare),
+		services:   make(map[state.Service]Service),
+		models:     make(map[state.Model]bool),
+		workspaces: unique{},
+		digests:    unique{},
+	}
+	c.addDigests("operator_tokens", root.OperatorTokens)
+	for i, t := range root.Teams {
+		c.teams[t.Name] = t
+		c.addDigests(join(at("teams", i), "tokens"), t.Tokens)
+	}
+	for _, s := range root.Services {
+		c.services[s.Name] = s
+		for _, m := range s.Models {
+			c.models[m] = true
+		}
+	}
+	return c
+}
+
+func (c *crossCheck) addDigests(path string, digests []string) {
+	for i, d := range digests {
+		c.digests.checkDigest(&c.faults, inObject(RootKey, at(path, i)), d)
+	}
+}
+
+func (c *crossCheck) checkSubtree(s Subtree) {
+	key := TeamKey(s.Team)
+	if _, ok := c.teams[s.Team]; !ok {
+		c.faults.add(inObject(key, "team"), "the root gives no share to team %q", s.Team)
+	}
+	for i, w := range s.Workspaces {
+		path := inObject(key, at("workspaces", i))
+		c.workspaces.check(&c.faults, join(path, "name"), string(w.Name))
+		c.checkReferences(path, s.Team, w)
+		for j, d := range w.Tokens {
+			c.digests.checkDigest(&c.faults, at(join(path, "tokens"), j), d)
+		}
+	}
+}
+
+func (c *crossCheck) checkReferences(path string, team state.Team, w Workspace) {
+	for i, s := range w.Services {
+		at := at(join(path, "services"), i)
+		if _, ok := c.services[s]; !ok {
+			c.faults.add(at, "there is no service %q", s)
+			continue
+		}
+		if !permits(c.teams[team].Services, s) {
+			c.faults.add(at, "team %q may not use service %q", team, s)
+		}
+	}
+	for i, m := range w.Models {
+		if !c.models[m] {
+			c.faults.add(at(join(path, "models"), i), "no service offers model %q", m)
+		}
+	}
+}
+
+// inObject separates an object's key from the path within it.
+func inObject(key, path string) string {
+	return key + "#" + path
+}
+
+// permits tells whether a list in an object names the item; an empty list
+// there names all.
+func permits[T comparable](list []T, item T) bool {
+	if len(list) == 0 {
+		return true
+	}
+	for _, have := range list {
+		if have == item {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/state/config/fault.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with an object of the tree.
+type Fault struct {
+	// Path leads to the offending value, as in teams[2].share.
+	Path string `json:"path"`
+	// Reason says what is wrong with it.
+	Reason string `json:"reason"`
+}
+
+// String renders the fault as path: reason.
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.Reason
+	}
+	return f.Path + ": " + f.Reason
+}
+
+// Error lists every fault found in one pass, so that an operator mends them
+// together.
+type Error struct {
+	Faults []Fault
+}
+
+// Error joins all faults into one line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return fmt.Sprintf("config: %d faults: %s", len(e.Faults), strings.Join(lines, "; "))
+}
+
+// faults collects what a check finds.
+type faults []Fault
+
+func (fs *faults) add(path, format string, args ...any) {
+	*fs = append(*fs, Fault{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+// addUnlessAt adds later findings, but none below a path that already has a
+// fault: a value of the wrong type would else be reported as empty as well.
+func (fs *faults) addUnlessAt(later faults) {
+	known := make(map[string]bool, len(*fs))
+	for _, f := range *fs {
+		known[f.Path] = true
+	}
+	for _, f := range later {
+		if !known[f.Path] {
+			*fs = append(*fs, f)
+		}
+	}
+}
+
+// err returns the faults as an error, or nil if there are none.
+func (fs faults) err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	return &Error{Faults: fs}
+}
+
+func at(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
--- /dev/null
+++ b/state/config/objects_test.go
@@ -0,0 +1,92 @@
+package config_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/figstile/figstile/state/config"
+)
+
+func apply(t *testing.T, tree *config.Tree, key string, version uint64, value string) bool {
+	t.Helper()
+	changed, err := tree.Apply(config.Object{Key: key, Version: version, Value: []byte(value)})
+	require.NoError(t, err)
+	return changed
+}
+
+// An operator fixes a weight and sees it in force. A router that was cut off
+// then hands its old copy around, and after it comes a newer but damaged
+// object. Callers must go on under the fixed weight throughout.
+func TestTreeNeverGoesBack(t *testing.T) {
+	tree := config.NewTree()
+	key := config.TeamKey("turismo")
+	require.True(t, apply(t, tree, key, 5, `{"team": "turismo", "workspaces": [{"name": "guides", "weight": 1, "tokens": []}]}`))
+	require.Nil(t, tree.View(), "no root yet")
+	require.True(t, apply(t, tree, config.RootKey, 3, rootJSON))
+	require.NotNil(t, tree.View())
+
+	require.False(t, apply(t, tree, key, 4, `{"team": "turismo", "workspaces": []}`))
+	_, err := tree.Apply(config.Object{Key: key, Version: 9, Value: []byte(`{"team": "turismo"`)})
+	var invalid *config.InvalidError
+	require.True(t, errors.As(err, &invalid))
+	require.Equal(t, uint64(9), invalid.Version)
+	_, ok := tree.View().Workspace("guides")
+	require.True(t, ok)
+	require.Equal(t, map[string]uint64{config.RootKey: 3, key: 5}, tree.Versions())
+	require.Contains(t, tree.Invalid(), key)
+
+	require.True(t, apply(t, tree, key, 10, `{"team": "turismo", "workspaces": [], "deleted": true}`))
+	_, ok = tree.View().Workspace("guides")
+	require.False(t, ok)
+	require.Empty(t, tree.Invalid())
+	require.False(t, apply(t, tree, key, 5, `{"team": "turismo", "workspaces": []}`), "a tombstone stays")
+}
+
+func TestTreeRefusesOtherKeys(t *testing.T) {
+	for _, key := range []string{"config/other", "config/teams/", "config/teams/a/b", "claims/1"} {
+		_, err := config.NewTree().Apply(config.Object{Key: key, Version: 1, Value: []byte("{}")})
+		require.ErrorIs(t, err, config.ErrUnknownKey)
+	}
+}
+
+func TestVersionsNeverFall(t *testing.T) {
+	keys := []string{config.RootKey, config.TeamKey("turismo"), config.TeamKey("reservas")}
+	values := []string{rootJSON, `{"team": "turismo", "workspaces": []}`, `{"team": "reservas", "workspaces": [], "deleted": true}`, `{`}
+	rapid.Check(t, func(t *rapid.T) {
+		tree := config.NewTree()
+		best := make(map[string]uint64)
+		for range rapid.IntRange(1, 40).Draw(t, "objects") {
+			o := config.Object{
+				Key:     rapid.SampledFrom(keys).Draw(t, "key"),
+				Version: rapid.Uint64Range(0, 10).Draw(t, "version"),
+				Value:   []byte(rapid.SampledFrom(values).Draw(t, "value")),
+			}
+			changed, err := tree.Apply(o)
+			held := tree.Versions()[o.Key]
+			require.Equal(t, changed, held > best[o.Key], "changed means a rise, and only that")
+			require.GreaterOrEqual(t, held, best[o.Key])
+			if err == nil && o.Version > best[o.Key] {
+				require.Equal(t, o.Version, held)
+			}
+			best[o.Key] = held
+		}
+	})
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	var root config.Root
+	for i := range config.MaxHistory + 5 {
+		root = root.WithChange(config.Change{ID: fmt.Sprint(i), Base: uint64(i)})
+	}
+	require.Len(t, root.History, config.MaxHistory)
+	require.Equal(t, "24", root.ChangeID)
+	_, ok := config.Find(root.History, "4")
+	require.False(t, ok)
+	found, ok := config.Find(root.History, "5")
+	require.True(t, ok)
+	require.Equal(t, uint64(5), found.Base)
+}
--- /dev/null
+++ b/state/config/strict.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// MaxObjectBytes bounds one object of the tree. The platform holds no larger
+// value.
+const MaxObjectBytes = 1 << 20
+
+// decodeStrict fills into from data and lists every departure from the type:
+// the standard decoder stops at the first unknown field, lets the last of two
+// equal keys win and ignores the case of names.
+func decodeStrict(data []byte, into any) faults {
+	var fs faults
+	if len(data) > MaxObjectBytes {
+		fs.add("", "object has %d bytes, the limit is %d", len(data), MaxObjectBytes)
+		return fs
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	var raw json.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		fs.add("", "not valid JSON: %v", err)
+		return fs
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		fs.add("", "data after the end of the object")
+	}
+	fs.compare("", raw, reflect.TypeOf(into).Elem())
+	if err := json.Unmarshal(raw, into); err != nil && len(fs) == 0 {
+		fs.add("", "%v", err)
+	}
+	return fs
+}
+
+// compare checks raw against t and descends into objects and arrays.
+func (fs *faults) compare(path string, raw json.RawMessage, t reflect.Type) {
+	if string(raw) == "null" {
+		if t.Kind() != reflect.Slice {
+			fs.add(path, "must not be null")
+		}
+		return
+	}
+	switch {
+	case t.Kind() == reflect.Struct && raw[0] == '{':
+		fs.compareObject(path, raw, t)
+	case t.Kind() == reflect.Slice && raw[0] == '[':
+		fs.compareArray(path, raw, t.Elem())
+	default:
+		fs.compareValue(path, raw, t)
+	}
+}
+
+func (fs *faults) compareObject(path string, raw json.RawMessage, t reflect.Type) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	_, _ = dec.Token() // the opening brace
+	seen := make(map[string]bool)
+	for dec.More() {
+		token, err := dec.Token()
+		if err != nil {
+			return
+		}
+		name, _ := token.(string)
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return
+		}
+		field, ok := fieldNamed(t, name)
+		switch {
+		case !ok:
+			fs.add(join(path, name), "unknown field")
+		case seen[name]:
+			fs.add(join(path, name), "field given twice")
+		default:
+			fs.compare(join(path, name), value, field)
+		}
+		seen[name] = true
+	}
+}
+
+func (fs *faults) compareArray(path string, raw json.RawMessage, elem reflect.Type) {
+	var values []json.RawMessage
+	if err := json.Unmarshal(raw, &values); err != nil {
+		fs.add(path, "%v", err)
+		return
+	}
+	for i, value := range values {
+		fs.compare(at(path, i), value, elem)
+	}
+}
+
+func (fs *faults) compareValue(path string, raw json.RawMessage, t reflect.Type) {
+	err := json.Unmarshal(raw, reflect.New(t).Interface())
+	var mismatch *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &mismatch):
+		fs.add(path, "must be %s, not %s", typeName(t), mismatch.Value)
+	case err != nil:
+		fs.add(path, "%v", err)
+	}
+}
+
+func fieldNamed(t reflect.Type, name string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if tag == name {
+			return t.Field(i).Type, true
+		}
+	}
+	return nil, false
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number in range"
+	}
+}
--- a/state/config/tree.go
+++ b/state/config/tree.go
@@ -24,6 +24,8 @@
 	// ChangeID identifies the write that produced this version, so that a
 	// writer whose answer was lost can recognise its own change.
 	ChangeID string `json:"change_id,omitempty"`
+	// History holds the last changes, oldest first.
+	History []Change `json:"history,omitempty"`
 }
 
 // TeamShare is the part of every service that a team may have when all teams
@@ -91,6 +93,8 @@
 	Team       state.Team  `json:"team"`
 	Workspaces []Workspace `json:"workspaces"`
 	ChangeID   string      `json:"change_id,omitempty"`
+	// History holds the last changes, oldest first.
+	History []Change `json:"history,omitempty"`
 	// Deleted marks a tombstone, so that a deleted team cannot come back
 	// from a stale copy.
 	Deleted bool `json:"deleted,omitempty"`
--- /dev/null
+++ b/state/config/view.go
@@ -0,0 +1,285 @@
+package config
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"slices"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// PrincipalKind tells what a bearer token lets its holder do.
+type PrincipalKind uint8
+
+// The kinds of principal. The zero value is none of them.
+const (
+	// Operator may change the root and every subtree.
+	Operator PrincipalKind = iota + 1
+	// TeamAdmin may change the team's own subtree.
+	TeamAdmin
+	// Caller may send requests for one workspace.
+	Caller
+)
+
+// String returns the kind as logs and the history of changes name it.
+func (k PrincipalKind) String() string {
+	switch k {
+	case Operator:
+		return "operator"
+	case TeamAdmin:
+		return "team"
+	case Caller:
+		return "caller"
+	default:
+		return "nobody"
+	}
+}
+
+// Principal is whom a bearer token stands for.
+type Principal struct {
+	Kind PrincipalKind
+	// Team is empty for an operator.
+	Team state.Team
+	// Workspace is set for a caller only.
+	Workspace state.Workspace
+}
+
+// View is one state of the whole tree, derived once and never changed, so
+// that any number of goroutines read it without a lock.
+type View struct {
+	root       Root
+	subtrees   map[state.Team]Subtree
+	settings   Settings
+	services   map[state.Service]Service
+	workspaces map[state.Workspace]WorkspaceSettings
+	principals map[Digest]credential
+	faults     faults
+}
+
+// credential is what one digest stands for. It repeats the digest for a
+// comparison in constant time.
+type credential struct {
+	digest    Digest
+	principal Principal
+}
+
+// NewView derives a view from parsed objects. Objects that were checked one
+// by one may still clash, since two teams can write at the same moment: the
+// team that the root lists first keeps a disputed name, and what was left out
+// is told by Err. Names that refer to nothing permit nothing.
+func NewView(root Root, subtrees []Subtree) *View {
+	v := &View{
+		root:       root,
+		subtrees:   make(map[state.Team]Subtree),
+		services:   make(map[state.Service]Service),
+		workspaces: make(map[state.Workspace]WorkspaceSettings),
+		principals: make(map[Digest]credential),
+	}
+	for _, s := range subtrees {
+		if !s.Deleted {
+			v.subtrees[s.Team] = s
+		}
+	}
+	v.addServices()
+	v.addAdministrators()
+	v.addTeams()
+	slices.SortFunc(v.settings.Workspaces, func(a, b WorkspaceSettings) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+func (v *View) addServices() {
+	for _, s := range v.root.Services {
+		s = s.withDefaults()
+		v.services[s.Name] = s
+		v.settings.Services = append(v.settings.Services, s)
+	}
+	slices.SortFunc(v.settings.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// addAdministrators comes before any caller: a team that lists an operator's
+// digest among its callers' must not take the operator's rights away.
+func (v *View) addAdministrators() {
+	v.addTokens(RootKey, v.root.OperatorTokens, Principal{Kind: Operator})
+	for _, t := range v.root.Teams {
+		v.addTokens(RootKey, t.Tokens, Principal{Kind: TeamAdmin, Team: t.Name})
+	}
+}
+
+func (v *View) addTokens(path string, digests []string, p Principal) {
+	for _, s := range digests {
+		d, ok := parseDigest(s)
+		if !ok {
+			continue
+		}
+		if _, taken := v.principals[d]; taken {
+			v.faults.add(path, "token %s is used twice", d.Short())
+			continue
+		}
+		v.principals[d] = credential{digest: d, principal: p}
+	}
+}
+
+func (v *View) addTeams() {
+	members := v.assignWorkspaces()
+	total := 0.0
+	for _, t := range v.root.Teams {
+		if len(members[t.Name]) > 0 {
+			total += t.Share
+		}
+	}
+	for _, t := range v.root.Teams {
+		v.addWorkspaces(t, t.Share/total, members[t.Name])
+	}
+}
+
+// assignWorkspaces gives each name to one team.
+func (v *View) assignWorkspaces() map[state.Team][]Workspace {
+	owner := make(map[state.Workspace]state.Team)
+	members := make(map[state.Team][]Workspace)
+	for _, t := range v.root.Teams {
+		for _, w := range v.subtrees[t.Name].Workspaces {
+			if first, taken := owner[w.Name]; taken {
+				v.faults.add(TeamKey(t.Name), "workspace %q belongs to team %q", w.Name, first)
+				continue
+			}
+			owner[w.Name] = t.Name
+			members[t.Name] = append(members[t.Name], w)
+		}
+	}
+	return members
+}
+
+// addWorkspaces divides a team's part among its workspaces. Teams without a
+// workspace take no part, so that the parts in use add up to the whole.
+func (v *View) addWorkspaces(t TeamShare, part float64, members []Workspace) {
+	weights := 0.0
+	for _, w := range members {
+		weights += w.Weight
+	}
+	for _, w := range members {
+		settings := WorkspaceSettings{
+			Name:     w.Name,
+			Team:     t.Name,
+			Share:    part * (w.Weight / weights),
+			Services: intersect(t.Services, w.Services),
+			Models:   restrict(w.Models),
+		}
+		v.workspaces[w.Name] = settings
+		v.settings.Workspaces = append(v.settings.Workspaces, settings)
+		v.addTokens(TeamKey(t.Name), w.Tokens, Principal{Kind: Caller, Team: t.Name, Workspace: w.Name})
+	}
+}
+
+// restrict turns an object's list, where empty names all, into one of the
+// derived settings, where only nil does.
+func restrict[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+// intersect keeps what both lists permit. Two lists with nothing in common
+// give an empty list, never nil: nil would permit everything.
+func intersect(team, workspace []state.Service) []state.Service {
+	if len(team) == 0 {
+		return restrict(workspace)
+	}
+	if len(workspace) == 0 {
+		return team
+	}
+	both := make([]state.Service, 0, len(workspace))
+	for _, s := range workspace {
+		if slices.Contains(team, s) {
+			both = append(both, s)
+		}
+	}
+	return both
+}
+
+// Settings returns the flat settings, services and workspaces in order of
+// their names. The caller must not change them.
+func (v *View) Settings() Settings {
+	return v.settings
+}
+
+// Root returns the operators' object. The caller must not change it.
+func (v *View) Root() Root {
+	return v.root
+}
+
+// Subtree returns a team's object unless the team has none or is deleted.
+// The caller must not change it.
+func (v *View) Subtree(team state.Team) (Subtree, bool) {
+	s, ok := v.subtrees[team]
+	return s, ok
+}
+
+// Err lists clashes between objects that were left out of the view, or nil.
+func (v *View) Err() error {
+	return v.faults.err()
+}
+
+// Authenticate finds whom a bearer token stands for. The map is keyed by the
+// token's digest, so the time of a lookup tells nothing about other tokens;
+// the hit is compared again in constant time.
+func (v *View) Authenticate(token string) (Principal, bool) {
+	if token == "" {
+		return Principal{}, false
+	}
+	digest := DigestOf(token)
+	found, ok := v.principals[digest]
+	same := subtle.ConstantTimeCompare(digest[:], found.digest[:]) == 1
+	if !ok || !same {
+		return Principal{}, false
+	}
+	return found.principal, true
+}
+
+// Service returns a service with defaults filled in.
+func (v *View) Service(name state.Service) (Service, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// Workspace returns a workspace's effective settings.
+func (v *View) Workspace(name state.Workspace) (WorkspaceSettings, bool) {
+	w, ok := v.workspaces[name]
+	return w, ok
+}
+
+// Allows tells whether the workspace may use the service and model: OK,
+// Unauthorized for an unknown workspace, UnknownService, UnknownModel or
+// Forbidden. A service that lists no models passes any name on to its
+// upstreams, and a service of workers takes none.
+func (v *View) Allows(ws state.Workspace, service state.Service, model state.Model) result.Code {
+	w, ok := v.workspaces[ws]
+	if !ok {
+		return result.Unauthorized
+	}
+	s, ok := v.services[service]
+	if !ok {
+		return result.UnknownService
+	}
+	if w.Services != nil && !slices.Contains(w.Services, service) {
+		return result.Forbidden
+	}
+	if s.Kind == KindWorker {
+		return allowsNoModel(model)
+	}
+	if !permits(s.Models, model) {
+		return result.UnknownModel
+	}
+	if !permits(w.Models, model) {
+		return result.Forbidden
+	}
+	return result.OK
+}
+
+func allowsNoModel(model state.Model) result.Code {
+	if model != "" {
+		return result.UnknownModel
+	}
+	return result.OK
+}
