Add stand-ins for the platform, engines and workers and the platform client

Cause: routers need something to talk to in tests and in the development fleet, and one view of the platform's object API.

Weighed: telling a write without effect from one of unknown outcome by the kind of the network error, or by the transport's own announcement that it never had a connection. The announcement was taken: a reset connection looks the same before and after the platform applied the write.

Ruled out: taking any 503 or 429 as "no effect". A balancer answers 503 when the server behind it dies in the middle of a write, so the answer must carry the platform's own code. Ruled out too: following redirects, which would send a write twice.

The conformance suite passes on the in-memory store and on the client over HTTP; go test -race -count=3 passes on standin and transport.

--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,58 @@
+// Package engine is a stand-in for a model engine: chat completions with
+// continuous batching, a load report that lags, and orders to load models.
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/figstile/figstile/standin/upstream"
+)
+
+// Options sets up an Engine.
+type Options struct {
+	upstream.Options
+	// PrefillDelay passes before the first token.
+	PrefillDelay time.Duration
+	// TokenDelay passes before each token.
+	TokenDelay time.Duration
+	// DefaultTokens is the output length of a request that names none.
+	DefaultTokens int
+	// ChecksFencing makes the engine refuse orders whose fencing number is
+	// lower than one it has seen.
+	ChecksFencing bool
+	// LoadDelay passes while an order loads a model.
+	LoadDelay time.Duration
+}
+
+// Engine serves chat completions and orders.
+type Engine struct {
+	*upstream.Host
+	opts   Options
+	orders orderBook
+	mux    *http.ServeMux
+}
+
+// defaultTokens is the length of a short blurb.
+const defaultTokens = 16
+
+// New returns an engine.
+func New(opts Options) *Engine {
+	if opts.DefaultTokens <= 0 {
+		opts.DefaultTokens = defaultTokens
+	}
+	e := &Engine{Host: upstream.NewHost(opts.Options), opts: opts, mux: http.NewServeMux()}
+	e.Mount(e.mux)
+	e.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.Run(w, r, e.plan) })
+	e.mux.HandleFunc("POST /orders", e.serveOrder)
+	e.mux.HandleFunc("GET /orders", e.serveOrders)
+	return e
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler { return e.mux }
+
+// Start serves the engine on a TCP address until stop is called.
+func (e *Engine) Start(addr string) (baseURL string, stop func(), err error) {
+	return e.Host.Start(addr, e.mux)
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,264 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// Defaults of StoreOptions.
+const (
+	// DefaultHistory is long enough that only a reader away for many seconds
+	// of full write rate has to list again.
+	DefaultHistory = 10_000
+	// DefaultMaxWait bounds a waiting watch, so that a reader which vanished
+	// without closing its connection is forgotten.
+	DefaultMaxWait = 30 * time.Second
+)
+
+// StoreOptions sets up a Store. The zero value is usable.
+type StoreOptions struct {
+	// History is how many writes a watch can look back over.
+	History int
+	// MaxWait is the platform's own timeout of a watch.
+	MaxWait time.Duration
+}
+
+// Store is an in-memory objectstore.Store.
+type Store struct {
+	opts StoreOptions
+
+	mu      sync.Mutex
+	version objectstore.Version
+	objects map[string]objectstore.Object
+	// history holds the latest writes in version order.
+	history []change
+	// forgotten is the version of the newest write dropped from history.
+	forgotten objectstore.Version
+	vms       map[string]objectstore.VM
+	waiters   map[*waiter]struct{}
+}
+
+// change is one write in the history.
+type change struct {
+	version objectstore.Version
+	key     string
+}
+
+// waiter is a watch with nothing to return yet.
+type waiter struct {
+	prefix string
+	ready  chan struct{}
+}
+
+var _ objectstore.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore(opts StoreOptions) *Store {
+	if opts.History <= 0 {
+		opts.History = DefaultHistory
+	}
+	if opts.MaxWait <= 0 {
+		opts.MaxWait = DefaultMaxWait
+	}
+	return &Store{
+		opts:    opts,
+		objects: make(map[string]objectstore.Object),
+		vms:     make(map[string]objectstore.VM),
+		waiters: make(map[*waiter]struct{}),
+	}
+}
+
+// Get implements objectstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if err := ctx.Err(); err != nil {
+		return objectstore.Object{}, err
+	}
+	if err := objectstore.CheckKey(key); err != nil {
+		return objectstore.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return objectstore.Object{}, objectstore.ErrNotFound
+	}
+	return clone(object), nil
+}
+
+// List implements objectstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Version, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []objectstore.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, clone(object))
+		}
+	}
+	slices.SortFunc(found, func(a, b objectstore.Object) int { return strings.Compare(a.Key, b.Key) })
+	return found, s.version, nil
+}
+
+// Put implements objectstore.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	if err := objectstore.CheckPut(key, value); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.objects[key].Version; current != expected {
+		return 0, &objectstore.ConflictError{Key: key, Current: current}
+	}
+	s.version++
+	s.objects[key] = objectstore.Object{Key: key, Version: s.version, Value: bytes.Clone(value)}
+	s.record(change{version: s.version, key: key})
+	s.wake(key)
+	return s.version, nil
+}
+
+// record appends to the history and forgets its oldest entries. It trims only
+// at twice the limit, so that a write costs constant time on average.
+func (s *Store) record(c change) {
+	s.history = append(s.history, c)
+	if len(s.history) < 2*s.opts.History {
+		return
+	}
+	drop := len(s.history) - s.opts.History
+	s.forgotten = s.history[drop-1].version
+	s.history = slices.Clone(s.history[drop:])
+}
+
+// wake releases the watches that the written key concerns, and no others.
+func (s *Store) wake(key string) {
+	for w := range s.waiters {
+		if strings.HasPrefix(key, w.prefix) {
+			close(w.ready)
+			delete(s.waiters, w)
+		}
+	}
+}
+
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, error) {
+	return s.watch(ctx, prefix, after, s.opts.MaxWait)
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, after objectstore.Version, wait time.Duration) ([]objectstore.Object, objectstore.Version, error) {
+	timeout := time.NewTimer(min(wait, s.opts.MaxWait))
+	defer timeout.Stop()
+	for {
+		if err := ctx.Err(); err != nil {
+			return nil, 0, err
+		}
+		found, version, w, err := s.changesOrWaiter(prefix, after)
+		if err != nil || w == nil {
+			return found, version, err
+		}
+		select {
+		case <-w.ready:
+		case <-timeout.C:
+			s.forget(w)
+			return nil, version, nil
+		case <-ctx.Done():
+			s.forget(w)
+		}
+	}
+}
+
+// changesOrWaiter returns the changes after a version, or a waiter registered
+// under the same lock, so that no write falls between the two.
+func (s *Store) changesOrWaiter(prefix string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, *waiter, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgotten {
+		return nil, 0, nil, objectstore.ErrTooOld
+	}
+	if found := s.changesAfter(prefix, after); len(found) > 0 {
+		return found, s.version, nil, nil
+	}
+	w := &waiter{prefix: prefix, ready: make(chan struct{})}
+	s.waiters[w] = struct{}{}
+	return nil, s.version, w, nil
+}
+
+// changesAfter lists the objects written after a version, each once and at its
+// latest version.
+func (s *Store) changesAfter(prefix string, after objectstore.Version) []objectstore.Object {
+	first, _ := slices.BinarySearchFunc(s.history, after+1, func(c change, v objectstore.Version) int {
+		return int(c.version) - int(v)
+	})
+	var found []objectstore.Object
+	for _, c := range s.history[first:] {
+		object := s.objects[c.key]
+		if object.Version == c.version && strings.HasPrefix(c.key, prefix) {
+			found = append(found, clone(object))
+		}
+	}
+	return found
+}
+
+func (s *Store) forget(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, w)
+}
+
+// Waiting counts the watches that wait now.
+func (s *Store) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiters)
+}
+
+// Version returns the version of the latest write.
+func (s *Store) Version() objectstore.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// VMs implements objectstore.Store.
+func (s *Store) VMs(ctx context.Context) ([]objectstore.VM, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]objectstore.VM, 0, len(s.vms))
+	for _, vm := range s.vms {
+		list = append(list, vm)
+	}
+	slices.SortFunc(list, func(a, b objectstore.VM) int { return strings.Compare(a.Name, b.Name) })
+	return list, nil
+}
+
+// PutVM adds a machine to the list or replaces it.
+func (s *Store) PutVM(vm objectstore.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms[vm.Name] = vm
+}
+
+// DeleteVM takes a machine off the list.
+func (s *Store) DeleteVM(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.vms, name)
+}
+
+func clone(o objectstore.Object) objectstore.Object {
+	o.Value = bytes.Clone(o.Value)
+	return o
+}
--- /dev/null
+++ b/standin/upstream/host.go
@@ -0,0 +1,251 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/figstile/figstile/state"
+)
+
+// HeaderAttempt carries the id of an attempt; upstreams repeat it on the
+// answer.
+const HeaderAttempt = "Figstile-Attempt"
+
+// HeaderIdempotencyKey carries the caller's idempotency key.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Options sets up a Host.
+type Options struct {
+	Name state.Upstream
+	// Slots is how many requests run at once; 1 if zero.
+	Slots int
+	// Models is what the upstream holds after each start.
+	Models []state.Model
+	// LoadLag is how old the load reports are that it gives.
+	LoadLag time.Duration
+	Faults  Faults
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
+	// Sleep waits for a duration or the context's end; by real time if nil.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+// Host runs the requests of one upstream. It knows no priorities: requests
+// beyond the slots wait inside in order of arrival.
+type Host struct {
+	opts   Options
+	ledger Ledger
+	slots  *semaphore.Weighted
+
+	mu       sync.Mutex
+	faults   Faults
+	models   []state.Model
+	running  int
+	waiting  int
+	draining bool
+	load     loadHistory
+	frozen   *state.LoadReport
+	run      run
+	door     *door
+}
+
+// run is one life of the upstream's process.
+type run struct {
+	number int
+	ctx    context.Context
+	crash  context.CancelFunc
+	down   bool
+}
+
+// NewHost returns a running host.
+func NewHost(opts Options) *Host {
+	opts.Slots = max(opts.Slots, 1)
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Sleep == nil {
+		opts.Sleep = sleep
+	}
+	h := &Host{
+		opts:   opts,
+		slots:  semaphore.NewWeighted(int64(opts.Slots)),
+		faults: opts.Faults,
+		load:   loadHistory{lag: opts.LoadLag},
+	}
+	h.boot()
+	return h
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// boot begins a new run. The caller holds the lock or is the only one.
+func (h *Host) boot() {
+	ctx, crash := context.WithCancel(context.Background())
+	h.run = run{number: h.run.number + 1, ctx: ctx, crash: crash}
+	h.models = slices.Clone(h.opts.Models)
+	h.draining = false
+	h.noteLoad()
+}
+
+// bootName is what load reports call the present run.
+func (h *Host) bootName() string { return fmt.Sprintf("%s-%d", h.opts.Name, h.run.number) }
+
+// noteLoad records the present load. The caller holds the lock.
+func (h *Host) noteLoad() {
+	h.load.add(h.opts.Now(), state.LoadReport{
+		Upstream: h.opts.Name,
+		Boot:     h.bootName(),
+		Running:  h.running,
+		Waiting:  h.waiting,
+		Slots:    h.opts.Slots,
+		Draining: h.draining,
+		Models:   slices.Clone(h.models),
+	})
+}
+
+// change runs a change of state under the lock and records the load after it.
+func (h *Host) change(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+	h.noteLoad()
+}
+
+// Load returns the report that a reader sees now.
+func (h *Host) Load() state.LoadReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.faults.FreezeLoad {
+		h.frozen = nil
+		return h.load.seen(h.opts.Now())
+	}
+	if h.frozen == nil {
+		report := h.load.seen(h.opts.Now())
+		h.frozen = &report
+	}
+	return *h.frozen
+}
+
+// Ledger returns the record of received requests.
+func (h *Host) Ledger() *Ledger { return &h.ledger }
+
+// SetDraining says whether load reports ask for no new work. New requests
+// still run; the ledger marks them.
+func (h *Host) SetDraining(draining bool) { h.change(func() { h.draining = draining }) }
+
+// SetFaults replaces the faults.
+func (h *Host) SetFaults(f Faults) { h.change(func() { h.faults = f }) }
+
+// Faults returns the faults that are left.
+func (h *Host) Faults() Faults {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.faults
+}
+
+// Models returns the models held now.
+func (h *Host) Models() []state.Model {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.models)
+}
+
+// Holds tells whether a model is held now.
+func (h *Host) Holds(model state.Model) bool { return slices.Contains(h.Models(), model) }
+
+// SetHeld adds a model to those held, or removes it.
+func (h *Host) SetHeld(model state.Model, held bool) {
+	h.change(func() {
+		h.models = slices.DeleteFunc(h.models, func(m state.Model) bool { return m == model })
+		if held {
+			h.models = append(h.models, model)
+		}
+	})
+}
+
+// Sleep waits for a duration, stretched by the faults.
+func (h *Host) Sleep(ctx context.Context, d time.Duration) error {
+	if err := ctx.Err(); err != nil || d <= 0 {
+		return err
+	}
+	return h.opts.Sleep(ctx, h.Faults().stretch(d))
+}
+
+// Crash ends the present run: every connection drops. Unless it stays down,
+// the upstream comes back at once with a new Boot and nothing in memory.
+func (h *Host) Crash() { h.crashRun(h.currentRun()) }
+
+// crashRun takes down one run, so that two requests that crash the same run
+// do not take down the next one as well.
+func (h *Host) crashRun(r run) {
+	if !h.markDown(r) {
+		return
+	}
+	r.crash()
+	if h.door != nil {
+		h.door.shut()
+	}
+	if !h.Faults().StayDown {
+		// A failure to listen again leaves the upstream down, as StayDown does.
+		_ = h.Restart()
+	}
+}
+
+func (h *Host) currentRun() run {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.run
+}
+
+// markDown reports whether the run was the present one and up.
+func (h *Host) markDown(r run) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.run.down || h.run.number != r.number {
+		return false
+	}
+	h.run.down = true
+	return true
+}
+
+// Restart brings a crashed upstream back with a new Boot. An upstream that is
+// up stays as it is.
+func (h *Host) Restart() error {
+	if !h.currentRun().down {
+		return nil
+	}
+	if h.door != nil {
+		if err := h.door.open(); err != nil {
+			return err
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.boot()
+	return nil
+}
+
+// Start serves a handler on a TCP address until stop is called. A crash closes
+// the address as well. It must be called before the host receives requests.
+func (h *Host) Start(addr string, handler http.Handler) (baseURL string, stop func(), err error) {
+	h.door, err = openDoor(addr, handler)
+	if err != nil {
+		return "", nil, err
+	}
+	return h.door.baseURL(), h.door.shut, nil
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,100 @@
+// Package worker is a stand-in for an application worker: a plain
+// request/response service with a bounded number of threads.
+package worker
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/state"
+)
+
+// HeaderBusy sets the busy time in milliseconds, as the field busy_ms does.
+const HeaderBusy = "Figstile-Busy-Ms"
+
+// Options sets up a Worker. Slots is its number of threads.
+type Options struct {
+	upstream.Options
+	// MinBusy and MaxBusy bound the busy time of a request; MaxBusy is
+	// DefaultMaxBusy if zero.
+	MinBusy time.Duration
+	MaxBusy time.Duration
+}
+
+// DefaultMaxBusy keeps a mistaken request from holding a thread for ever.
+const DefaultMaxBusy = time.Minute
+
+// Worker answers any path that is not one of the upstream's own.
+type Worker struct {
+	*upstream.Host
+	opts Options
+	mux  *http.ServeMux
+}
+
+// request is the part of a body that the worker reads.
+type request struct {
+	BusyMs int64 `json:"busy_ms"`
+}
+
+// Answer is the worker's answer. Attempt and Digest name the request it
+// belongs to.
+type Answer struct {
+	Upstream state.Upstream `json:"upstream"`
+	Boot     string         `json:"boot"`
+	Attempt  string         `json:"attempt"`
+	Digest   string         `json:"digest"`
+	BusyMs   int64          `json:"busy_ms"`
+}
+
+// New returns a worker.
+func New(opts Options) *Worker {
+	if opts.MaxBusy <= 0 {
+		opts.MaxBusy = DefaultMaxBusy
+	}
+	w := &Worker{Host: upstream.NewHost(opts.Options), opts: opts, mux: http.NewServeMux()}
+	w.Mount(w.mux)
+	w.mux.HandleFunc("/", func(rw http.ResponseWriter, r *http.Request) { w.Run(rw, r, w.plan) })
+	return w
+}
+
+// Handler returns the worker's HTTP interface.
+func (w *Worker) Handler() http.Handler { return w.mux }
+
+// Start serves the worker on a TCP address until stop is called.
+func (w *Worker) Start(addr string) (baseURL string, stop func(), err error) {
+	return w.Host.Start(addr, w.mux)
+}
+
+func (w *Worker) plan(job *upstream.Job) (upstream.Work, *upstream.Refusal) {
+	busy := w.busy(job)
+	return func(rw http.ResponseWriter, job *upstream.Job) error {
+		if err := job.Sleep(busy); err != nil {
+			return err
+		}
+		job.Add(int(busy.Milliseconds()))
+		entry := job.Answers()
+		return job.WriteAnswer(rw, Answer{
+			Upstream: w.opts.Name,
+			Boot:     job.Boot(),
+			Attempt:  entry.Attempt,
+			Digest:   entry.Digest,
+			BusyMs:   busy.Milliseconds(),
+		})
+	}, nil
+}
+
+// busy reads the busy time of a request. Bodies need not be JSON.
+func (w *Worker) busy(job *upstream.Job) time.Duration {
+	var req request
+	if json.Unmarshal(job.Body, &req) != nil {
+		req = request{}
+	}
+	if ms, err := strconv.ParseInt(job.Header.Get(HeaderBusy), 10, 64); err == nil {
+		req.BusyMs = ms
+	}
+	busy := time.Duration(req.BusyMs) * time.Millisecond
+	return min(max(busy, w.opts.MinBusy), w.opts.MaxBusy)
+}
--- /dev/null
+++ b/transport/objectstore/client.go
@@ -0,0 +1,261 @@
+package objectstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of ClientOptions.
+const (
+	// DefaultTimeout is a thousand times the platform's usual answer time:
+	// beyond it the platform is down, and callers are better refused.
+	DefaultTimeout = 3 * time.Second
+	// DefaultWatchWait keeps the idle calls of one watch to three a minute.
+	DefaultWatchWait = 20 * time.Second
+	// DefaultMaxAnswerBytes holds a list of some dozen values of full size.
+	DefaultMaxAnswerBytes = 64 << 20
+)
+
+// ClientOptions sets up a Client.
+type ClientOptions struct {
+	// BaseURL is the platform's address, for example http://10.0.0.1:8080.
+	BaseURL string
+	// HTTPClient makes the calls; http.DefaultClient if nil. Its redirects
+	// are switched off: a redirected write could run twice.
+	HTTPClient *http.Client
+	// Token is sent as a bearer token unless empty.
+	Token string
+	// Timeout bounds one call; a watch may take WatchWait longer.
+	Timeout time.Duration
+	// WatchWait is how long the platform is asked to hold a watch.
+	WatchWait time.Duration
+	// MaxAnswerBytes bounds what is read of one answer.
+	MaxAnswerBytes int64
+}
+
+// Client is a Store over the platform's HTTP API. It never repeats a call by
+// itself.
+type Client struct {
+	opts ClientOptions
+	http http.Client
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client; it makes no call yet.
+func NewClient(opts ClientOptions) *Client {
+	opts.BaseURL = strings.TrimSuffix(opts.BaseURL, "/")
+	if opts.HTTPClient == nil {
+		opts.HTTPClient = http.DefaultClient
+	}
+	if opts.Timeout <= 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.WatchWait <= 0 {
+		opts.WatchWait = DefaultWatchWait
+	}
+	if opts.MaxAnswerBytes <= 0 {
+		opts.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	c := &Client{opts: opts, http: *opts.HTTPClient}
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	if err := CheckKey(key); err != nil {
+		return Object{}, err
+	}
+	var object Object
+	if err := c.read(ctx, objectPath(key), c.opts.Timeout, &object); err != nil {
+		return Object{}, withKey(err, key)
+	}
+	if object.Key != key || object.Version == 0 {
+		return Object{}, &CallError{Op: http.MethodGet, Target: key, Kind: ErrUnavailable, Cause: errCrossedAnswer}
+	}
+	return object, nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Object, Version, error) {
+	query := url.Values{ParamPrefix: {prefix}}
+	var list ListAnswer
+	if err := c.read(ctx, PathObjects+"?"+query.Encode(), c.opts.Timeout, &list); err != nil {
+		return nil, 0, err
+	}
+	return list.Objects, list.Version, nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after Version) ([]Object, Version, error) {
+	query := url.Values{
+		ParamPrefix: {prefix},
+		ParamAfter:  {strconv.FormatUint(uint64(after), 10)},
+		ParamWait:   {c.opts.WatchWait.String()},
+	}
+	var list ListAnswer
+	if err := c.read(ctx, PathWatch+"?"+query.Encode(), c.opts.Timeout+c.opts.WatchWait, &list); err != nil {
+		return nil, 0, err
+	}
+	return list.Objects, list.Version, nil
+}
+
+// VMs implements Store.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	var list VMsAnswer
+	if err := c.read(ctx, PathVMs, c.opts.Timeout, &list); err != nil {
+		return nil, err
+	}
+	return list.VMs, nil
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected Version) (Version, error) {
+	if err := CheckPut(key, value); err != nil {
+		return 0, err
+	}
+	body, err := json.Marshal(PutRequest{Value: value})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	answer, err := c.call(ctx, callSpec{
+		method: http.MethodPut, target: objectPath(key), body: body, timeout: c.opts.Timeout,
+		condition: conditionOf(expected),
+	})
+	if err != nil {
+		return 0, withKey(err, key)
+	}
+	return decodePut(key, answer)
+}
+
+// read makes a call without effects and decodes its answer. Any failure that
+// is no whole answer is ErrUnavailable, for nothing can have been changed.
+func (c *Client) read(ctx context.Context, target string, timeout time.Duration, into any) error {
+	answer, err := c.call(ctx, callSpec{method: http.MethodGet, target: target, timeout: timeout})
+	if err != nil {
+		return asRead(err)
+	}
+	return decodeRead(target, answer, into)
+}
+
+// callSpec is one HTTP call.
+type callSpec struct {
+	method, target string
+	body           []byte
+	timeout        time.Duration
+	condition      condition
+}
+
+// condition is the header that a write is conditional on.
+type condition struct{ name, value string }
+
+func conditionOf(expected Version) condition {
+	if expected == 0 {
+		return condition{name: HeaderIfNoneMatch, value: MustNotExist}
+	}
+	return condition{name: HeaderIfMatch, value: strconv.Quote(strconv.FormatUint(uint64(expected), 10))}
+}
+
+// httpAnswer is an answer that arrived whole.
+type httpAnswer struct {
+	status int
+	body   []byte
+}
+
+// call sends one request and reads the whole answer. A failure is a CallError
+// of kind ErrUnavailable if no connection was had, so that nothing was sent,
+// and of kind ErrUnknownOutcome otherwise.
+func (c *Client) call(ctx context.Context, spec callSpec) (httpAnswer, error) {
+	if err := ctx.Err(); err != nil {
+		return httpAnswer{}, &CallError{Op: spec.method, Target: spec.target, Kind: ErrUnavailable, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, spec.timeout)
+	defer cancel()
+	var sent sentTrace
+	request, err := http.NewRequestWithContext(sent.attach(ctx), spec.method, c.opts.BaseURL+spec.target, bytes.NewReader(spec.body))
+	if err != nil {
+		return httpAnswer{}, &CallError{Op: spec.method, Target: spec.target, Kind: ErrInvalid, Cause: err}
+	}
+	c.setHeaders(request, spec)
+	answer, err := c.exchange(request)
+	if err != nil {
+		return httpAnswer{}, &CallError{Op: spec.method, Target: spec.target, Kind: sent.kind(), Cause: err}
+	}
+	return answer, nil
+}
+
+func (c *Client) setHeaders(request *http.Request, spec callSpec) {
+	if c.opts.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.opts.Token)
+	}
+	if spec.condition.name != "" {
+		request.Header.Set(spec.condition.name, spec.condition.value)
+	}
+	if spec.body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+}
+
+// exchange reads the answer to its end, so that a cut one is never taken for
+// a whole one.
+func (c *Client) exchange(request *http.Request) (httpAnswer, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return httpAnswer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, c.opts.MaxAnswerBytes+1))
+	if err != nil {
+		return httpAnswer{}, err
+	}
+	if int64(len(body)) > c.opts.MaxAnswerBytes {
+		return httpAnswer{}, errAnswerTooLarge
+	}
+	return httpAnswer{status: response.StatusCode, body: body}, nil
+}
+
+var (
+	errAnswerTooLarge = errors.New("answer too large")
+	errCrossedAnswer  = errors.New("answer belongs to another object")
+)
+
+// sentTrace proves that a request was not sent. Telling by the kind of error
+// would be a guess: a write that reached the platform would then be reported
+// as without effect and be done twice. The transport announces that it looks
+// for a connection and that it has one; only the first without the second is
+// proof. A transport that announces neither gives none.
+type sentTrace struct{ wanted, got atomic.Bool }
+
+func (s *sentTrace) attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { s.wanted.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { s.got.Store(true) },
+	})
+}
+
+func (s *sentTrace) kind() error {
+	if s.wanted.Load() && !s.got.Load() {
+		return ErrUnavailable
+	}
+	return ErrUnknownOutcome
+}
+
+func objectPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, segment := range segments {
+		segments[i] = url.PathEscape(segment)
+	}
+	return PathObjects + "/" + strings.Join(segments, "/")
+}
--- /dev/null
+++ b/transport/objectstore/client_test.go
@@ -0,0 +1,26 @@
+package objectstore_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/objectstore/objectstoretest"
+)
+
+// serve starts a stand-in platform and returns a client of it.
+func serve(t *testing.T) (*platform.Platform, *objectstore.Client) {
+	t.Helper()
+	p := platform.New(platform.Options{})
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	return p, objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL, HTTPClient: server.Client()})
+}
+
+func TestClientConforms(t *testing.T) {
+	objectstoretest.Run(t, func(t *testing.T) objectstore.Store {
+		_, client := serve(t)
+		return client
+	})
+}
--- a/transport/objectstore/store.go
+++ b/transport/objectstore/store.go
@@ -34,6 +34,9 @@
 	ErrUnknownOutcome = errors.New("objectstore: outcome unknown")
 	// ErrTooOld: a watch asked for versions the platform no longer keeps.
 	ErrTooOld = errors.New("objectstore: version too old")
+	// ErrInvalid: the call itself is at fault, for example a value that is too
+	// large or a refused token. It had no effect and a retry cannot help.
+	ErrInvalid = errors.New("objectstore: invalid call")
 )
 
 // ConflictError says that a conditional write met another version.
