Follow the platform and peers, and settle lost writes

Cause: an accepted configuration must be in force everywhere within seconds and never revert, also when the platform is away or an answer is lost.

Ruled out: trusting a read that shows the expected version after a lost answer. The write may still be on its way, so it is sent again under the same condition, which lets one of the two take effect. A read older than the expected version settles nothing. Publishing a tree as its objects arrive: a cold router would refuse callers it has not heard of, so nothing is published until a list or a whole announcement is held. Resetting the back-off after a list: a platform that fails every watch would be asked by 730 routers five times a second each.

The list-and-watch loop is a thin one against the Store interface.

Conclusion: of a write's four ends (written, conflict, unavailable, unknown) only the last leaves open whether something changed.

--- a/state/config/change.go
+++ b/state/config/change.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // MaxHistory bounds the changes that an object remembers. It must exceed the
 // writes that can overtake one another while a writer settles a lost answer,
@@ -31,6 +34,34 @@
 	return Change{}, false
 }
 
+// VersionOf returns the version that a change produced, given the version of
+// the object that carries the history.
+func VersionOf(history []Change, id string, current uint64) (uint64, bool) {
+	for i, c := range history {
+		if c.ID != id {
+			continue
+		}
+		if i+1 < len(history) {
+			return history[i+1].Base, true
+		}
+		return current, true
+	}
+	return 0, false
+}
+
+// HistoryOf returns the changes that an object of the tree carries. It does
+// not check the rest of the object.
+func HistoryOf(key string, value []byte) ([]Change, error) {
+	if _, ok := TeamOf(key); !ok && key != RootKey {
+		return nil, ErrUnknownKey
+	}
+	var carrier struct {
+		History []Change `json:"history"`
+	}
+	err := json.Unmarshal(value, &carrier)
+	return carrier.History, err
+}
+
 // appendChange returns the last MaxHistory changes with c added, without
 // touching the slice it was given.
 func appendChange(history []Change, c Change) []Change {
--- a/state/config/objects.go
+++ b/state/config/objects.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 
 	"github.com/figstile/figstile/state"
@@ -106,7 +108,7 @@
 	if bad, ok := t.invalid[o.Key]; ok && bad.Version < o.Version {
 		delete(t.invalid, o.Key)
 	}
-	t.rebuild()
+	t.view = nil
 	return true, nil
 }
 
@@ -142,16 +144,54 @@
 	return invalid
 }
 
-func (t *Tree) rebuild() {
-	if t.root == nil {
-		return
+// View returns the present view, or nil until a valid root is held. It is
+// derived on the first call after a change, so that a batch of objects costs
+// one derivation.
+func (t *Tree) View() *View {
+	if t.view == nil && t.root != nil {
+		t.view = NewView(*t.root, t.Subtrees())
 	}
-	t.view = NewView(*t.root, t.Subtrees())
+	return t.view
 }
 
-// View returns the present view, or nil until a valid root is held.
-func (t *Tree) View() *View {
-	return t.view
+// CheckWith parses an object and checks it against the rest of the tree, as
+// if it replaced the version held. Faults that the tree already has and the
+// object leaves as they are don't count: of two clashes, the first could
+// otherwise never be mended alone.
+func (t *Tree) CheckWith(key string, value []byte) error {
+	with := t.clone()
+	if err := with.take(Object{Key: key, Value: value}); err != nil {
+		return err
+	}
+	after := with.crossFaults()
+	known := make(map[string]bool)
+	for _, f := range t.crossFaults() {
+		known[f.Reason] = true
+	}
+	var added faults
+	for _, f := range after {
+		if !known[f.Reason] {
+			added = append(added, f)
+		}
+	}
+	return added.err()
+}
+
+func (t *Tree) clone() *Tree {
+	return &Tree{root: t.root, subtrees: maps.Clone(t.subtrees)}
+}
+
+func (t *Tree) crossFaults() faults {
+	if t.root == nil {
+		return nil
+	}
+	subtrees := t.Subtrees()
+	slices.SortFunc(subtrees, func(a, b Subtree) int { return cmp.Compare(a.Team, b.Team) })
+	var found *Error
+	if errors.As(Check(*t.root, subtrees), &found) {
+		return found.Faults
+	}
+	return nil
 }
 
 // Subtrees returns every team's object, tombstones included, in no order.
@@ -179,6 +219,15 @@
 	return o, ok
 }
 
+// Refused returns the newest invalid version seen of an object, or zero.
+func (t *Tree) Refused(key string) uint64 {
+	bad, ok := t.invalid[key]
+	if !ok {
+		return 0
+	}
+	return bad.Version
+}
+
 // Invalid returns the newest version of each object that was seen but not
 // taken.
 func (t *Tree) Invalid() map[string]*InvalidError {
--- /dev/null
+++ b/transport/settings/fake_test.go
@@ -0,0 +1,172 @@
+package settings_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+// fakeStore is the platform's object API in memory, with faults that tests
+// switch on.
+type fakeStore struct {
+	objectstore.Store
+
+	mu      sync.Mutex
+	version objectstore.Version
+	objects map[string]objectstore.Object
+	away    bool
+	// putFaults are taken one for each Put.
+	putFaults []putFault
+	// stale, if set, answers every Get.
+	stale *objectstore.Object
+	// beforePut runs once, before the next Put takes effect.
+	beforePut func()
+	puts      int
+	watches   chan []objectstore.Object
+}
+
+type putFault int
+
+const (
+	lostAfter putFault = iota + 1
+	lostBefore
+)
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: make(map[string]objectstore.Object), watches: make(chan []objectstore.Object)}
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, ok := f.objects[key]
+	switch {
+	case f.away:
+		return o, objectstore.ErrUnavailable
+	case f.stale != nil:
+		return *f.stale, nil
+	case !ok:
+		return o, objectstore.ErrNotFound
+	}
+	return o, nil
+}
+
+func (f *fakeStore) List(context.Context, string) ([]objectstore.Object, objectstore.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return nil, 0, objectstore.ErrUnavailable
+	}
+	var all []objectstore.Object
+	for _, o := range f.objects {
+		all = append(all, o)
+	}
+	return all, f.version, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	if before := f.beforePut; before != nil {
+		f.beforePut = nil
+		before()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.puts++
+	var fault putFault
+	if len(f.putFaults) > 0 {
+		fault, f.putFaults = f.putFaults[0], f.putFaults[1:]
+	}
+	switch {
+	case f.away:
+		return 0, objectstore.ErrUnavailable
+	case fault == lostBefore:
+		return 0, objectstore.ErrUnknownOutcome
+	case f.objects[key].Version != expected:
+		return 0, &objectstore.ConflictError{Key: key, Current: f.objects[key].Version}
+	}
+	f.version++
+	f.objects[key] = objectstore.Object{Key: key, Version: f.version, Value: value}
+	if fault == lostAfter {
+		return 0, objectstore.ErrUnknownOutcome
+	}
+	return f.version, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, error) {
+	select {
+	case objects := <-f.watches:
+		if objects == nil {
+			return nil, 0, objectstore.ErrTooOld
+		}
+		return objects, after + 1, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// root and subtree return values whose newest change has the id.
+func root(t *testing.T, id string, base uint64) []byte {
+	t.Helper()
+	r := config.Root{
+		Teams:    []config.TeamShare{{Name: "turismo", Share: 1}, {Name: "reservas", Share: 1}},
+		Services: []config.Service{{Name: "drafts", Kind: config.KindEngine}},
+	}
+	return encode(t, r.WithChange(config.Change{ID: id, By: "operator/" + id, Base: base}))
+}
+
+func subtree(t *testing.T, id string, base uint64, weight float64) []byte {
+	t.Helper()
+	s := config.Subtree{Team: "turismo", Workspaces: []config.Workspace{{Name: "guides", Weight: weight}}}
+	return encode(t, s.WithChange(config.Change{ID: id, By: "team/" + id, Base: base}))
+}
+
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	data, err := json.Marshal(v)
+	require.NoError(t, err)
+	return data
+}
+
+var teamKey = config.TeamKey("turismo")
+
+// fleet is a platform with a root at version 1 and a router's parts.
+type fleet struct {
+	store  *fakeStore
+	source *settings.Source
+	writer *settings.Writer
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	store := newFakeStore()
+	source := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
+	noSleep := func(context.Context, time.Duration) {}
+	writer := settings.NewWriter(settings.WriterOptions{Store: store, Source: source, Log: zerolog.Nop(), Sleep: noSleep})
+	_, err := writer.Write(context.Background(), config.RootKey, root(t, "first", 0), 0)
+	require.NoError(t, err)
+	return &fleet{store: store, source: source, writer: writer}
+}
+
+func (f *fleet) write(t *testing.T, id string, expected uint64, weight float64) (uint64, error) {
+	t.Helper()
+	return f.writer.Write(context.Background(), teamKey, subtree(t, id, expected, weight), expected)
+}
+
+// workspaces lists the names in force.
+func workspaces(s *settings.Source) []state.Workspace {
+	var names []state.Workspace
+	for _, w := range s.View().Settings().Workspaces {
+		names = append(names, w.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/transport/settings/source_test.go
@@ -0,0 +1,132 @@
+package settings_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+// bring hands a peer everything it misses of what from announces.
+func bring(t *testing.T, from, to *settings.Source) {
+	t.Helper()
+	for _, key := range to.Missing(from.Versions()) {
+		o, ok := from.Object(key)
+		require.True(t, ok)
+		require.NoError(t, to.ObjectFrom(o.Key, o.Version, o.Value))
+	}
+}
+
+// All VMs of a data centre restart while the platform is away; one router of
+// another data centre still holds the tree. The cold router takes it from
+// there, and serves nobody on a part of it: it would refuse callers whose
+// workspaces had not arrived yet.
+func TestColdStartFromPeers(t *testing.T) {
+	f := newFleet(t)
+	_, err := f.write(t, "base", 0, 1)
+	require.NoError(t, err)
+
+	var seen []*config.View
+	cold := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop(), OnChange: func(v *config.View) { seen = append(seen, v) }})
+	missing := cold.Missing(f.source.Versions())
+	require.Equal(t, []string{config.RootKey, teamKey}, missing)
+	o, _ := f.source.Object(config.RootKey)
+	require.NoError(t, cold.ObjectFrom(o.Key, o.Version, o.Value))
+	require.False(t, cold.Ready())
+	require.Empty(t, cold.Versions(), "a part is not announced")
+
+	bring(t, f.source, cold)
+	require.True(t, cold.Ready())
+	require.Equal(t, f.source.Versions(), cold.Versions())
+	require.Equal(t, []state.Workspace{"guides"}, workspaces(cold))
+	require.Equal(t, []*config.View{cold.View()}, seen)
+	require.Empty(t, cold.Missing(f.source.Versions()))
+}
+
+// A router that was cut off rejoins with an old copy of a team, and its
+// platform reads come from a lagging copy as well. Neither may take back the
+// weight that the fleet has accepted.
+func TestOldVersionsNeverReturn(t *testing.T) {
+	f := newFleet(t)
+	_, err := f.write(t, "old", 0, 1)
+	require.NoError(t, err)
+	rejoined := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
+	bring(t, f.source, rejoined)
+	_, err = f.write(t, "new", 2, 5)
+	require.NoError(t, err)
+
+	require.Empty(t, f.source.Missing(rejoined.Versions()))
+	old, _ := rejoined.Object(teamKey)
+	require.NoError(t, f.source.ObjectFrom(old.Key, old.Version, old.Value))
+	require.Equal(t, uint64(3), f.source.Versions()[teamKey])
+
+	bring(t, f.source, rejoined)
+	require.Equal(t, uint64(3), rejoined.Versions()[teamKey])
+}
+
+// follow runs a follower whose pauses end when the test takes them.
+func follow(t *testing.T, store objectstore.Store, source *settings.Source) (pauses chan time.Duration) {
+	t.Helper()
+	pauses = make(chan time.Duration)
+	follower := settings.NewFollower(settings.FollowerOptions{
+		Store: store, Source: source, Log: zerolog.Nop(),
+		Sleep: func(ctx context.Context, d time.Duration) {
+			select {
+			case pauses <- d:
+			case <-ctx.Done():
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return pauses
+}
+
+// The platform is away when a router starts, and returns. Then a watch says
+// that a team's object is gone, as an emptied store would, and a damaged one
+// follows. The team's callers must not notice any of it.
+func TestFollowThroughOutageAndLoss(t *testing.T) {
+	f := newFleet(t)
+	_, err := f.write(t, "base", 0, 1)
+	require.NoError(t, err)
+	changes := make(chan *config.View, 8)
+	source := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop(), OnChange: func(v *config.View) { changes <- v }})
+	f.store.away = true
+	pauses := follow(t, f.store, source)
+	<-pauses
+	require.False(t, source.Ready())
+	f.store.mu.Lock()
+	f.store.away = false
+	f.store.mu.Unlock()
+	for inForce := false; !inForce; {
+		select {
+		case <-pauses:
+		case <-changes:
+			inForce = true
+		}
+	}
+
+	f.store.watches <- []objectstore.Object{{Key: teamKey}}
+	f.store.watches <- []objectstore.Object{{Key: teamKey, Version: 8}}
+	f.store.watches <- nil // too old: lists again
+	f.store.watches <- []objectstore.Object{{Key: teamKey, Version: 9, Value: subtree(t, "later", 2, 3)}}
+	<-changes
+	require.Equal(t, uint64(9), source.Versions()[teamKey])
+	require.Equal(t, []state.Workspace{"guides"}, workspaces(source))
+	require.Empty(t, source.Invalid())
+}
--- /dev/null
+++ b/transport/settings/writer.go
@@ -0,0 +1,243 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// Bounds on one write.
+const (
+	// callTimeout bounds one call. The platform answers in milliseconds; a
+	// call that takes seconds is lost.
+	callTimeout = 3 * time.Second
+	// settleAttempts bounds the tries to find out what became of a lost
+	// write, so that an operator waits half a minute at the most.
+	settleAttempts = 5
+	// settlePause is the mean pause between them.
+	settlePause = 400 * time.Millisecond
+)
+
+// WriterOptions are what a Writer needs.
+type WriterOptions struct {
+	Store  objectstore.Store
+	Source *Source
+	Log    zerolog.Logger
+	// Sleep waits or returns early when the context ends. Nil means by the
+	// machine's clock.
+	Sleep func(ctx context.Context, d time.Duration)
+}
+
+// Writer changes objects of the tree in the platform's store. It is safe for
+// concurrent use.
+type Writer struct {
+	options WriterOptions
+}
+
+// NewWriter returns a Writer.
+func NewWriter(options WriterOptions) *Writer {
+	if options.Sleep == nil {
+		options.Sleep = sleep
+	}
+	return &Writer{options: options}
+}
+
+// Read returns the platform's present version of an object, a *NotFoundError
+// or an *UnavailableError.
+func (w *Writer) Read(ctx context.Context, key string) (config.Object, error) {
+	o, err := w.get(ctx, key)
+	switch {
+	case errors.Is(err, objectstore.ErrNotFound):
+		return config.Object{}, &NotFoundError{Key: key}
+	case err != nil:
+		return config.Object{}, &UnavailableError{Err: err}
+	}
+	return o, nil
+}
+
+func (w *Writer) get(ctx context.Context, key string) (config.Object, error) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := w.options.Store.Get(limited, key)
+	return config.Object{Key: o.Key, Version: uint64(o.Version), Value: o.Value}, err
+}
+
+// Validate checks an object by itself and against the platform's present
+// tree. It changes nothing.
+//
+// It lists the tree first: a router that lags would else let a workspace's
+// name be taken twice. Two writes of different objects at the same moment can
+// still clash; the view then settles it the same way on every router.
+func (w *Writer) Validate(ctx context.Context, key string, value []byte) error {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	objects, _, err := w.options.Store.List(limited, config.Prefix)
+	if err != nil {
+		return &UnavailableError{Err: err}
+	}
+	w.options.Source.takeList(toTree(objects))
+	return w.options.Source.CheckWith(key, value)
+}
+
+// Write replaces an object if its version is still expected; zero means that
+// it must not exist yet. The value carries the change's id as its newest
+// change. Errors are *config.Error, *ConflictError, *UnavailableError or
+// *UnknownError; only the last leaves open whether anything changed.
+func (w *Writer) Write(ctx context.Context, key string, value []byte, expected uint64) (uint64, error) {
+	changes, err := historyOf(key, value)
+	if err != nil {
+		return 0, err
+	}
+	if err := w.Validate(ctx, key, value); err != nil {
+		return 0, err
+	}
+	p := &pendingWrite{writer: w, key: key, value: value, expected: expected, changeID: changes[len(changes)-1].ID}
+	version, err := p.run(ctx)
+	w.logWrite(p, version, err)
+	if err != nil {
+		return 0, err
+	}
+	_ = w.options.Source.take(originWrite, config.Object{Key: key, Version: version, Value: value})
+	return version, nil
+}
+
+func (w *Writer) logWrite(p *pendingWrite, version uint64, err error) {
+	line := w.options.Log.Info()
+	if err != nil {
+		line = w.options.Log.Warn().Err(err)
+	}
+	line.Str("event", "config_write").Str("key", p.key).Str("change", p.changeID).
+		Uint64("expected", p.expected).Uint64("version", version).Bool("answer_lost", p.lost).Send()
+}
+
+// historyOf returns the changes that a valid object carries.
+func historyOf(key string, value []byte) ([]config.Change, error) {
+	changes, err := config.HistoryOf(key, value)
+	if err != nil {
+		return nil, err
+	}
+	if len(changes) == 0 || changes[len(changes)-1].ID == "" {
+		return nil, &config.Error{Faults: []config.Fault{{Path: "history", Reason: "must end with the change that writes the object"}}}
+	}
+	return changes, nil
+}
+
+// pendingWrite is one conditional write until its outcome is known.
+type pendingWrite struct {
+	writer   *Writer
+	key      string
+	value    []byte
+	expected uint64
+	changeID string
+	// lost is set once an answer was lost, so that the outcome is open.
+	lost bool
+	// lastErr is the platform's last failure.
+	lastErr error
+}
+
+// run writes and, if the answer is lost, finds out what became of the write.
+//
+// An operator whose answer was lost would else either repeat a change that
+// somebody has since replaced, or believe in one that never happened. The
+// read looks for the change id in the object's history, so it recognises the
+// write even below later ones. If the object is still at the expected version
+// the first write may yet arrive; it is sent again under the same condition,
+// which lets only one of the two take effect.
+func (p *pendingWrite) run(ctx context.Context) (uint64, error) {
+	version, done, err := p.put(ctx)
+	if done {
+		return version, err
+	}
+	// The operator's connection may end now; the outcome is still wanted.
+	ctx = context.WithoutCancel(ctx)
+	for range settleAttempts {
+		p.writer.options.Sleep(ctx, settlePause/2+rand.N(settlePause))
+		if version, done, err := p.settle(ctx); done {
+			return version, err
+		}
+	}
+	return 0, &UnknownError{Key: p.key, ChangeID: p.changeID, Err: p.lastErr}
+}
+
+// put sends the write once. It is not done if the outcome is open.
+func (p *pendingWrite) put(ctx context.Context) (version uint64, done bool, err error) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	put, err := p.writer.options.Store.Put(limited, p.key, p.value, objectstore.Version(p.expected))
+	var conflict *objectstore.ConflictError
+	switch {
+	case err == nil:
+		return uint64(put), true, nil
+	case errors.As(err, &conflict):
+		return p.afterConflict(ctx, uint64(conflict.Current))
+	case errors.Is(err, objectstore.ErrUnavailable) && !p.lost:
+		return 0, true, &UnavailableError{Err: err}
+	}
+	p.lastErr = err
+	p.lost = true
+	return 0, false, nil
+}
+
+// settle reads the object back, and writes again if it has not changed.
+func (p *pendingWrite) settle(ctx context.Context) (uint64, bool, error) {
+	found, err := p.writer.get(ctx, p.key)
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
+		p.lastErr = err
+		return 0, false, nil
+	}
+	if version, ok := p.madeBy(found); ok {
+		return version, true, nil
+	}
+	if found.Version == p.expected {
+		return p.put(ctx)
+	}
+	if found.Version < p.expected {
+		p.lastErr = fmt.Errorf("the platform shows version %d, older than %d", found.Version, p.expected)
+		return 0, false, nil
+	}
+	return 0, true, p.conflictWith(found)
+}
+
+// afterConflict finds the winner. The winner may be this very change: a
+// transport may have sent it twice, or an operator may repeat it after a lost
+// answer. A copy older than the version that won says nothing about that.
+func (p *pendingWrite) afterConflict(ctx context.Context, current uint64) (uint64, bool, error) {
+	found, err := p.writer.get(ctx, p.key)
+	if version, ok := p.madeBy(found); err == nil && ok {
+		return version, true, nil
+	}
+	if err == nil && found.Version >= current {
+		return 0, true, p.conflictWith(found)
+	}
+	if p.lost {
+		p.lastErr = fmt.Errorf("version %d won and cannot be read yet", current)
+		return 0, false, nil
+	}
+	return 0, true, &ConflictError{Key: p.key, Expected: p.expected, Version: current}
+}
+
+// madeBy tells whether this write took effect in the object's past, and the
+// version it produced then.
+func (p *pendingWrite) madeBy(found config.Object) (uint64, bool) {
+	changes, err := config.HistoryOf(p.key, found.Value)
+	if err != nil {
+		return 0, false
+	}
+	return config.VersionOf(changes, p.changeID, found.Version)
+}
+
+func (p *pendingWrite) conflictWith(found config.Object) error {
+	conflict := &ConflictError{Key: p.key, Expected: p.expected, Version: found.Version}
+	changes, err := config.HistoryOf(p.key, found.Value)
+	if err == nil && len(changes) > 0 {
+		conflict.Winner = changes[len(changes)-1]
+	}
+	return conflict
+}
