Send one attempt to an upstream and tell how far it came

Cause: a router must never say "not run" of a request that an upstream has read, and must never send a second copy of one that may not run twice. net/http does both harms by default: it replays keyed and bodiless requests when a kept-alive connection breaks, and after a cancelled round trip its write loop may still write what it holds in a buffer.

Ruled out: httptrace.WroteHeaders as the sign of "sent", because it fires when the head reaches a buffer, before or after bytes leave; withholding GetBody alone, because requests without a body are replayed all the same. Connections count the writes they begin and can be fenced, so the statement is final when it is made, and a replay meets a fenced connection.

Conclusion: stages not-sent, sent, began, truncated and whole are safe to build result codes on. Load reports are polled by the same package, one goroutine an upstream, with injected waiting.

--- /dev/null
+++ b/transport/upstream/answer.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Answer is an answer under way. Read returns io.EOF only once it is whole.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	body   io.ReadCloser
+	framed bool
+	stage  Stage
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	silent *time.Timer
+	idle   time.Duration
+}
+
+func newAnswer(ctx context.Context, cancel context.CancelCauseFunc, resp *http.Response, idle time.Duration) *Answer {
+	return &Answer{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		body:   resp.Body,
+		framed: isFramed(resp),
+		stage:  StageBegan,
+		ctx:    ctx,
+		cancel: cancel,
+		silent: time.AfterFunc(idle, func() { cancel(ErrSilent) }),
+		idle:   idle,
+	}
+}
+
+// isFramed says whether the end of the body can be told from a broken
+// connection.
+func isFramed(resp *http.Response) bool {
+	if resp.Body == http.NoBody || resp.ContentLength >= 0 {
+		return true
+	}
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
+
+// Stage returns how far the answer came.
+func (a *Answer) Stage() Stage { return a.stage }
+
+// Read reads the body. Any end but a whole one is an *Error; one that wraps
+// ErrUnframed followed a clean close.
+func (a *Answer) Read(p []byte) (int, error) {
+	a.silent.Reset(a.idle)
+	n, err := a.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF && a.framed {
+		a.stage = StageWhole
+		return n, io.EOF
+	}
+	a.stage = StageTruncated
+	return n, &Error{Stage: StageTruncated, Err: a.reason(err)}
+}
+
+func (a *Answer) reason(err error) error {
+	if err == io.EOF {
+		return ErrUnframed
+	}
+	if cause := context.Cause(a.ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// Close ends the attempt. Before the end of the answer it closes the
+// connection, by which upstreams notice a cancelled request.
+func (a *Answer) Close() {
+	a.silent.Stop()
+	if a.stage != StageWhole {
+		a.cancel(context.Canceled)
+	}
+	_ = a.body.Close()
+	a.cancel(nil)
+}
--- /dev/null
+++ b/transport/upstream/client.go
@@ -0,0 +1,247 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/figstile/figstile/state"
+)
+
+// AttemptHeader carries the attempt's id to the upstream. An upstream that
+// echoes it lets the router recognise a crossed answer.
+const AttemptHeader = "Figstile-Attempt"
+
+const (
+	// dialTimeout bounds making a connection. Upstreams are a few
+	// milliseconds away, so a second is only reached by a dead address.
+	dialTimeout = time.Second
+	// keepIdle is how long an unused connection is kept. It stays below the
+	// five seconds after which common HTTP servers close one, because a
+	// request that meets such a close is lost with an unknown outcome.
+	keepIdle = 4 * time.Second
+	// idlePerUpstream bounds unused connections to one upstream: more than
+	// an engine has slots, so that steady load makes no new ones.
+	idlePerUpstream = 256
+	// answerHeadBytes bounds the head of an answer.
+	answerHeadBytes = 64 << 10
+	// defaultAnswerIdle is the longest silence within an answer.
+	defaultAnswerIdle = time.Minute
+)
+
+// Stage tells how far an attempt came.
+type Stage uint8
+
+// The stages of an attempt.
+const (
+	// StageNotSent: no byte of the request left the router, or ever will.
+	StageNotSent Stage = iota
+	// StageSent: some of the request left, and no usable answer began.
+	StageSent
+	// StageBegan: the head of the answer arrived.
+	StageBegan
+	// StageTruncated: the answer broke off.
+	StageTruncated
+	// StageWhole: the answer arrived to its last byte.
+	StageWhole
+)
+
+// String returns the stage's name in logs.
+func (s Stage) String() string {
+	names := [...]string{"not-sent", "sent", "began", "truncated", "whole"}
+	if int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
+// Reasons an answer does not count, beside those of net/http.
+var (
+	// ErrCrossed: the answer names another attempt.
+	ErrCrossed = errors.New("upstream: answer belongs to another attempt")
+	// ErrUnframed: the answer ended with its connection and had neither a
+	// length nor chunks, so it cannot be told from a truncated one.
+	ErrUnframed = errors.New("upstream: answer has no framing")
+	// ErrSilent: the upstream stopped sending within an answer.
+	ErrSilent = errors.New("upstream: answer fell silent")
+)
+
+// Error ends an attempt without a whole answer.
+type Error struct {
+	Stage Stage
+	Err   error
+}
+
+// Error names the stage and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("upstream: attempt ended %s: %v", e.Stage, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// StageOf returns the stage of an error of this package. Any other error
+// counts as sent, which never claims that nothing ran.
+func StageOf(err error) Stage {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.Stage
+	}
+	return StageSent
+}
+
+// Attempt is one dispatch of one request.
+type Attempt struct {
+	ID state.AttemptID
+	// BaseURL is the upstream's URL without a trailing slash; Target is the
+	// escaped path and query below it.
+	BaseURL string
+	Target  string
+	Method  string
+	Header  http.Header
+	Body    []byte
+	// Fresh asks for a new connection. A request that must not run twice
+	// cannot be sent again when a kept-alive connection turns out closed.
+	Fresh bool
+}
+
+// Client sends attempts. It never sends one twice and follows no redirects.
+type Client struct {
+	kept       *http.Transport
+	fresh      *http.Transport
+	answerIdle time.Duration
+}
+
+// ClientOptions configure a Client. Zero values take the defaults.
+type ClientOptions struct {
+	// AnswerIdle is the longest silence within an answer.
+	AnswerIdle time.Duration
+	// Dial makes connections; tests count them through it.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// NewClient returns a client with its own connections.
+func NewClient(opts ClientOptions) *Client {
+	if opts.AnswerIdle == 0 {
+		opts.AnswerIdle = defaultAnswerIdle
+	}
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	fresh := newTransport(opts)
+	fresh.DisableKeepAlives = true
+	return &Client{kept: newTransport(opts), fresh: fresh, answerIdle: opts.AnswerIdle}
+}
+
+// newTransport speaks HTTP/1.1 only: one attempt has its connection to itself,
+// which is what makes counting writes a proof. It uses no proxy and leaves the
+// encoding of bodies alone.
+func newTransport(opts ClientOptions) *http.Transport {
+	return &http.Transport{
+		DialContext:            fencedDial(opts.Dial),
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerUpstream,
+		IdleConnTimeout:        keepIdle,
+		MaxResponseHeaderBytes: answerHeadBytes,
+	}
+}
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func fencedDial(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &fencedConn{Conn: conn}, nil
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Send sends the attempt once and returns the answer as soon as its head is
+// there. Its error is an *Error. The context bounds the attempt up to the end
+// of the answer.
+func (c *Client) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	transport := c.kept
+	if a.Fresh {
+		transport = c.fresh
+	}
+	answer, reused, err := c.sendOver(ctx, transport, a)
+	if !reused || ctx.Err() != nil || StageOf(err) != StageNotSent {
+		return answer, err
+	}
+	// The kept connection closed before the first byte left, so this is no
+	// second copy; a new connection cannot fail the same way.
+	answer, _, err = c.sendOver(ctx, c.fresh, a)
+	return answer, err
+}
+
+func (c *Client) sendOver(ctx context.Context, transport *http.Transport, a Attempt) (answer *Answer, reused bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	watch := &sendWatch{}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, watch.trace()), a)
+	if err != nil {
+		cancel(err)
+		return nil, false, &Error{Stage: StageNotSent, Err: err}
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		cancel(err)
+		stage, reused := watch.stop()
+		return nil, reused, &Error{Stage: stage, Err: err}
+	}
+	if echo := resp.Header.Get(AttemptHeader); echo != "" && echo != a.ID.String() {
+		cancel(ErrCrossed)
+		_ = resp.Body.Close()
+		return nil, false, &Error{Stage: StageSent, Err: ErrCrossed}
+	}
+	return newAnswer(ctx, cancel, resp, c.answerIdle), false, nil
+}
+
+// newRequest sets no GetBody, so that net/http has nothing to replay; the
+// fence holds where it would replay without one.
+func newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, a.Method, a.BaseURL+a.Target, nil)
+	if err != nil {
+		return nil, err
+	}
+	if a.Header != nil {
+		req.Header = a.Header.Clone()
+	}
+	req.Header.Set(AttemptHeader, a.ID.String())
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil
+	}
+	req.Body = onceBody(a)
+	req.ContentLength = int64(len(a.Body))
+	return req, nil
+}
+
+// onceBody returns a body that can be read once. Methods that usually lack one
+// get an empty reader: net/http finds it empty and sends none, but does not
+// take the request for one that it may replay.
+func onceBody(a Attempt) io.ReadCloser {
+	if len(a.Body) > 0 {
+		return io.NopCloser(bytes.NewReader(a.Body))
+	}
+	switch a.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
+		return io.NopCloser(bytes.NewReader(nil))
+	default:
+		return http.NoBody
+	}
+}
--- /dev/null
+++ b/transport/upstream/client_test.go
@@ -0,0 +1,212 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+)
+
+var attemptID = state.AttemptID{Router: "laredo-1", Incarnation: 3, Sequence: 7}
+
+// flaky serves the first request of each connection and closes the connection
+// without an answer once it has read the second. It counts the second ones.
+type flaky struct {
+	url     string
+	dropped atomic.Int64
+}
+
+func startFlaky(t *testing.T) *flaky {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	f := &flaky{url: "http://" + listener.Addr().String()}
+	go f.accept(listener)
+	return f
+}
+
+func (f *flaky) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go f.serve(conn)
+	}
+}
+
+func (f *flaky) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/drop" {
+			f.dropped.Add(1)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestExactlyOneCopyIsSent: a guest is charged twice for one booking. A kept
+// connection breaks after the upstream has read the request; net/http takes
+// the request for idempotent and sends it again by itself. The control run
+// with a plain transport shows the second copy.
+func TestExactlyOneCopyIsSent(t *testing.T) {
+	cases := map[string]Attempt{
+		"get":           {Method: http.MethodGet},
+		"empty keyed":   {Method: http.MethodPost, Header: http.Header{"Idempotency-Key": {"k"}}},
+		"keyed booking": {Method: http.MethodPost, Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte("seat")},
+		"fresh":         {Method: http.MethodPost, Body: []byte("seat"), Fresh: true},
+	}
+	for name, attempt := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := startFlaky(t)
+			client := NewClient(ClientOptions{})
+			defer client.Close()
+			warm := attempt
+			warm.BaseURL, warm.Target = server.url, "/warm"
+			answer, err := client.Send(context.Background(), warm)
+			require.NoError(t, err)
+			_, err = io.ReadAll(answer)
+			require.NoError(t, err)
+			answer.Close()
+
+			attempt.BaseURL, attempt.Target = server.url, "/drop"
+			_, err = client.Send(context.Background(), attempt)
+			require.Equal(t, StageSent, StageOf(err))
+			require.EqualValues(t, 1, server.dropped.Load())
+		})
+	}
+	t.Run("control: a plain transport replays", func(t *testing.T) {
+		server := startFlaky(t)
+		plain := &http.Transport{}
+		defer plain.CloseIdleConnections()
+		for _, path := range []string{"/warm", "/drop"} {
+			req, err := http.NewRequest(http.MethodPost, server.url+path, strings.NewReader("seat"))
+			require.NoError(t, err)
+			req.Header.Set("Idempotency-Key", "k")
+			resp, err := plain.RoundTrip(req)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		}
+		require.EqualValues(t, 2, server.dropped.Load())
+	})
+}
+
+// heldConn holds back the first write until the test releases it.
+type heldConn struct {
+	net.Conn
+	reached chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	close(c.reached)
+	return len(p), nil
+}
+
+func (c *heldConn) Read([]byte) (int, error) {
+	<-c.reached
+	return 0, io.EOF
+}
+
+// TestNothingSentIsTruthful: a caller hears "not run" though its booking went
+// through. The router gives up while net/http still holds the request in a
+// buffer, and the buffer is written afterwards.
+func TestNothingSentIsTruthful(t *testing.T) {
+	t.Run("dial fails", func(t *testing.T) {
+		client := NewClient(ClientOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+			return nil, errors.New("refused")
+		}})
+		_, err := client.Send(context.Background(), Attempt{BaseURL: "http://127.0.0.1:1", Target: "/", Method: http.MethodPost})
+		require.Equal(t, StageNotSent, StageOf(err))
+	})
+	t.Run("a begun write counts as sent", func(t *testing.T) {
+		client := NewClient(ClientOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+			inner, _ := net.Pipe()
+			return &heldConn{Conn: inner, reached: make(chan struct{})}, nil
+		}})
+		_, err := client.Send(context.Background(), Attempt{BaseURL: "http://127.0.0.1:1", Target: "/", Method: http.MethodPost, Body: []byte("x")})
+		require.Equal(t, StageSent, StageOf(err))
+	})
+	t.Run("no write begins after the statement", func(t *testing.T) {
+		inner, _ := net.Pipe()
+		conn := &fencedConn{Conn: inner}
+		watch := &sendWatch{conn: conn}
+		stage, _ := watch.stop()
+		require.Equal(t, StageNotSent, stage)
+		_, err := conn.Write([]byte("late"))
+		require.ErrorIs(t, err, errFenced)
+	})
+}
+
+// TestTruncatedAnswers: a councillor files half a guide as the whole one. The
+// engine falls within the answer, and the missing end goes unnoticed.
+func TestTruncatedAnswers(t *testing.T) {
+	cases := map[string]struct {
+		raw   string
+		stage Stage
+		cause error
+	}{
+		"whole by length": {"Content-Length: 2\r\n\r\nok", StageWhole, nil},
+		"whole by chunks": {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", StageWhole, nil},
+		"short of length": {"Content-Length: 9\r\n\r\nok", StageTruncated, io.ErrUnexpectedEOF},
+		"no final chunk":  {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", StageTruncated, io.ErrUnexpectedEOF},
+		"no framing":      {"Connection: close\r\n\r\nok", StageTruncated, ErrUnframed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			answer, err := sendRaw(t, "HTTP/1.1 200 OK\r\n"+c.raw)
+			require.NoError(t, err)
+			defer answer.Close()
+			body, err := io.ReadAll(answer)
+			require.Equal(t, "ok", string(body))
+			require.Equal(t, c.stage, answer.Stage())
+			require.ErrorIs(t, err, c.cause)
+		})
+	}
+	t.Run("crossed", func(t *testing.T) {
+		_, err := sendRaw(t, "HTTP/1.1 200 OK\r\nFigstile-Attempt: laredo-1.3.6\r\nContent-Length: 2\r\n\r\nok")
+		require.ErrorIs(t, err, ErrCrossed)
+		require.Equal(t, StageSent, StageOf(err))
+	})
+	t.Run("echoed", func(t *testing.T) {
+		answer, err := sendRaw(t, "HTTP/1.1 200 OK\r\nFigstile-Attempt: laredo-1.3.7\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		answer.Close()
+	})
+}
+
+// sendRaw sends one attempt to a server that answers raw bytes and closes.
+func sendRaw(t *testing.T, raw string) (*Answer, error) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, raw)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient(ClientOptions{})
+	t.Cleanup(client.Close)
+	return client.Send(context.Background(), Attempt{ID: attemptID, BaseURL: server.URL, Target: "/", Method: http.MethodGet})
+}
--- /dev/null
+++ b/transport/upstream/fence.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// errFenced is the write error of a connection whose attempt is settled.
+var errFenced = errors.New("upstream: attempt already settled")
+
+// fencedConn counts the writes that were begun and can be closed for writing.
+//
+// It stops two failures. After a cancelled round trip net/http's write loop may
+// still write the request, while the router has already said "not run"; and
+// net/http replays some requests when a kept-alive connection fails, which runs
+// them twice. A write either begins before fence and is counted, or fails.
+type fencedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	begun  uint64
+	fenced bool
+}
+
+// Write counts the write before any byte can leave.
+func (c *fencedConn) Write(p []byte) (int, error) {
+	if !c.begin() {
+		return 0, errFenced
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *fencedConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fenced {
+		return false
+	}
+	c.begun++
+	return true
+}
+
+func (c *fencedConn) writes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
+// fence lets no further write begin and returns the writes begun so far.
+func (c *fencedConn) fence() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fenced = true
+	return c.begun
+}
+
+// sendWatch follows one attempt over the connections net/http gives it.
+type sendWatch struct {
+	mu     sync.Mutex
+	conn   *fencedConn
+	mark   uint64
+	sent   bool
+	reused bool
+}
+
+func (w *sendWatch) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: w.gotConn}
+}
+
+// gotConn runs before the first write on a connection. If a connection before
+// it took part of the request, the new one is fenced at once: net/http wants to
+// replay, and a second copy must not leave.
+func (w *sendWatch) gotConn(info httptrace.GotConnInfo) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	w.reused = info.Reused
+	w.conn = unwrap(info.Conn)
+	if w.conn == nil {
+		w.sent = true
+		return
+	}
+	w.mark = w.conn.writes()
+	if w.sent {
+		w.conn.fence()
+	}
+}
+
+// settle fences the present connection and notes whether it took anything.
+func (w *sendWatch) settle() {
+	if w.conn != nil && w.conn.fence() > w.mark {
+		w.sent = true
+	}
+	w.conn = nil
+}
+
+// stop ends the watch of a failed attempt. The statement is final: nothing
+// leaves after it.
+func (w *sendWatch) stop() (stage Stage, reused bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle()
+	if w.sent {
+		return StageSent, w.reused
+	}
+	return StageNotSent, w.reused
+}
+
+// unwrap returns the fenced connection under conn, or nil.
+func unwrap(conn net.Conn) *fencedConn {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	fenced, _ := conn.(*fencedConn)
+	return fenced
+}
--- /dev/null
+++ b/transport/upstream/poller.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+)
+
+const (
+	// PollInterval is the mean time between two polls of one upstream. It
+	// bounds how stale a load report gets: a draining upstream is noticed
+	// within two intervals, and 256 upstreams cost about a thousand small
+	// requests a second over the whole fleet, since only owners poll.
+	PollInterval = 250 * time.Millisecond
+	// pollJitter spreads the interval by this part either way, so that
+	// pollers that started together do not poll together.
+	pollJitter = 0.2
+	// pollTimeout bounds one poll. An upstream too busy to answer for four
+	// intervals is no place for new work.
+	pollTimeout = 4 * PollInterval
+	// reportBytes bounds a load report: a few hundred model names.
+	reportBytes = 64 << 10
+)
+
+// Target is one upstream whose load report is fetched.
+type Target struct {
+	Upstream state.Upstream
+	BaseURL  string
+}
+
+// PollerOptions configure a Poller. Zero values take the defaults.
+type PollerOptions struct {
+	// Wait blocks for the duration or until the context ends.
+	Wait func(ctx context.Context, d time.Duration) error
+	// Seed makes the jitter repeatable.
+	Seed uint64
+}
+
+// Poller fetches the load report of a changing set of upstreams, each in a
+// goroutine of its own, so that a slow one delays no other.
+type Poller struct {
+	client *http.Client
+	emit   func(scheduler.Event)
+	wait   func(ctx context.Context, d time.Duration) error
+
+	mu     sync.Mutex
+	random *rand.Rand
+	ctx    context.Context
+	cancel context.CancelFunc
+	polls  map[Target]context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// NewPoller returns a poller that passes scheduler.Reported and
+// scheduler.Unreachable to emit, from several goroutines. A report under way
+// may still be passed on shortly after its target was removed.
+func NewPoller(opts PollerOptions, emit func(scheduler.Event)) *Poller {
+	if opts.Wait == nil {
+		opts.Wait = sleep
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Poller{
+		client: &http.Client{Transport: newTransport(ClientOptions{Dial: plainDial}), CheckRedirect: noRedirect},
+		emit:   emit,
+		wait:   opts.Wait,
+		random: rand.New(rand.NewPCG(opts.Seed, 0)),
+		ctx:    ctx,
+		cancel: cancel,
+		polls:  make(map[Target]context.CancelFunc),
+	}
+}
+
+// SetTargets replaces the set of upstreams. Those that stay are not disturbed.
+func (p *Poller) SetTargets(targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := make(map[Target]bool, len(targets))
+	for _, t := range targets {
+		wanted[t] = true
+	}
+	for t, cancel := range p.polls {
+		if !wanted[t] {
+			cancel()
+			delete(p.polls, t)
+		}
+	}
+	for t := range wanted {
+		p.start(t)
+	}
+}
+
+func (p *Poller) start(t Target) {
+	if p.polls[t] != nil || p.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	p.polls[t] = cancel
+	p.done.Add(1)
+	go p.run(ctx, t)
+}
+
+// Close stops all polls and waits for them.
+func (p *Poller) Close() {
+	p.mu.Lock()
+	p.cancel()
+	p.mu.Unlock()
+	p.done.Wait()
+	p.client.CloseIdleConnections()
+}
+
+func (p *Poller) run(ctx context.Context, t Target) {
+	defer p.done.Done()
+	for {
+		event := p.poll(ctx, t)
+		if ctx.Err() != nil {
+			return
+		}
+		p.emit(event)
+		if p.wait(ctx, p.interval()) != nil {
+			return
+		}
+	}
+}
+
+func (p *Poller) interval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	spread := 1 + pollJitter*(2*p.random.Float64()-1)
+	return time.Duration(float64(PollInterval) * spread)
+}
+
+func (p *Poller) poll(ctx context.Context, t Target) scheduler.Event {
+	report, err := p.fetch(ctx, t)
+	if err != nil {
+		return scheduler.Unreachable{Upstream: t.Upstream}
+	}
+	return scheduler.Reported{Report: report}
+}
+
+// fetch takes a report only from the upstream it was asked of: after an
+// address is reused, another upstream answers there, and its free slots would
+// earn grants for the one that is gone.
+func (p *Poller) fetch(ctx context.Context, t Target) (state.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var report state.LoadReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.BaseURL+"/load", nil)
+	if err != nil {
+		return report, err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return report, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return report, fmt.Errorf("upstream: load report has status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
+	if err != nil {
+		return report, err
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return report, err
+	}
+	if report.Upstream != t.Upstream {
+		return report, fmt.Errorf("upstream: load report of %q where %q was expected", report.Upstream, t.Upstream)
+	}
+	return report, nil
+}
