Serve callers: admit, follow the scheduler, relay whole answers

Cause: callers need their own whole answer or a refusal that says truthfully whether the request ran. The handler authenticates, reads the body under a limit and a memory budget, submits to the scheduler, runs its dispatches and charges engines while they stream.

Weighed: holding every answer until it is whole (a long draft would show nothing for minutes) against streaming all (a result in the head would be a guess). A streamed answer that breaks off ends with an error event and a broken connection.

No throughput was measured yet.

Conclusion: the thin path stands on interfaces for the scheduler, the settings and the claims; claims have only their request type so far.

--- /dev/null
+++ b/transport/caller/follow.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+// errDeadlinePassed is the cause of an attempt cancelled at its deadline.
+var errDeadlinePassed = errors.New("caller: deadline passed")
+
+// follow submits the request and does what the scheduler says until the
+// request is final.
+func (x *exchange) follow() result.Result {
+	x.id = x.h.opts.Scheduler.NextID()
+	x.job.request.ID = x.id
+	actions := x.h.opts.Scheduler.Submit(x.job.request)
+	for {
+		select {
+		case <-x.ctx.Done():
+			return x.leave(actions)
+		case action := <-actions:
+			if res, final := x.perform(action); final {
+				return res
+			}
+		}
+	}
+}
+
+func (x *exchange) perform(action scheduler.Action) (res result.Result, final bool) {
+	switch a := action.(type) {
+	case scheduler.Refuse:
+		return x.refuse(a.Result), true
+	case scheduler.Dispatch:
+		return x.dispatch(a)
+	default:
+		return x.refuse(result.New(result.Internal, "").WithRan(result.RanNo)), true
+	}
+}
+
+// leave withdraws a waiting request whose caller went away. A dispatch may
+// cross with that; it is ended unused, or its slot would stay taken.
+func (x *exchange) leave(actions <-chan scheduler.Action) result.Result {
+	x.h.opts.Scheduler.Left(x.id)
+	for action := range actions {
+		if _, ok := action.(scheduler.Dispatch); ok {
+			x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+		}
+	}
+	return x.abandoned()
+}
+
+// abandoned aborts the connection as well: returning would send an empty 200.
+func (x *exchange) abandoned() result.Result {
+	x.abort = true
+	x.record.Abandoned = true
+	return x.truthful(result.New(result.DeadlinePassed, "The caller went away."))
+}
+
+// dispatch runs one attempt. It is not final if the scheduler decides again.
+func (x *exchange) dispatch(d scheduler.Dispatch) (res result.Result, final bool) {
+	base, ok := x.baseURL(d.Upstream)
+	if !ok {
+		return x.undone(scheduler.OutcomeNotSent)
+	}
+	attempt := x.h.nextAttempt()
+	if res, ok := x.mayRun(attempt); !ok {
+		x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeRefused)
+		return x.refuse(res), true
+	}
+	x.record.Upstream = d.Upstream
+	x.record.Waited = x.since()
+	m := newMeter(x.job, x.h.opts.Now())
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	stopTimer := x.h.opts.AfterFunc(x.untilDeadline(), func() { cancel(errDeadlinePassed) })
+	answer, err := x.h.opts.Client.Send(ctx, x.attempt(attempt, base))
+	if !stopTimer() && err == nil {
+		// The deadline passed in the moment the head arrived.
+		answer.Close()
+		err = &upstream.Error{Stage: upstream.StageSent, Err: errDeadlinePassed}
+	}
+	if err != nil {
+		return x.unanswered(err, context.Cause(ctx), &m)
+	}
+	defer answer.Close()
+	x.sent = true
+	x.record.Head = x.since()
+	return x.relay(answer, &m), true
+}
+
+// baseURL reads the view anew: an upstream's address may have changed while
+// the request waited.
+func (x *exchange) baseURL(name state.Upstream) (string, bool) {
+	view := x.h.opts.Settings.View()
+	if view == nil {
+		return "", false
+	}
+	service, _ := view.Service(x.job.service.Name)
+	for i := range service.Upstreams {
+		if service.Upstreams[i].Name == name {
+			return service.Upstreams[i].URL, true
+		}
+	}
+	return "", false
+}
+
+// mayRun checks what must hold just before a request leaves.
+func (x *exchange) mayRun(attempt state.AttemptID) (result.Result, bool) {
+	if x.sent && !x.job.request.Repeatable {
+		// The scheduler sends such a request once; a second dispatch
+		// would be a doubled booking, so the rule is held here too.
+		return result.New(result.UpstreamLost, ""), false
+	}
+	if x.untilDeadline() <= 0 {
+		return result.New(result.DeadlinePassed, ""), false
+	}
+	claim, needed := x.job.claim(attempt)
+	if !needed || x.claimed != nil {
+		return result.Result{}, true
+	}
+	if x.h.opts.Claims == nil {
+		return result.New(result.ClaimUnavailable, ""), false
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, x.untilDeadline())
+	defer cancel()
+	res := x.h.opts.Claims.Claim(ctx, claim)
+	if res.Code != result.OK {
+		return res, false
+	}
+	x.claimed = &claim
+	return result.Result{}, true
+}
+
+func (x *exchange) untilDeadline() time.Duration {
+	return x.job.deadline.Sub(x.h.opts.Now())
+}
+
+func (x *exchange) attempt(id state.AttemptID, base string) upstream.Attempt {
+	return upstream.Attempt{
+		ID:      id,
+		BaseURL: base,
+		Target:  x.job.target,
+		Method:  x.job.method,
+		Header:  x.job.header,
+		Body:    x.job.body,
+		Fresh:   !x.job.request.Repeatable,
+	}
+}
+
+// unanswered ends an attempt that brought no answer.
+func (x *exchange) unanswered(err, cause error, m *meter) (res result.Result, final bool) {
+	if upstream.StageOf(err) != upstream.StageNotSent {
+		x.sent = true
+	}
+	if errors.Is(err, upstream.ErrCrossed) {
+		x.record.Crossed++
+	}
+	cost := state.Cost(0)
+	if x.sent {
+		cost = m.used(nil, nil, x.h.opts.Now())
+	}
+	switch {
+	case x.ctx.Err() != nil:
+		x.end(m, cost, scheduler.OutcomeAbandoned)
+		return x.abandoned(), true
+	case errors.Is(cause, errDeadlinePassed) || errors.Is(err, errDeadlinePassed):
+		x.end(m, cost, scheduler.OutcomeAbandoned)
+		return x.refuse(x.deadlineResult()), true
+	case upstream.StageOf(err) == upstream.StageNotSent:
+		return x.undone(scheduler.OutcomeNotSent)
+	default:
+		x.end(m, cost, scheduler.OutcomeLost)
+		return result.Result{}, false
+	}
+}
+
+func (x *exchange) deadlineResult() result.Result {
+	if x.sent {
+		return result.New(result.DeadlineWhileRun, "")
+	}
+	return result.New(result.DeadlinePassed, "")
+}
+
+// undone gives a dispatch back that sent nothing.
+func (x *exchange) undone(outcome scheduler.Outcome) (res result.Result, final bool) {
+	x.h.opts.Scheduler.Ended(x.id, 0, outcome)
+	return result.Result{}, false
+}
+
+// end reports the last of an attempt's cost.
+func (x *exchange) end(m *meter, total state.Cost, outcome scheduler.Outcome) {
+	x.record.Cost = max(x.record.Cost, 0) + max(total, m.reported)
+	x.h.opts.Scheduler.Ended(x.id, m.final(total), outcome)
+}
--- /dev/null
+++ b/transport/caller/handler.go
@@ -0,0 +1,221 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+const (
+	// defaultRequests bounds the requests a router holds at once: with a
+	// goroutine and buffers each they stay well under a small VM's memory.
+	defaultRequests = 8192
+	// defaultBodyBudget bounds the bodies a router holds at once.
+	defaultBodyBudget = 256 << 20
+	// defaultBodyTimeout bounds reading one body, so that a caller that
+	// trickles bytes cannot hold memory for long.
+	defaultBodyTimeout = 30 * time.Second
+	// defaultWriteTimeout bounds one write to a caller. A caller that stops
+	// reading would otherwise keep an engine's slot.
+	defaultWriteTimeout = 30 * time.Second
+)
+
+// Options wire a Handler. Zero limits take the defaults.
+type Options struct {
+	Router      state.Router
+	Incarnation state.Incarnation
+	Scheduler   Scheduler
+	Settings    Settings
+	// Claims may be nil; requests with a key are then refused.
+	Claims   Claims
+	Client   *upstream.Client
+	Observer Observer
+	Log      zerolog.Logger
+	// Now is the clock; nil takes the system's.
+	Now func() time.Time
+	// AfterFunc runs f after d unless stopped; nil takes the system's timer.
+	AfterFunc func(d time.Duration, f func()) (stop func() bool)
+
+	Requests     int
+	BodyBudget   int64
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.AfterFunc == nil {
+		o.AfterFunc = afterFunc
+	}
+	if o.Requests == 0 {
+		o.Requests = defaultRequests
+	}
+	if o.BodyBudget == 0 {
+		o.BodyBudget = defaultBodyBudget
+	}
+	if o.BodyTimeout == 0 {
+		o.BodyTimeout = defaultBodyTimeout
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = defaultWriteTimeout
+	}
+	return o
+}
+
+func afterFunc(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
+
+// Handler serves /{service}/... to callers.
+type Handler struct {
+	opts     Options
+	budget   *budget
+	attempts atomic.Uint64
+}
+
+// NewHandler returns a handler for callers.
+func NewHandler(opts Options) *Handler {
+	opts = opts.withDefaults()
+	return &Handler{opts: opts, budget: newBudget(opts.Requests, opts.BodyBudget)}
+}
+
+func (h *Handler) nextAttempt() state.AttemptID {
+	return state.AttemptID{
+		Router:      h.opts.Router,
+		Incarnation: h.opts.Incarnation,
+		Sequence:    h.attempts.Add(1),
+	}
+}
+
+// ServeHTTP runs one request to its final result. It aborts the connection of
+// an answer that broke off, so that the caller's own HTTP library sees it.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{
+		h:       h,
+		w:       w,
+		r:       r,
+		ctx:     r.Context(),
+		control: http.NewResponseController(w),
+		arrived: h.opts.Now(),
+	}
+	res := x.run()
+	x.finish(res)
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// exchange is one caller's request under way. It belongs to the goroutine of
+// its HTTP handler.
+type exchange struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	control *http.ResponseController
+	hold    *hold
+	arrived time.Time
+
+	job *job
+	id  state.RequestID
+	// sent is set once any byte of the request may have reached an upstream.
+	// From then on no result says that it did not run.
+	sent bool
+	// claimed is the claim held for this request.
+	claimed *ClaimRequest
+	// abort is set if the answer under way must not be ended cleanly.
+	abort  bool
+	record Record
+}
+
+func (x *exchange) run() result.Result {
+	if !x.r.ProtoAtLeast(1, 1) {
+		// An HTTP/1.0 caller takes the end of the connection for the end
+		// of the answer, so a truncated one would look whole to it.
+		return x.refuse(result.New(result.BadRequest, "HTTP/1.1 or later is needed."))
+	}
+	hold, ok := x.h.budget.enter()
+	if !ok {
+		return x.refuse(result.New(result.TooManyRequests, ""))
+	}
+	x.hold = hold
+	defer hold.release()
+	j, err := x.admit()
+	if err != nil {
+		return x.refuse(resultOf(err))
+	}
+	x.job = j
+	return x.follow()
+}
+
+// refuse answers the caller with a problem document.
+func (x *exchange) refuse(res result.Result) result.Result {
+	res = x.truthful(res)
+	x.extendWrite()
+	writeProblem(x.w, res)
+	return res
+}
+
+// truthful keeps a refusal from saying "not run" once something was sent: a
+// later refusal, as of a retry that found no upstream, knows nothing of the
+// attempt before it.
+func (x *exchange) truthful(res result.Result) result.Result {
+	if x.sent && res.Ran == result.RanNo {
+		return res.WithRan(result.RanUnknown)
+	}
+	return res
+}
+
+// finish settles the claim and reports the request.
+func (x *exchange) finish(res result.Result) {
+	if x.claimed != nil {
+		x.h.opts.Claims.Complete(*x.claimed, x.claimOutcome(res))
+	}
+	x.record.Result = res
+	x.record.Total = x.since()
+	if x.h.opts.Observer != nil {
+		x.h.opts.Observer.Finished(x.record)
+	}
+	x.log()
+}
+
+func (x *exchange) claimOutcome(res result.Result) result.Ran {
+	switch {
+	case !x.sent:
+		return result.RanNo
+	case x.record.Abandoned || res.Ran == result.RanNo:
+		return result.RanUnknown
+	default:
+		return res.Ran
+	}
+}
+
+func (x *exchange) since() time.Duration { return x.h.opts.Now().Sub(x.arrived) }
+
+func (x *exchange) extendWrite() {
+	_ = x.control.SetWriteDeadline(x.h.opts.Now().Add(x.h.opts.WriteTimeout))
+}
+
+func (x *exchange) log() {
+	rec := &x.record
+	x.h.opts.Log.Info().
+		Str("event", "request").
+		Str("workspace", string(rec.Workspace)).
+		Str("service", string(rec.Service)).
+		Str("upstream", string(rec.Upstream)).
+		Int("result", int(rec.Result.Code)).
+		Stringer("ran", rec.Result.Ran).
+		Bool("abandoned", rec.Abandoned).
+		Int("crossed", rec.Crossed).
+		Dur("waited", rec.Waited).
+		Dur("total", rec.Total).
+		Int64("cost", int64(rec.Cost)).
+		Send()
+}
--- /dev/null
+++ b/transport/caller/handler_test.go
@@ -0,0 +1,474 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+// fakeScheduler plays a script: one action for each step of the request. It
+// closes the channel as Submit's contract says.
+type fakeScheduler struct {
+	submitted chan struct{}
+	mu        sync.Mutex
+	script    []scheduler.Action
+	request   scheduler.Request
+	actions   chan scheduler.Action
+	outcomes  []scheduler.Outcome
+	cost      state.Cost
+	reports   int
+	left      bool
+}
+
+func (f *fakeScheduler) NextID() state.RequestID { return 1 }
+
+func (f *fakeScheduler) Submit(req scheduler.Request) <-chan scheduler.Action {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.request = req
+	f.actions = make(chan scheduler.Action, len(f.script)+1)
+	f.next()
+	close(f.submitted)
+	return f.actions
+}
+
+func (f *fakeScheduler) next() {
+	if len(f.script) == 0 {
+		return
+	}
+	action := f.script[0]
+	f.script = f.script[1:]
+	f.actions <- action
+}
+
+func (f *fakeScheduler) Left(state.RequestID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left = true
+	f.next()
+	close(f.actions)
+}
+
+func (f *fakeScheduler) Progressed(_ state.RequestID, cost state.Cost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cost += cost
+	f.reports++
+}
+
+func (f *fakeScheduler) Ended(_ state.RequestID, cost state.Cost, outcome scheduler.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cost += cost
+	f.outcomes = append(f.outcomes, outcome)
+	if outcome == scheduler.OutcomeLost || outcome == scheduler.OutcomeNotSent {
+		f.next()
+	}
+}
+
+func (f *fakeScheduler) heard() (outcomes []scheduler.Outcome, cost state.Cost) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]scheduler.Outcome(nil), f.outcomes...), f.cost
+}
+
+type fakeView struct {
+	services map[state.Service]config.Service
+}
+
+func (v fakeView) AuthenticateCaller(token string) (state.Workspace, bool) {
+	return "comillas", token == "secret"
+}
+
+func (v fakeView) Service(name state.Service) (config.Service, bool) {
+	svc, ok := v.services[name]
+	return svc, ok
+}
+
+func (v fakeView) Allows(_ state.Workspace, _ state.Service, model state.Model) result.Code {
+	if model == "denied" {
+		return result.Forbidden
+	}
+	return result.OK
+}
+
+func (v fakeView) View() View { return v }
+
+type fakeClaims struct {
+	answer    result.Result
+	claimed   []ClaimRequest
+	completed []result.Ran
+}
+
+func (c *fakeClaims) Claim(_ context.Context, req ClaimRequest) result.Result {
+	c.claimed = append(c.claimed, req)
+	return c.answer
+}
+
+func (c *fakeClaims) Complete(_ ClaimRequest, ran result.Ran) {
+	c.completed = append(c.completed, ran)
+}
+
+type records chan Record
+
+func (r records) Finished(rec Record) { r <- rec }
+
+// bench is a handler between a scripted scheduler and one upstream.
+type bench struct {
+	*fakeScheduler
+	claims  *fakeClaims
+	records records
+	url     string
+	// expire passes the deadline of the attempt under way.
+	expire atomic.Pointer[func()]
+}
+
+func newBench(t *testing.T, worker http.HandlerFunc, script ...scheduler.Action) *bench {
+	t.Helper()
+	up := httptest.NewServer(worker)
+	t.Cleanup(up.Close)
+	b := &bench{fakeScheduler: &fakeScheduler{script: script, submitted: make(chan struct{})}, claims: &fakeClaims{}, records: make(records, 1)}
+	one := []config.Upstream{{Name: "one", URL: up.URL}, {Name: "dead", URL: "http://127.0.0.1:1"}}
+	view := fakeView{services: map[state.Service]config.Service{
+		"drafts":   {Name: "drafts", Kind: config.KindEngine, Repeatable: true, Models: []state.Model{"guide"}, Upstreams: one, Cost: config.CostWeights{InputToken: 1, OutputToken: 2}},
+		"bookings": {Name: "bookings", Kind: config.KindWorker, Upstreams: one, Limits: config.Limits{BodyBytes: 64, AnswerBytes: 100_000}},
+	}}
+	client := upstream.NewClient(upstream.ClientOptions{})
+	t.Cleanup(client.Close)
+	server := httptest.NewServer(NewHandler(Options{
+		Router: "laredo-1", Incarnation: 2, Scheduler: b, Settings: view, Claims: b.claims,
+		Client: client, Observer: b.records, Log: zerolog.Nop(),
+		AfterFunc: func(_ time.Duration, f func()) func() bool {
+			b.expire.Store(&f)
+			return func() bool { return true }
+		},
+	}))
+	t.Cleanup(server.Close)
+	b.url = server.URL
+	return b
+}
+
+// call sends a request with header pairs and returns the answer, its body and
+// the error of reading it.
+func (b *bench) call(t *testing.T, path, body string, pairs ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i < len(pairs); i += 2 {
+		req.Header.Set(pairs[i], pairs[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, string(answer), err
+}
+
+func dispatch(name state.Upstream) scheduler.Dispatch {
+	return scheduler.Dispatch{ID: 1, Upstream: name}
+}
+
+const prompt = `{"model":"guide","max_tokens":100,"messages":[{"role":"user","content":"Laredo in spring"}]}`
+
+func sse(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(upstream.AttemptHeader, r.Header.Get(upstream.AttemptHeader))
+		for _, event := range events {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", event)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func TestStreamIsWholeAndCharged(t *testing.T) {
+	b := newBench(t, sse(`{"choices":[{"delta":{"content":"a"}}]}`, `{"choices":[]}`, `{"usage":{"prompt_tokens":7,"completion_tokens":5}}`, "[DONE]"), dispatch("one"))
+	resp, body, err := b.call(t, "/drafts/v1/chat/completions", prompt, HeaderClass, "long")
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+	require.Equal(t, "0", resp.Trailer.Get(HeaderResult))
+	require.Equal(t, "yes", resp.Trailer.Get(HeaderRan))
+	rec := <-b.records
+	outcomes, cost := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeServed}, outcomes)
+	require.Equal(t, 17*state.CostUnit, cost)
+	require.Equal(t, cost, rec.Cost)
+	require.Positive(t, b.reports)
+	require.Equal(t, state.Model("guide"), b.request.Model)
+	require.Equal(t, "long", b.request.Class)
+	require.True(t, b.request.Repeatable)
+	require.NotZero(t, b.request.Prefix)
+	require.Greater(t, b.request.CostHint, 200*state.CostUnit)
+}
+
+// TestTruncatedStreamIsSeen: a councillor prints half a guide. The engine
+// falls in mid-stream, and a clean end would make the half look whole.
+func TestTruncatedStreamIsSeen(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"no done": sse(`{"choices":[]}`),
+		"cut": func(w http.ResponseWriter, r *http.Request) {
+			sse(`{"choices":[]}`)(w, r)
+			panic(http.ErrAbortHandler)
+		},
+	}
+	for name, worker := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, worker, dispatch("one"))
+			resp, body, err := b.call(t, "/drafts/v1/chat/completions", prompt)
+			require.Error(t, err)
+			require.Contains(t, body, "event: error\n")
+			require.Contains(t, body, `"code":3003`)
+			require.Empty(t, resp.Trailer.Get(HeaderResult))
+			<-b.records
+			outcomes, _ := b.heard()
+			require.Equal(t, []scheduler.Outcome{scheduler.OutcomeTruncated}, outcomes)
+		})
+	}
+}
+
+func TestWorkerAnswers(t *testing.T) {
+	large := strings.Repeat("x", 3*relayBytes)
+	cases := map[string]struct {
+		worker  http.HandlerFunc
+		status  int
+		code    string
+		broken  bool
+		outcome scheduler.Outcome
+	}{
+		"held": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderBusy, "250")
+			w.Header().Set(HeaderResult, "9999")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = io.WriteString(w, "seat 4A")
+		}, 201, "0", false, scheduler.OutcomeServed},
+		"streamed": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, large)
+		}, 200, "0", false, scheduler.OutcomeServed},
+		"failed": {func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "no seats table", http.StatusInternalServerError)
+		}, 500, "3005", false, scheduler.OutcomeFailed},
+		"held and cut": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "99")
+			_, _ = io.WriteString(w, "seat")
+		}, 502, "3003", false, scheduler.OutcomeTruncated},
+		"streamed and cut": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "99000")
+			_, _ = io.WriteString(w, large[:2*relayBytes])
+		}, 200, "", true, scheduler.OutcomeTruncated},
+		"too long": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, large+large)
+		}, 200, "", true, scheduler.OutcomeTruncated},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, c.worker, dispatch("one"))
+			resp, body, err := b.call(t, "/bookings/seats?flight=12", "4A")
+			require.Equal(t, c.broken, err != nil)
+			require.Equal(t, c.status, resp.StatusCode)
+			code := resp.Header.Get(HeaderResult) + resp.Trailer.Get(HeaderResult)
+			require.Equal(t, c.code, code)
+			<-b.records
+			outcomes, cost := b.heard()
+			require.Equal(t, []scheduler.Outcome{c.outcome}, outcomes)
+			if name == "held" {
+				require.Equal(t, "seat 4A", body)
+				require.Equal(t, state.CostUnit/4, cost)
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		path, body string
+		pairs      []string
+		code       string
+	}{
+		"token":     {"/bookings/x", "", []string{"Authorization", "Bearer wrong"}, "1002"},
+		"service":   {"/nothing/x", "", nil, "1004"},
+		"deadline":  {"/bookings/x", "", []string{HeaderDeadline, "soon"}, "1001"},
+		"class":     {"/bookings/x", "", []string{HeaderClass, "a b"}, "1001"},
+		"empty key": {"/bookings/x", "", []string{HeaderIdempotencyKey, ""}, "1001"},
+		"body":      {"/bookings/x", strings.Repeat("x", 65), nil, "1006"},
+		"json":      {"/drafts/x", "{", nil, "1001"},
+		"model":     {"/drafts/x", `{"model":"denied"}`, nil, "1003"},
+		"scheduler": {"/bookings/x", "", nil, "2001"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil, scheduler.Refuse{ID: 1, Result: result.New(result.QueueFull, "").After(1500e6)})
+			resp, body, err := b.call(t, c.path, c.body, c.pairs...)
+			require.NoError(t, err)
+			require.Equal(t, c.code, resp.Header.Get(HeaderResult), body)
+			require.Equal(t, "no", resp.Header.Get(HeaderRan))
+			require.Equal(t, "application/problem+json", resp.Header.Get("Content-Type"))
+			if c.code == "2001" {
+				require.Equal(t, "2", resp.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// TestRefusalAfterALostAttempt: a parent books a second seat because the first
+// answer said "not run". The worker read the booking and fell; the scheduler's
+// later refusal knows nothing of it.
+func TestRefusalAfterALostAttempt(t *testing.T) {
+	lose := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	b := newBench(t, lose, dispatch("dead"), dispatch("one"), scheduler.Refuse{ID: 1, Result: result.New(result.NoUpstream, "")})
+	resp, _, err := b.call(t, "/bookings/seats", "4A")
+	require.NoError(t, err)
+	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+	outcomes, _ := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeNotSent, scheduler.OutcomeLost}, outcomes)
+}
+
+// TestNoSecondDispatch: two escorts are assigned to one child. The scheduler
+// errs and dispatches a request again that may not be repeated.
+func TestNoSecondDispatch(t *testing.T) {
+	var runs atomic.Int64
+	lose := func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	b := newBench(t, lose, dispatch("one"), dispatch("one"))
+	resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
+	require.NoError(t, err)
+	require.Equal(t, "3002", resp.Header.Get(HeaderResult))
+	require.EqualValues(t, 1, runs.Load())
+	<-b.records
+	require.Len(t, b.claims.claimed, 1)
+	require.Equal(t, []result.Ran{result.RanUnknown}, b.claims.completed)
+}
+
+func TestKeyedRequests(t *testing.T) {
+	ok := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+	t.Run("completed", func(t *testing.T) {
+		b := newBench(t, ok, dispatch("one"))
+		_, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
+		require.NoError(t, err)
+		<-b.records
+		require.Equal(t, "k1", b.claims.claimed[0].Key)
+		require.Equal(t, []result.Ran{result.RanYes}, b.claims.completed)
+	})
+	t.Run("released when nothing was sent", func(t *testing.T) {
+		b := newBench(t, ok, dispatch("dead"), scheduler.Refuse{ID: 1, Result: result.New(result.UpstreamUnreachable, "")})
+		resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
+		require.NoError(t, err)
+		require.Equal(t, "no", resp.Header.Get(HeaderRan))
+		<-b.records
+		require.Equal(t, []result.Ran{result.RanNo}, b.claims.completed)
+	})
+	t.Run("refused by the claim", func(t *testing.T) {
+		b := newBench(t, ok, dispatch("one"))
+		b.claims.answer = result.New(result.KeyCompleted, "")
+		resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
+		require.NoError(t, err)
+		require.Equal(t, "yes", resp.Header.Get(HeaderRan))
+		<-b.records
+		require.Empty(t, b.claims.completed)
+		outcomes, _ := b.heard()
+		require.Equal(t, []scheduler.Outcome{scheduler.OutcomeRefused}, outcomes)
+	})
+}
+
+// TestCrossedAnswerIsDropped: a kiosk shows another town's map. An upstream
+// answers an earlier attempt on a later connection.
+func TestCrossedAnswerIsDropped(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(upstream.AttemptHeader, "laredo-1.2.0")
+		_, _ = io.WriteString(w, "another's map")
+	}, dispatch("one"), scheduler.Refuse{ID: 1, Result: result.New(result.UpstreamLost, "")})
+	_, body, err := b.call(t, "/bookings/map", "")
+	require.NoError(t, err)
+	require.NotContains(t, body, "another's")
+	require.Equal(t, 1, (<-b.records).Crossed)
+	outcomes, _ := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeLost}, outcomes)
+}
+
+// TestCallerLeaves: a slot stays taken by a kiosk that was switched off. Its
+// connection closes while the request waits, just as it is dispatched, or
+// while the worker runs it.
+func TestCallerLeaves(t *testing.T) {
+	t.Run("while waiting, crossing a dispatch", func(t *testing.T) {
+		b := newBench(t, nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-b.submitted
+			b.mu.Lock()
+			b.script = []scheduler.Action{dispatch("one")}
+			b.mu.Unlock()
+			cancel()
+		}()
+		require.ErrorIs(t, b.callWith(ctx, t), context.Canceled)
+		require.True(t, (<-b.records).Abandoned)
+		outcomes, _ := b.heard()
+		require.Equal(t, []scheduler.Outcome{scheduler.OutcomeAbandoned}, outcomes)
+		require.True(t, b.left)
+	})
+	t.Run("while running", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		told := make(chan error, 1)
+		b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+			cancel()
+			<-r.Context().Done()
+			told <- r.Context().Err()
+		}, dispatch("one"))
+		require.ErrorIs(t, b.callWith(ctx, t), context.Canceled)
+		require.ErrorIs(t, <-told, context.Canceled)
+		require.True(t, (<-b.records).Abandoned)
+		outcomes, _ := b.heard()
+		require.Equal(t, []scheduler.Outcome{scheduler.OutcomeAbandoned}, outcomes)
+	})
+}
+
+func (b *bench) callWith(ctx context.Context, t *testing.T) error {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/bookings/x", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	return errors.New("answered")
+}
+
+// TestDeadlines: a guardian waits on a page that gave up long ago. The
+// deadline passes before the dispatch, or while the worker is silent.
+func TestDeadlines(t *testing.T) {
+	var b *bench
+	b = newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+		(*b.expire.Load())()
+		<-r.Context().Done()
+	}, dispatch("one"))
+	resp, _, err := b.call(t, "/bookings/x", "")
+	require.NoError(t, err)
+	require.Equal(t, "3006", resp.Header.Get(HeaderResult))
+	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+
+	b = newBench(t, nil, dispatch("one"))
+	resp, _, err = b.call(t, "/bookings/x", "", HeaderDeadline, "0")
+	require.NoError(t, err)
+	require.Equal(t, "2004", resp.Header.Get(HeaderResult))
+	require.Equal(t, "no", resp.Header.Get(HeaderRan))
+}
--- /dev/null
+++ b/transport/caller/problem.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/figstile/figstile/state/result"
+)
+
+// defaultRetryAfter is when a refusal that carries Retry-After asks the caller
+// to come back if nobody knows better.
+const defaultRetryAfter = time.Second
+
+// Problem is the body of a refusal, after RFC 9457.
+type Problem struct {
+	Type   string      `json:"type"`
+	Title  string      `json:"title"`
+	Status int         `json:"status"`
+	Detail string      `json:"detail,omitempty"`
+	Code   result.Code `json:"code"`
+	Ran    string      `json:"ran"`
+}
+
+func newProblem(res result.Result) Problem {
+	entry := result.Lookup(res.Code)
+	detail := res.Detail
+	if detail == "" {
+		detail = entry.Meaning
+	}
+	return Problem{
+		Type:   "urn:figstile:result:" + entry.Name,
+		Title:  entry.Name,
+		Status: entry.Status,
+		Detail: detail,
+		Code:   res.Code,
+		Ran:    res.Ran.String(),
+	}
+}
+
+func writeProblem(w http.ResponseWriter, res result.Result) {
+	problem := newProblem(res)
+	header := w.Header()
+	setResult(header, res)
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Cache-Control", "no-store")
+	if res.Code == result.Unauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	if seconds := retrySeconds(res); seconds > 0 {
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+func setResult(header http.Header, res result.Result) {
+	header.Set(HeaderResult, strconv.Itoa(int(res.Code)))
+	header.Set(HeaderRan, res.Ran.String())
+}
+
+// retrySeconds rounds up: a caller that comes back early is refused again.
+func retrySeconds(res result.Result) int64 {
+	after := res.RetryAfter
+	if after <= 0 && result.Lookup(res.Code).Retry {
+		after = defaultRetryAfter
+	}
+	return int64((after + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/transport/caller/request.go
@@ -0,0 +1,265 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+)
+
+const (
+	// defaultBodyBytes bounds a body where the service names no limit.
+	defaultBodyBytes = 4 << 20
+	// defaultAnswerBytes bounds an answer where the service names no limit.
+	defaultAnswerBytes = 64 << 20
+	// defaultDeadline applies where neither caller nor service names one.
+	// It is above the longest draft and ends requests that nobody awaits.
+	defaultDeadline = 10 * time.Minute
+	// prefixBytes of a prompt are digested as a hint for cached prefixes.
+	prefixBytes = 1 << 10
+)
+
+// job is one admitted request. It is kept until the request is final, since a
+// later dispatch needs it whole.
+type job struct {
+	service      config.Service
+	key          string
+	method       string
+	target       string
+	header       http.Header
+	body         []byte
+	deadline     time.Time
+	promptTokens int64
+	request      scheduler.Request
+}
+
+func (j *job) engine() bool { return j.service.Kind == config.KindEngine }
+
+func (j *job) answerLimit() int64 {
+	if j.service.Limits.AnswerBytes > 0 {
+		return j.service.Limits.AnswerBytes
+	}
+	return defaultAnswerBytes
+}
+
+// claim returns the claim a dispatch needs; ok is false without a key.
+func (j *job) claim(attempt state.AttemptID) (ClaimRequest, bool) {
+	return ClaimRequest{
+		Workspace: j.request.Workspace,
+		Service:   j.request.Service,
+		Key:       j.key,
+		Attempt:   attempt,
+	}, j.key != ""
+}
+
+// completion is what the router reads of an engine's request.
+type completion struct {
+	Model               state.Model     `json:"model"`
+	MaxTokens           int64           `json:"max_tokens"`
+	MaxCompletionTokens int64           `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+func (c *completion) prompt() []byte {
+	if len(c.Messages) > 0 {
+		return c.Messages
+	}
+	return c.Prompt
+}
+
+func (c *completion) limit() int64 {
+	limit := max(c.MaxTokens, c.MaxCompletionTokens)
+	return min(max(limit, 0), maxTokens)
+}
+
+// admit authenticates and reads a request. The error is a result.Result.
+func (x *exchange) admit() (*job, error) {
+	view := x.h.opts.Settings.View()
+	if view == nil {
+		return nil, result.New(result.NotReady, "")
+	}
+	workspace, ok := view.AuthenticateCaller(bearerToken(x.r.Header))
+	if !ok {
+		return nil, result.New(result.Unauthorized, "")
+	}
+	x.record.Workspace = workspace
+	name, target := splitTarget(x.r)
+	service, ok := view.Service(name)
+	if !ok {
+		return nil, result.New(result.UnknownService, "")
+	}
+	x.record.Service = name
+	if code := view.Allows(workspace, name, ""); code != result.OK {
+		return nil, result.New(code, "")
+	}
+	hints, err := parseHints(x.r.Header, x.arrived)
+	if err != nil {
+		return nil, result.New(result.BadRequest, err.Error())
+	}
+	x.record.Class = hints.class
+	body, err := x.readBody(service.Limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	j := &job{
+		service:  service,
+		key:      hints.key,
+		method:   x.r.Method,
+		target:   target,
+		body:     body,
+		deadline: deadlineOf(hints, service, x.arrived),
+	}
+	j.header = upstreamHeader(x.r.Header, j.engine())
+	j.request = x.describe(j, workspace, hints)
+	if err := j.readCompletion(); err != nil {
+		return nil, err
+	}
+	if code := view.Allows(workspace, name, j.request.Model); code != result.OK {
+		return nil, result.New(code, "")
+	}
+	return j, nil
+}
+
+// splitTarget cuts the service from the path and returns the escaped rest,
+// which goes to the upstream as the caller wrote it.
+func splitTarget(r *http.Request) (state.Service, string) {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/")
+	name, rest, _ := strings.Cut(path, "/")
+	target := "/" + rest
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	return state.Service(name), target
+}
+
+func deadlineOf(h hints, svc config.Service, now time.Time) time.Time {
+	if !h.deadline.IsZero() {
+		return h.deadline
+	}
+	if d := svc.Limits.Deadline(); d > 0 {
+		return now.Add(d)
+	}
+	return now.Add(defaultDeadline)
+}
+
+func (x *exchange) describe(j *job, ws state.Workspace, h hints) scheduler.Request {
+	return scheduler.Request{
+		Service:     j.service.Name,
+		Workspace:   ws,
+		Class:       h.class,
+		Bytes:       int64(len(j.body)),
+		Deadline:    j.deadline,
+		Repeatable:  j.service.Repeatable && j.key == "",
+		Fingerprint: fingerprint(ws, j),
+	}
+}
+
+// fingerprint digests the fields with separators, so that no two requests
+// agree by shifting bytes from one field to the next.
+func fingerprint(ws state.Workspace, j *job) state.Fingerprint {
+	digest := xxhash.New()
+	for _, field := range []string{string(ws), string(j.service.Name), j.method, j.target} {
+		_, _ = digest.WriteString(field)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(j.body)
+	return state.Fingerprint(digest.Sum64())
+}
+
+// readCompletion fills in what an engine's body tells. A model is required
+// only where the service offers a choice.
+func (j *job) readCompletion() error {
+	if !j.engine() || j.method != http.MethodPost {
+		return nil
+	}
+	var c completion
+	if err := json.Unmarshal(j.body, &c); err != nil {
+		return result.New(result.BadRequest, "The body is not a JSON object of the engines' API.")
+	}
+	if c.Model == "" && len(j.service.Models) == 1 {
+		c.Model = j.service.Models[0]
+	}
+	if c.Model == "" {
+		return result.New(result.BadRequest, "The body names no model.")
+	}
+	prompt := c.prompt()
+	j.promptTokens = int64(len(prompt)) / bytesPerToken
+	j.request.Model = c.Model
+	j.request.Prefix = prefixOf(prompt)
+	if limit := c.limit(); limit > 0 {
+		j.request.CostHint = tokenCost(weightsOf(j.service), j.promptTokens, limit)
+	}
+	return nil
+}
+
+func prefixOf(prompt []byte) uint64 {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
+}
+
+// readBody reads the body under the service's limit and the router's memory
+// budget. The budget is taken before the first byte is read: many callers who
+// send at once would otherwise exhaust a small VM before any limit shows.
+func (x *exchange) readBody(limit int64) ([]byte, error) {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	length := x.r.ContentLength
+	if length > limit {
+		return nil, result.New(result.BodyTooLarge, "")
+	}
+	reserve := length
+	if length < 0 {
+		reserve = limit
+	}
+	if !x.hold.grow(reserve) {
+		return nil, result.New(result.TooManyRequests, "")
+	}
+	_ = x.control.SetReadDeadline(x.h.opts.Now().Add(x.h.opts.BodyTimeout))
+	body, err := readAll(x.r.Body, length, limit)
+	_ = x.control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, err
+	}
+	x.hold.shrink(reserve - int64(len(body)))
+	return body, nil
+}
+
+func readAll(from io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		if _, err := io.ReadFull(from, body); err != nil {
+			return nil, result.New(result.BadRequest, "The body broke off.")
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(from, limit+1))
+	if int64(len(body)) > limit {
+		return nil, result.New(result.BodyTooLarge, "")
+	}
+	if err != nil {
+		return nil, result.New(result.BadRequest, "The body broke off.")
+	}
+	return body, nil
+}
+
+// resultOf returns the result within an error of this package.
+func resultOf(err error) result.Result {
+	var res result.Result
+	if errors.As(err, &res) {
+		return res
+	}
+	return result.New(result.Internal, "")
+}
--- /dev/null
+++ b/transport/caller/sse.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+)
+
+// maxEventBytes bounds what is kept of one line of a stream. A longer line is
+// passed on whole but counted as one token without being read.
+const maxEventBytes = 1 << 20
+
+var (
+	dataField   = []byte("data:")
+	doneMarker  = []byte("[DONE]")
+	usageMember = []byte(`"usage"`)
+)
+
+// usage is the engine's own count, as in OpenAI's API.
+type usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// eventScanner reads a stream of server-sent events as it passes through. It
+// copies only lines that are split over two reads.
+type eventScanner struct {
+	partial  []byte
+	skipping bool
+	// tokens counts data events, of which engines send one for each token.
+	tokens int64
+	// usage is the last one seen, nil if there is none.
+	usage *usage
+	// done is set once the terminating line has been read to its end.
+	done bool
+}
+
+// feed reads the next bytes of the stream.
+func (s *eventScanner) feed(p []byte) {
+	for len(p) > 0 {
+		end := bytes.IndexAny(p, "\r\n")
+		if end < 0 {
+			s.keep(p)
+			return
+		}
+		s.endLine(p[:end])
+		p = p[end+1:]
+	}
+}
+
+func (s *eventScanner) keep(p []byte) {
+	if s.skipping || len(s.partial)+len(p) > maxEventBytes {
+		s.skipping = true
+		s.partial = s.partial[:0]
+		return
+	}
+	s.partial = append(s.partial, p...)
+}
+
+func (s *eventScanner) endLine(rest []byte) {
+	if s.skipping {
+		s.skipping = false
+		s.count()
+		return
+	}
+	if len(s.partial) == 0 {
+		s.line(rest)
+		return
+	}
+	s.partial = append(s.partial, rest...)
+	s.line(s.partial)
+	s.partial = s.partial[:0]
+}
+
+func (s *eventScanner) line(line []byte) {
+	data, ok := bytes.CutPrefix(line, dataField)
+	if !ok {
+		return
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, doneMarker) {
+		s.done = true
+		return
+	}
+	if u := usageOf(data); u != nil {
+		s.usage = u
+		if u.CompletionTokens > s.tokens {
+			s.tokens = u.CompletionTokens
+		}
+		return
+	}
+	s.count()
+}
+
+func (s *eventScanner) count() {
+	if !s.done {
+		s.tokens++
+	}
+}
+
+// usageOf decodes the usage of one event or answer, if it has one. Within
+// generated text the quotes of "usage" are escaped, so only a real member
+// costs the decoding.
+func usageOf(data []byte) *usage {
+	at := bytes.Index(data, usageMember)
+	if at < 0 {
+		return nil
+	}
+	value := bytes.TrimLeft(data[at+len(usageMember):], " \t\r\n:")
+	if len(value) == 0 || value[0] != '{' {
+		return nil
+	}
+	var answer struct {
+		Usage *usage `json:"usage"`
+	}
+	if json.Unmarshal(data, &answer) != nil || !answer.Usage.valid() {
+		return nil
+	}
+	return answer.Usage
+}
+
+// valid refuses counts that would corrupt counters which only grow.
+func (u *usage) valid() bool {
+	return u != nil && u.PromptTokens >= 0 && u.CompletionTokens >= 0 &&
+		u.PromptTokens <= maxTokens && u.CompletionTokens <= maxTokens
+}
