wire: convert scheduler messages and frame them

Deciders speak in scheduler events and actions, routers in peerpb envelopes. The conversion checks every name, list, cost and enumeration that a peer says, so that a decider never meets an unbounded or negative value; the reason comes back as a typed error.

Ruled out: checks inside the deciders (each would repeat them), and errors as text (the mesh counts them by code).

--- /dev/null
+++ b/protocol/wire/decode.go
@@ -0,0 +1,166 @@
+package wire
+
+import (
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/state"
+)
+
+// ToEvent converts a message of a peer. It returns an *Error if the message
+// breaks a bound or is not for the scheduler.
+func ToEvent(from state.Router, fromIncarnation state.Incarnation, env *peerpb.Envelope) (scheduler.Event, error) {
+	var c checker
+	event := c.event(from, fromIncarnation, env)
+	if c.err != nil {
+		return nil, c.err
+	}
+	return event, nil
+}
+
+func (c *checker) event(from state.Router, incarnation state.Incarnation, env *peerpb.Envelope) scheduler.Event {
+	switch body := env.GetBody().(type) {
+	case *peerpb.Envelope_Demand:
+		return c.demand(from, body.Demand)
+	case *peerpb.Envelope_Grant:
+		return c.grant(from, body.Grant)
+	case *peerpb.Envelope_Decline:
+		return c.decline(from, body.Decline)
+	case *peerpb.Envelope_Progress:
+		return c.progress(from, body.Progress)
+	case *peerpb.Envelope_Ended:
+		return c.ended(from, body.Ended)
+	case *peerpb.Envelope_Usage:
+		return c.usage(from, incarnation, body.Usage)
+	case *peerpb.Envelope_Crash:
+		return c.crash(body.Crash)
+	case *peerpb.Envelope_Leaving:
+		return c.leaving(body.Leaving)
+	case nil:
+		c.fail(CodeEmpty, "envelope")
+	default:
+		c.fail(CodeNotForScheduler, "envelope")
+	}
+	return nil
+}
+
+func (c *checker) demand(from state.Router, m *peerpb.Demand) scheduler.Event {
+	service := c.name("demand.service", m.GetService())
+	c.count("demand.entries", len(m.GetEntries()))
+	if c.err != nil {
+		return nil
+	}
+	var entries []scheduler.DemandEntry
+	for _, e := range m.GetEntries() {
+		entries = append(entries, c.demandEntry(e))
+	}
+	return scheduler.DemandHeard{
+		From:   from,
+		Demand: scheduler.Demand{Service: state.Service(service), Entries: entries, Full: m.GetFull()},
+	}
+}
+
+func (c *checker) demandEntry(e *peerpb.DemandEntry) scheduler.DemandEntry {
+	return scheduler.DemandEntry{
+		Workspace: state.Workspace(c.name("demand.workspace", e.GetWorkspace())),
+		Model:     state.Model(c.optional("demand.model", e.GetModel())),
+		Waiting:   c.integer("demand.waiting", e.GetWaiting()),
+		HeadAge:   duration(e.GetHeadAgeMs()),
+		HeadCost:  c.cost("demand.head_cost", e.GetHeadCost()),
+	}
+}
+
+func (c *checker) grant(from state.Router, m *peerpb.Grant) scheduler.Event {
+	return scheduler.GrantHeard{Grant: scheduler.Grant{
+		Owner:     from,
+		Sequence:  m.GetSequence(),
+		Service:   state.Service(c.name("grant.service", m.GetService())),
+		Workspace: state.Workspace(c.name("grant.workspace", m.GetWorkspace())),
+		Model:     state.Model(c.optional("grant.model", m.GetModel())),
+		Upstream:  state.Upstream(c.name("grant.upstream", m.GetUpstream())),
+		Lifetime:  duration(m.GetExpiresInMs()),
+		Reserved:  c.cost("grant.reserved", m.GetReserved()),
+	}}
+}
+
+func (c *checker) decline(from state.Router, m *peerpb.Decline) scheduler.Event {
+	return scheduler.DeclineHeard{
+		From:     from,
+		Sequence: m.GetSequence(),
+		Service:  state.Service(c.name("decline.service", m.GetService())),
+		Demand:   c.demandEntry(m.GetDemand()),
+	}
+}
+
+func (c *checker) progress(from state.Router, m *peerpb.Progress) scheduler.Event {
+	return scheduler.ProgressHeard{
+		From:      from,
+		Sequence:  m.GetSequence(),
+		Upstream:  state.Upstream(c.name("progress.upstream", m.GetUpstream())),
+		Service:   state.Service(c.name("progress.service", m.GetService())),
+		Workspace: state.Workspace(c.name("progress.workspace", m.GetWorkspace())),
+		Cost:      c.cost("progress.cost", m.GetCost()),
+		Started:   m.GetStarted(),
+	}
+}
+
+func (c *checker) ended(from state.Router, m *peerpb.Ended) scheduler.Event {
+	return scheduler.EndedHeard{
+		From:      from,
+		Sequence:  m.GetSequence(),
+		Upstream:  state.Upstream(c.name("ended.upstream", m.GetUpstream())),
+		Service:   state.Service(c.name("ended.service", m.GetService())),
+		Workspace: state.Workspace(c.name("ended.workspace", m.GetWorkspace())),
+		Cost:      c.cost("ended.cost", m.GetCost()),
+		Outcome:   c.outcome(m.GetOutcome()),
+	}
+}
+
+func (c *checker) outcome(value uint32) scheduler.Outcome {
+	if value < uint32(scheduler.OutcomeServed) || value > uint32(scheduler.OutcomeRefused) {
+		c.fail(CodeOutOfRange, "ended.outcome")
+		return 0
+	}
+	return scheduler.Outcome(value)
+}
+
+// usage takes the sender for the origin of counters that name none.
+func (c *checker) usage(from state.Router, incarnation state.Incarnation, m *peerpb.Usage) scheduler.Event {
+	c.count("usage.entries", len(m.GetEntries()))
+	if c.err != nil {
+		return nil
+	}
+	heard := scheduler.UsageHeard{Origin: from, Incarnation: incarnation, Full: m.GetFull()}
+	if origin := c.optional("usage.origin", m.GetOrigin()); origin != "" {
+		heard.Origin = state.Router(origin)
+		heard.Incarnation = state.Incarnation(m.GetOriginIncarnation())
+	}
+	for _, e := range m.GetEntries() {
+		heard.Entries = append(heard.Entries, c.usageEntry(e))
+	}
+	return heard
+}
+
+func (c *checker) usageEntry(e *peerpb.UsageEntry) scheduler.UsageEntry {
+	return scheduler.UsageEntry{
+		Service:   state.Service(c.name("usage.service", e.GetService())),
+		Workspace: state.Workspace(c.name("usage.workspace", e.GetWorkspace())),
+		Charged:   c.cost("usage.charged", e.GetCharged()),
+		Reserved:  c.cost("usage.reserved", e.GetReserved()),
+		Lift:      c.cost("usage.lift", e.GetLift()),
+	}
+}
+
+func (c *checker) crash(m *peerpb.Crash) scheduler.Event {
+	return scheduler.CrashHeard{
+		Fingerprint: state.Fingerprint(m.GetFingerprint()),
+		Upstream:    state.Upstream(c.name("crash.upstream", m.GetUpstream())),
+		Boot:        c.optional("crash.boot", m.GetBoot()),
+	}
+}
+
+func (c *checker) leaving(m *peerpb.Leaving) scheduler.Event {
+	return scheduler.UpstreamLeaving{
+		Upstream: state.Upstream(c.name("leaving.upstream", m.GetUpstream())),
+		Boot:     c.optional("leaving.boot", m.GetBoot()),
+	}
+}
--- /dev/null
+++ b/protocol/wire/wire_test.go
@@ -0,0 +1,138 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+)
+
+const sender = "castro-1"
+
+var entry = scheduler.DemandEntry{Workspace: "guias", Model: "borrador-3", Waiting: 4, HeadAge: 1200 * time.Millisecond, HeadCost: 900}
+
+// pairs lists every action that leaves a router with the event it becomes.
+var pairs = []struct {
+	action scheduler.Action
+	event  scheduler.Event
+}{
+	{
+		scheduler.SendDemand{To: "r2", Demand: scheduler.Demand{Service: "drafts", Entries: []scheduler.DemandEntry{entry}, Full: true}},
+		scheduler.DemandHeard{From: sender, Demand: scheduler.Demand{Service: "drafts", Entries: []scheduler.DemandEntry{entry}, Full: true}},
+	},
+	{
+		scheduler.SendGrant{To: "r2", Grant: scheduler.Grant{Owner: sender, Sequence: 7, Service: "drafts", Workspace: "guias", Model: "m", Upstream: "u1", Lifetime: time.Second, Reserved: 5}},
+		scheduler.GrantHeard{Grant: scheduler.Grant{Owner: sender, Sequence: 7, Service: "drafts", Workspace: "guias", Model: "m", Upstream: "u1", Lifetime: time.Second, Reserved: 5}},
+	},
+	{
+		scheduler.SendDecline{To: "r2", Sequence: 7, Service: "drafts", Demand: entry},
+		scheduler.DeclineHeard{From: sender, Sequence: 7, Service: "drafts", Demand: entry},
+	},
+	{
+		scheduler.SendProgress{To: "r2", Sequence: 7, Upstream: "u1", Service: "drafts", Workspace: "guias", Cost: 3, Started: true},
+		scheduler.ProgressHeard{From: sender, Sequence: 7, Upstream: "u1", Service: "drafts", Workspace: "guias", Cost: 3, Started: true},
+	},
+	{
+		scheduler.SendEnded{To: "r2", Sequence: 7, Upstream: "u1", Service: "drafts", Workspace: "guias", Cost: 3, Outcome: scheduler.OutcomeLost},
+		scheduler.EndedHeard{From: sender, Sequence: 7, Upstream: "u1", Service: "drafts", Workspace: "guias", Cost: 3, Outcome: scheduler.OutcomeLost},
+	},
+	{
+		scheduler.SendUsage{Entries: []scheduler.UsageEntry{{Service: "drafts", Workspace: "guias", Charged: 9, Reserved: 2, Lift: 1}}, Full: true},
+		scheduler.UsageHeard{Origin: sender, Incarnation: 41, Entries: []scheduler.UsageEntry{{Service: "drafts", Workspace: "guias", Charged: 9, Reserved: 2, Lift: 1}}, Full: true},
+	},
+	{
+		scheduler.SendUsage{Origin: "r9", Incarnation: 3},
+		scheduler.UsageHeard{Origin: "r9", Incarnation: 3},
+	},
+	{
+		scheduler.SendCrash{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b"},
+		scheduler.CrashHeard{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b"},
+	},
+	{
+		scheduler.SendLeaving{Upstream: "u1", Boot: "b"},
+		scheduler.UpstreamLeaving{Upstream: "u1", Boot: "b"},
+	},
+}
+
+func TestActionsArriveAsEvents(t *testing.T) {
+	for _, p := range pairs {
+		env, _, ok := ToEnvelope(p.action)
+		require.True(t, ok, "%T", p.action)
+		frame, err := AppendFrame(nil, env)
+		require.NoError(t, err)
+		read, err := NewFrameReader(bufio.NewReader(bytes.NewReader(frame)), MaxControlFrame).Next()
+		require.NoError(t, err)
+		event, err := ToEvent(sender, 41, read)
+		require.NoError(t, err)
+		require.Equal(t, p.event, event)
+	}
+	for _, local := range []scheduler.Action{scheduler.Dispatch{}, scheduler.Refuse{}, scheduler.Owned{}, scheduler.Drained{}} {
+		_, _, ok := ToEnvelope(local)
+		require.False(t, ok, "%T stays at home", local)
+	}
+}
+
+func TestShortGrantDoesNotArriveExpired(t *testing.T) {
+	env, _, _ := ToEnvelope(scheduler.SendGrant{Grant: scheduler.Grant{Lifetime: time.Microsecond}})
+	require.EqualValues(t, 1, env.GetGrant().GetExpiresInMs())
+}
+
+func TestBounds(t *testing.T) {
+	long := strings.Repeat("x", MaxName+1)
+	many := make([]*peerpb.UsageEntry, MaxEntries+1)
+	for _, c := range []struct {
+		code Code
+		env  *peerpb.Envelope
+	}{
+		{CodeEmpty, nil},
+		{CodeEmpty, &peerpb.Envelope{}},
+		{CodeNotForScheduler, &peerpb.Envelope{Body: &peerpb.Envelope_Hello{}}},
+		{CodeMissing, &peerpb.Envelope{Body: &peerpb.Envelope_Grant{Grant: &peerpb.Grant{}}}},
+		{CodeMissing, &peerpb.Envelope{Body: &peerpb.Envelope_Decline{Decline: &peerpb.Decline{Service: "s"}}}},
+		{CodeTooLong, &peerpb.Envelope{Body: &peerpb.Envelope_Leaving{Leaving: &peerpb.Leaving{Upstream: long}}}},
+		{CodeTooMany, &peerpb.Envelope{Body: &peerpb.Envelope_Usage{Usage: &peerpb.Usage{Entries: many}}}},
+		{CodeNegative, &peerpb.Envelope{Body: &peerpb.Envelope_Progress{Progress: &peerpb.Progress{Upstream: "u", Service: "s", Workspace: "w", Cost: -1}}}},
+		{CodeOutOfRange, &peerpb.Envelope{Body: &peerpb.Envelope_Ended{Ended: &peerpb.Ended{Upstream: "u", Service: "s", Workspace: "w", Outcome: 99}}}},
+	} {
+		_, err := ToEvent(sender, 1, c.env)
+		require.ErrorIs(t, err, &Error{Code: c.code})
+	}
+}
+
+func TestOversizedFrameIsRefused(t *testing.T) {
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{Value: make([]byte, MaxControlFrame)}}}
+	frame, err := AppendFrame(nil, env)
+	require.NoError(t, err)
+	_, err = NewFrameReader(bufio.NewReader(bytes.NewReader(frame)), MaxControlFrame).Next()
+	var large *protodelim.SizeTooLargeError
+	require.ErrorAs(t, err, &large)
+}
+
+// FuzzFrames feeds a reader whatever a faulty or foreign sender may write: it
+// must end in an event or an error, never in a panic.
+func FuzzFrames(f *testing.F) {
+	for _, p := range pairs {
+		env, _, _ := ToEnvelope(p.action)
+		frame, _ := AppendFrame(nil, env)
+		f.Add(frame)
+	}
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := NewFrameReader(bufio.NewReader(bytes.NewReader(data)), MaxControlFrame)
+		for {
+			env, err := in.Next()
+			if err != nil {
+				return
+			}
+			event, err := ToEvent(sender, 1, env)
+			require.True(t, (event == nil) == (err != nil))
+		}
+	})
+}
