membership: decide who is live and which session stays

Ownership of upstreams follows the set of live routers, so a wrong verdict moves work. The verdicts are a state machine without I/O: live, suspect after a closed session, gone after silence or the grace; incarnations only rise; one session per pair survives simultaneous dials; dials back off with jitter from a seeded source.

All limits count the time for which the process was seen to run. A pause of any length counts as one missed heartbeat, so a process that wakes up reads what waits in its sockets before it gives anybody up, and one that stalls again and again still finds a dead peer.

Ruled out: forgiving a pause altogether (repeated stalls would keep a dead peer for ever); taking the newer session on every simultaneous dial (both sides see another order, and close each other's); gossip that makes a router live (a peer cut off from us is not ours to grant to).

--- /dev/null
+++ b/coordination/membership/script_test.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+)
+
+var update = flag.Bool("update", false, "rewrite the expected actions in testdata")
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestScripts plays testdata/*.txt. A line is a comment (#), "self", or an
+// event with its time; indented lines are the actions that must follow. "run
+// D" sends ticks for D and leaves out plain heartbeats.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			want, err := os.ReadFile(file)
+			require.NoError(t, err)
+			got := play(t, string(want))
+			if *update {
+				require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
+				return
+			}
+			require.Equal(t, string(want), got)
+		})
+	}
+}
+
+func play(t *testing.T, script string) string {
+	var out strings.Builder
+	var machine *Machine
+	for _, line := range strings.Split(strings.TrimSuffix(script, "\n"), "\n") {
+		if strings.HasPrefix(line, "    ") {
+			continue
+		}
+		fmt.Fprintln(&out, line)
+		words := strings.Fields(line)
+		switch {
+		case len(words) == 0 || words[0] == "#":
+		case words[0] == "self":
+			machine = New(Config{Self: parseHello(t, words[1:]), Seed: 1})
+		default:
+			at, err := time.ParseDuration(words[0])
+			require.NoError(t, err, line)
+			step(t, &out, machine, at, words[1:])
+		}
+	}
+	return out.String()
+}
+
+func step(t *testing.T, out *strings.Builder, m *Machine, at time.Duration, words []string) {
+	if words[0] != "run" {
+		for _, a := range m.Step(epoch.Add(at), parseEvent(t, words)) {
+			fmt.Fprintf(out, "    %s\n", describe(a))
+		}
+		return
+	}
+	span, err := time.ParseDuration(words[1])
+	require.NoError(t, err)
+	for passed := time.Duration(0); passed <= span; passed += TickInterval {
+		for _, a := range m.Step(epoch.Add(at+passed), Tick{}) {
+			if beat, ok := a.(SendHeartbeat); ok && beat.Members == nil {
+				continue
+			}
+			fmt.Fprintf(out, "    %s %s\n", at+passed, describe(a))
+		}
+	}
+}
+
+// parseHello reads "router/incarnation data-centre address [key=value]".
+func parseHello(t *testing.T, words []string) Hello {
+	name, number, _ := strings.Cut(words[0], "/")
+	incarnation, err := strconv.ParseUint(number, 10, 64)
+	require.NoError(t, err)
+	hello := Hello{
+		Fleet: "cantabria", Version: 1, Router: state.Router(name), Incarnation: state.Incarnation(incarnation),
+		DataCentre: state.DataCentre(words[1]), Address: words[2],
+	}
+	for _, option := range words[3:] {
+		key, value, _ := strings.Cut(option, "=")
+		switch key {
+		case "fleet":
+			hello.Fleet = value
+		case "version":
+			hello.Version = 2
+		case "draining":
+			hello.Draining = true
+		default:
+			t.Fatalf("unknown option %q", option)
+		}
+	}
+	return hello
+}
+
+func parseEvent(t *testing.T, words []string) Event {
+	id := func() SessionID {
+		n, err := strconv.ParseUint(words[1], 10, 64)
+		require.NoError(t, err)
+		return SessionID(n)
+	}
+	switch words[0] {
+	case "seeded":
+		return Seeded{Addresses: words[1:]}
+	case "greeted-by":
+		return Greeted{Session: id(), Hello: parseHello(t, words[2:])}
+	case "dialled":
+		hello := parseHello(t, words[2:])
+		return Greeted{Session: id(), Dialled: hello.Address, Hello: hello}
+	case "dial-failed":
+		return DialFailed{Address: words[1]}
+	case "reached-itself":
+		return DialFailed{Address: words[1], Refusal: RefusalSelf, Router: "castro-1", Incarnation: 5}
+	case "closed":
+		return Closed{Session: id()}
+	case "heard":
+		return Heard{Session: id()}
+	case "heartbeat":
+		beat := HeartbeatHeard{Session: id()}
+		for _, word := range words[2:] {
+			if word == "draining" {
+				beat.Draining = true
+				continue
+			}
+			router, address, _ := strings.Cut(word, "@")
+			beat.Members = append(beat.Members, Member{Router: state.Router(router), Address: address, Incarnation: 1})
+		}
+		return beat
+	case "drain":
+		return DrainingSet{Draining: true}
+	case "tick":
+		return Tick{}
+	default:
+		t.Fatalf("unknown event %q", words[0])
+		return nil
+	}
+}
+
+func describe(a Action) string {
+	switch a := a.(type) {
+	case Dial:
+		return "dial " + a.Address
+	case Accept:
+		return fmt.Sprintf("accept %d", a.Session)
+	case Refuse:
+		return fmt.Sprintf("refuse %d %s", a.Session, a.Refusal)
+	case Close:
+		return fmt.Sprintf("close %d %s", a.Session, a.Reason)
+	case SendHeartbeat:
+		text := fmt.Sprintf("heartbeat %d", a.Session)
+		for _, m := range a.Members {
+			text += " " + string(m.Router)
+		}
+		return text
+	case Publish:
+		text := "publish"
+		for _, p := range a.Peers {
+			text += fmt.Sprintf(" %s/%d", p.Router, p.Incarnation)
+			if p.Draining {
+				text += "(draining)"
+			}
+		}
+		return text
+	case Resumed:
+		return "resumed after " + a.Gap.String()
+	default:
+		return fmt.Sprintf("%T", a)
+	}
+}
