Schedule requests over the fleet by grants of upstream owners

A request waits at its own router; the owner of an upstream grants its free slots to the workspace with the least virtual time over all routers' demand.

Counters of others are folded per peer when that peer is heard, not all at once at a tick of this router: with one common fold, whatever the others did between their last message and the fold would be counted neither as heard nor as extrapolated. UsageEntry gains Virtual, so that a router that starts cold takes over forgiven service and changes of shares, which counters do not tell.

Crashes are confirmed by the owner of the upstream, since only it sees load reports: a SendCrash without a boot is a suspicion addressed to the owner.

--- /dev/null
+++ b/coordination/fairness/choice.go
@@ -0,0 +1,190 @@
+package fairness
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/btree"
+
+	"github.com/figstile/figstile/state"
+)
+
+// node is a backlogged account in an index.
+type node struct {
+	key     float64
+	tie     uint64
+	account *account
+}
+
+func newIndex() *btree.BTreeG[node] {
+	return btree.NewG(8, func(a, b node) bool {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.tie, b.tie), cmp.Compare(a.account.workspace, b.account.workspace)) < 0
+	})
+}
+
+func tieBreak(seed uint64, w state.Workspace) uint64 {
+	return xxhash.Sum64String(string(w)) ^ seed
+}
+
+func (a *account) node() node {
+	return node{key: a.key, tie: a.tie, account: a}
+}
+
+// rekey moves a backlogged account to its present virtual time.
+func (l *Ledger) rekey(a *account) {
+	if len(a.models) == 0 {
+		return
+	}
+	key := l.virtual(a)
+	if key == a.key {
+		return
+	}
+	l.unindex(a)
+	a.key = key
+	l.index(a)
+}
+
+func (l *Ledger) index(a *account) {
+	l.all.ReplaceOrInsert(a.node())
+	for m := range a.models {
+		l.modelIndex(m).ReplaceOrInsert(a.node())
+	}
+}
+
+func (l *Ledger) unindex(a *account) {
+	l.all.Delete(a.node())
+	for m := range a.models {
+		l.modelIndex(m).Delete(a.node())
+	}
+}
+
+func (l *Ledger) modelIndex(m state.Model) *btree.BTreeG[node] {
+	index := l.byModel[m]
+	if index == nil {
+		index = newIndex()
+		l.byModel[m] = index
+	}
+	return index
+}
+
+// SetBacklog says whether any router has work of a workspace and model
+// waiting. A workspace that comes back from idle is lifted to the least
+// virtual time of those waiting, so that idleness saves up no claim.
+func (l *Ledger) SetBacklog(now time.Time, w state.Workspace, m state.Model, waiting bool) {
+	a := l.account(w)
+	if _, indexed := a.models[m]; indexed == waiting {
+		return
+	}
+	if !waiting {
+		l.modelIndex(m).Delete(a.node())
+		delete(a.models, m)
+		if l.byModel[m].Len() == 0 {
+			delete(l.byModel, m)
+		}
+		if len(a.models) == 0 {
+			l.all.Delete(a.node())
+			a.idleSince = now
+		}
+		return
+	}
+	if len(a.models) == 0 {
+		l.wake(now, a)
+	}
+	a.models[m] = struct{}{}
+	l.all.ReplaceOrInsert(a.node())
+	l.modelIndex(m).ReplaceOrInsert(a.node())
+}
+
+// wake lifts an account that was idle for longer than idleGrace.
+func (l *Ledger) wake(now time.Time, a *account) {
+	a.key = l.virtual(a)
+	if now.Sub(a.idleSince) <= idleGrace {
+		return
+	}
+	least, ok := l.all.Min()
+	if !ok || least.key <= a.key {
+		return
+	}
+	l.raise(a, a.lift+state.Cost(least.key-a.key))
+	a.key = l.virtual(a)
+}
+
+// Next returns the backlogged workspace with the least virtual time among
+// those that wait for one of the models; nil means any model.
+func (l *Ledger) Next(models []state.Model) (state.Workspace, bool) {
+	if models == nil {
+		least, ok := l.all.Min()
+		if !ok {
+			return "", false
+		}
+		return least.account.workspace, true
+	}
+	var best node
+	for _, m := range models {
+		index := l.byModel[m]
+		if index == nil {
+			continue
+		}
+		least, ok := index.Min()
+		if ok && (best.account == nil || least.key < best.key) {
+			best = least
+		}
+	}
+	if best.account == nil {
+		return "", false
+	}
+	return best.account.workspace, true
+}
+
+// Models lists for what models work of a workspace waits.
+func (l *Ledger) Models(w state.Workspace) map[state.Model]struct{} {
+	return l.account(w).models
+}
+
+// Backlogged counts the workspaces with work waiting.
+func (l *Ledger) Backlogged() int {
+	return l.all.Len()
+}
+
+func (l *Ledger) backlogged() []*account {
+	accounts := make([]*account, 0, l.all.Len())
+	l.all.Ascend(func(n node) bool {
+		accounts = append(accounts, n.account)
+		return true
+	})
+	return accounts
+}
+
+func (l *Ledger) measure(period time.Duration) {
+	perSecond := float64(l.paidOut) / period.Seconds() / l.share
+	l.paidOut = 0
+	if l.rate == 0 {
+		l.rate = perSecond
+		return
+	}
+	l.rate += rateSmoothing * (perSecond - l.rate)
+}
+
+// clamp forgives a backlogged workspace what puts it further ahead of the
+// least served one than clampWindow of the fleet's service.
+//
+// Made for the end of a partition and for cold starts: counters that were
+// apart for an hour differ by an hour's service, and the workspace that
+// happened to be served more would starve for as long. Work in progress is
+// not counted against it, because one long request of a small workspace is
+// far ahead without any harm done.
+func (l *Ledger) clamp() {
+	least, ok := l.all.Min()
+	if !ok || l.rate == 0 {
+		return
+	}
+	window := l.rate * clampWindow.Seconds()
+	for _, a := range l.backlogged() {
+		ahead := a.key - least.key - float64(a.own.Reserved)/l.share/a.share
+		if ahead > window {
+			a.forgiven += ahead - window
+			l.rekey(a)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/queue/queue.go
@@ -0,0 +1,288 @@
+// Package queue holds the requests that wait at one router, first come first
+// served per service, workspace and model. It is bounded per workspace and
+// over the whole router, in requests and in bytes, so that a flood ends in
+// refusals and not in lost memory.
+package queue
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/google/btree"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// Limits bound what may wait. Zero fields take their defaults.
+type Limits struct {
+	Requests int
+	Bytes    int64
+}
+
+const (
+	// defaultRequests and defaultBytes bound one workspace of one service:
+	// minutes of work at the sizes of today, far beyond the patience of
+	// callers, and small beside the router's total, so that one workspace
+	// cannot fill the router alone.
+	defaultRequests = 256
+	defaultBytes    = 32 << 20
+	// DefaultTotalRequests and DefaultTotalBytes bound a router. Entry VMs
+	// are small: a quarter of a gigabyte of bodies leaves room for answers.
+	DefaultTotalRequests = 8192
+	DefaultTotalBytes    = 256 << 20
+)
+
+func (l Limits) orDefault(requests int, bytes int64) Limits {
+	if l.Requests <= 0 {
+		l.Requests = requests
+	}
+	if l.Bytes <= 0 {
+		l.Bytes = bytes
+	}
+	return l
+}
+
+// Key names one first-come-first-served line.
+type Key struct {
+	Service   state.Service
+	Workspace state.Workspace
+	Model     state.Model
+}
+
+// Item is one waiting request.
+type Item struct {
+	Key
+	ID          state.RequestID
+	Bytes       int64
+	Hint        state.Cost
+	Arrived     time.Time
+	Deadline    time.Time
+	Repeatable  bool
+	Fingerprint state.Fingerprint
+	// Dispatches counts earlier tries, Last is the upstream of the latest,
+	// and Sent says that some try may have reached its upstream.
+	Dispatches int
+	Last       state.Upstream
+	Sent       bool
+
+	element *list.Element
+}
+
+type tenantKey struct {
+	service   state.Service
+	workspace state.Workspace
+}
+
+// tenant is what waits of one workspace for one service.
+type tenant struct {
+	requests int
+	bytes    int64
+	lines    map[state.Model]*list.List
+	pace     pace
+}
+
+// Set holds all queues of a router.
+type Set struct {
+	total     Limits
+	requests  int
+	bytes     int64
+	items     map[state.RequestID]*Item
+	tenants   map[tenantKey]*tenant
+	deadlines *btree.BTreeG[*Item]
+}
+
+// New returns empty queues bounded by total.
+func New(total Limits) *Set {
+	return &Set{
+		total:     total.orDefault(DefaultTotalRequests, DefaultTotalBytes),
+		items:     make(map[state.RequestID]*Item),
+		tenants:   make(map[tenantKey]*tenant),
+		deadlines: btree.NewG(16, dueBefore),
+	}
+}
+
+func dueBefore(a, b *Item) bool {
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.ID < b.ID
+}
+
+// Admit queues a new request or returns the code to refuse it with.
+//
+// Made for floods and saturation: a request that cannot be served in time is
+// told so on arrival, when its caller can still go elsewhere, instead of
+// holding memory until its deadline. Only a workspace that already has
+// requests waiting is refused for its estimated wait, so a wrong estimate is
+// always put right by the next request.
+func (s *Set) Admit(now time.Time, it Item, limits Limits) result.Code {
+	if !it.Deadline.After(now) {
+		return result.DeadlineTooShort
+	}
+	limits = limits.orDefault(defaultRequests, defaultBytes)
+	t := s.tenants[tenantKey{it.Service, it.Workspace}]
+	if t != nil {
+		switch {
+		case t.requests >= limits.Requests:
+			return result.QueueFull
+		case t.bytes+it.Bytes > limits.Bytes:
+			return result.QueueBytesFull
+		case now.Add(t.wait(now)).After(it.Deadline):
+			return result.DeadlineTooShort
+		}
+	}
+	if it.Bytes > limits.Bytes {
+		return result.QueueBytesFull
+	}
+	if s.requests >= s.total.Requests || s.bytes+it.Bytes > s.total.Bytes {
+		return result.TooManyRequests
+	}
+	s.insert(now, &it, false)
+	return result.OK
+}
+
+// Requeue puts a request that was already admitted back at the head. The
+// bounds do not apply: it was counted before, and there are no more of these
+// than there were slots.
+func (s *Set) Requeue(now time.Time, it *Item) {
+	s.insert(now, it, true)
+}
+
+func (s *Set) insert(now time.Time, it *Item, front bool) {
+	tk := tenantKey{it.Service, it.Workspace}
+	t := s.tenants[tk]
+	if t == nil {
+		t = &tenant{lines: make(map[state.Model]*list.List), pace: pace{last: now}}
+		s.tenants[tk] = t
+	}
+	l := t.lines[it.Model]
+	if l == nil {
+		l = list.New()
+		t.lines[it.Model] = l
+	}
+	if front {
+		it.element = l.PushFront(it)
+	} else {
+		it.element = l.PushBack(it)
+	}
+	if t.requests == 0 {
+		t.pace.last = now
+	}
+	t.requests++
+	t.bytes += it.Bytes
+	s.requests++
+	s.bytes += it.Bytes
+	s.items[it.ID] = it
+	s.deadlines.ReplaceOrInsert(it)
+}
+
+func (s *Set) remove(it *Item) {
+	tk := tenantKey{it.Service, it.Workspace}
+	t := s.tenants[tk]
+	l := t.lines[it.Model]
+	l.Remove(it.element)
+	it.element = nil
+	if l.Len() == 0 {
+		delete(t.lines, it.Model)
+	}
+	t.requests--
+	t.bytes -= it.Bytes
+	s.requests--
+	s.bytes -= it.Bytes
+	delete(s.items, it.ID)
+	s.deadlines.Delete(it)
+}
+
+// Head returns the oldest request of a line, or nil.
+func (s *Set) Head(k Key) *Item {
+	t := s.tenants[tenantKey{k.Service, k.Workspace}]
+	if t == nil || t.lines[k.Model] == nil {
+		return nil
+	}
+	return t.lines[k.Model].Front().Value.(*Item)
+}
+
+// Len counts the requests of a line.
+func (s *Set) Len(k Key) int {
+	t := s.tenants[tenantKey{k.Service, k.Workspace}]
+	if t == nil || t.lines[k.Model] == nil {
+		return 0
+	}
+	return t.lines[k.Model].Len()
+}
+
+// Take removes the request to run next on an upstream, or returns nil. A
+// request that just failed on this upstream lets the next one pass; if there
+// is none it runs here after all, because a declined grant would come back at
+// once and go round without end.
+func (s *Set) Take(now time.Time, k Key, upstream state.Upstream) *Item {
+	it := s.Head(k)
+	if it == nil {
+		return nil
+	}
+	if it.Last == upstream {
+		if next := it.element.Next(); next != nil {
+			it = next.Value.(*Item)
+		}
+	}
+	s.remove(it)
+	t := s.tenants[tenantKey{k.Service, k.Workspace}]
+	t.pace.served(now)
+	return it
+}
+
+// Remove takes a request out, or returns nil if it does not wait.
+func (s *Set) Remove(id state.RequestID) *Item {
+	it := s.items[id]
+	if it != nil {
+		s.remove(it)
+	}
+	return it
+}
+
+// Expired removes and returns the requests whose deadline has come.
+func (s *Set) Expired(now time.Time) []*Item {
+	var expired []*Item
+	for {
+		it, ok := s.deadlines.Min()
+		if !ok || it.Deadline.After(now) {
+			return expired
+		}
+		s.remove(it)
+		expired = append(expired, it)
+	}
+}
+
+// Wait estimates how long a request of a workspace arriving now would wait.
+func (s *Set) Wait(now time.Time, service state.Service, workspace state.Workspace) time.Duration {
+	t := s.tenants[tenantKey{service, workspace}]
+	if t == nil {
+		return 0
+	}
+	return t.wait(now)
+}
+
+// Waiting counts the requests of a workspace for a service.
+func (s *Set) Waiting(service state.Service, workspace state.Workspace) int {
+	t := s.tenants[tenantKey{service, workspace}]
+	if t == nil {
+		return 0
+	}
+	return t.requests
+}
+
+// Total counts all waiting requests.
+func (s *Set) Total() int {
+	return s.requests
+}
+
+// Trim forgets workspaces that have had nothing waiting for a while, so that
+// memory follows the active ones.
+func (s *Set) Trim(now time.Time) {
+	for k, t := range s.tenants {
+		if t.requests == 0 && now.Sub(t.pace.last) > paceMemory {
+			delete(s.tenants, k)
+		}
+	}
+}
--- a/coordination/scheduler/event.go
+++ b/coordination/scheduler/event.go
@@ -161,6 +161,9 @@
 	Charged   state.Cost
 	Reserved  state.Cost
 	Lift      state.Cost
+	// Virtual is the sender's virtual time of the workspace, told to routers
+	// that newly appear; zero if it is not told.
+	Virtual state.Cost
 }
 
 // UsageHeard carries counters of a peer, or relayed ones of a third router.
--- /dev/null
+++ b/coordination/scheduler/options.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/coordination/queue"
+)
+
+// Defaults of Options.
+const (
+	// DefaultExchangeInterval is the period of usage counters. Extrapolation
+	// keeps the fairness gap from growing with it, so one second is chosen
+	// for the control traffic; see docs/design/fairness.md.
+	DefaultExchangeInterval = time.Second
+	// DefaultDemandInterval batches demand. Only the first request of an idle
+	// line is urgent; in a rush the counts change with every request, and
+	// four messages a second per owner are enough to keep owners supplied.
+	DefaultDemandInterval = 250 * time.Millisecond
+	// DefaultDeadline applies where neither caller nor service names one: the
+	// time of a long guide.
+	DefaultDeadline = 2 * time.Minute
+	// DefaultNoUpstreamGrace is how long a service may lack usable upstreams
+	// before arrivals are refused. A worker's restart or a lost report passes
+	// within it, and waiting is better than a refusal then.
+	DefaultNoUpstreamGrace = 5 * time.Second
+	// DefaultFreezeAfter is the gap between ticks that shows that the process
+	// was paused. It is a grant's lifetime: what happened before has expired
+	// elsewhere by then.
+	DefaultFreezeAfter = 2 * time.Second
+)
+
+const (
+	// wakeGrace is how long after a pause what arrives may still have been
+	// sent before it: socket buffers are read within it.
+	wakeGrace = 200 * time.Millisecond
+	// demandRefresh and usageRefresh repeat everything, so that a message
+	// lost with a connection is made up for.
+	demandRefresh = 5 * time.Second
+	usageRefresh  = 30 * time.Second
+	// leaveRepeat keeps other routers' memory of a draining upstream alive.
+	leaveRepeat = 10 * time.Second
+	// trimInterval is the period of housekeeping.
+	trimInterval = 10 * time.Second
+	// adoptWithin is how long after the start virtual times are taken over
+	// from peers: each peer tells them once, when it first sees this router.
+	adoptWithin = 5 * time.Second
+	// lookAheadWait is how old work must be to wait inside a full upstream:
+	// some round trips between data centres, in which every owner with a
+	// free slot would have granted one.
+	lookAheadWait = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what callers are told: nobody
+	// should come back within a second, and an estimate of more than a
+	// minute is too rough to send a caller away for.
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+	// maxServices bounds services that only peers speak of, such as before
+	// the first settings arrive.
+	maxServices = 256
+	// demandSlack is the part by which a long queue may differ from what its
+	// owners believe without a new message: an eighth delays nothing, since
+	// owners run short of known demand long after the next batch.
+	demandSlack = 8
+)
+
+// Options configure a scheduler. Zero fields take their defaults.
+type Options struct {
+	// Self is this router.
+	Self Peer
+	// Seed settles ties and numbers grants.
+	Seed uint64
+	// Queues bounds all waiting requests of the router together.
+	Queues           queue.Limits
+	ExchangeInterval time.Duration
+	DemandInterval   time.Duration
+	Deadline         time.Duration
+	NoUpstreamGrace  time.Duration
+	FreezeAfter      time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ExchangeInterval, DefaultExchangeInterval)
+	setDefault(&o.DemandInterval, DefaultDemandInterval)
+	setDefault(&o.Deadline, DefaultDeadline)
+	setDefault(&o.NoUpstreamGrace, DefaultNoUpstreamGrace)
+	setDefault(&o.FreezeAfter, DefaultFreezeAfter)
+	return o
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/coordination/scheduler/peers.go
@@ -0,0 +1,181 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/figstile/figstile/coordination/demand"
+	"github.com/figstile/figstile/coordination/fairness"
+	"github.com/figstile/figstile/coordination/ownership"
+	"github.com/figstile/figstile/state"
+)
+
+func (s *Scheduler) changePeers(list []Peer) {
+	before := s.peers
+	s.peers = make(map[state.Router]Peer, len(list))
+	for _, p := range list {
+		if p.Router != s.self.Router {
+			s.peers[p.Router] = p
+		}
+	}
+	var appeared []state.Router
+	for _, old := range sortedPeers(before) {
+		if p, ok := s.peers[old.Router]; !ok || p.Incarnation != old.Incarnation {
+			s.losePeer(old.Router)
+		}
+	}
+	for _, p := range sortedPeers(s.peers) {
+		if old, ok := before[p.Router]; !ok || old.Incarnation != p.Incarnation {
+			appeared = append(appeared, p.Router)
+		}
+	}
+	s.refreshOwners()
+	for _, r := range appeared {
+		s.introduce(r)
+	}
+}
+
+func sortedPeers(peers map[state.Router]Peer) []Peer {
+	list := slices.Collect(maps.Values(peers))
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Router, b.Router) })
+	return list
+}
+
+// losePeer forgets a router that is gone. Its demand would draw grants that
+// nobody uses, and the slots of its unstarted grants are free at once. Work
+// it had started may go on in the upstream: only the load report tells.
+func (s *Scheduler) losePeer(r state.Router) {
+	s.seen.Forget(r)
+	for _, g := range s.given.Lose(r) {
+		s.chargeService(g.Service, g.Workspace, 0, -g.Remaining())
+		u := s.upstreams[g.Upstream]
+		if u == nil {
+			continue
+		}
+		if g.Started {
+			u.tracker.Disowned()
+		} else {
+			u.tracker.Released(s.now)
+		}
+		s.touch(g.Service)
+	}
+	for _, svc := range s.sortedServices() {
+		delete(svc.believed, r)
+		for _, k := range svc.demand.Keys(r) {
+			s.setDemand(svc, k, demand.Entry{Router: r})
+		}
+	}
+}
+
+// refreshOwners works out anew who owns what, after a change of routers or of
+// upstreams.
+func (s *Scheduler) refreshOwners() {
+	candidates := []ownership.Candidate{{Router: s.self.Router, DataCentre: s.self.DataCentre, Draining: s.draining}}
+	for _, p := range sortedPeers(s.peers) {
+		candidates = append(candidates, ownership.Candidate{Router: p.Router, DataCentre: p.DataCentre, Draining: p.Draining})
+	}
+	table := ownership.New(candidates)
+	var owned []state.Upstream
+	for _, u := range s.sortedUpstreams() {
+		owner := table.Owner(u.name, u.settings.DataCentre)
+		if owner == s.self.Router {
+			owned = append(owned, u.name)
+		}
+		if owner != u.owner {
+			u.tracker.Distrust()
+		}
+		u.owner = owner
+	}
+	if !s.ownedSent || !slices.Equal(owned, s.owned) {
+		s.owned = owned
+		s.ownedSent = true
+		s.do(Owned{Upstreams: owned})
+	}
+	for _, svc := range s.sortedServices() {
+		s.refreshShares(svc)
+		s.refreshBelieved(svc)
+		s.noteUsable(svc)
+		s.touch(svc.name)
+	}
+}
+
+// refreshShares tells the ledger which part of the slots each router has.
+func (s *Scheduler) refreshShares(svc *service) {
+	total := 0.0
+	byOwner := make(map[state.Router]float64)
+	usual := usualSlots(svc.upstreams)
+	for _, u := range svc.upstreams {
+		n := float64(u.tracker.Slots())
+		if n == 0 {
+			n = usual
+		}
+		if u.settings.Draining {
+			n = 0
+		}
+		byOwner[u.owner] += n
+		total += n
+	}
+	for r := range byOwner {
+		byOwner[r] /= max(total, 1)
+	}
+	if maps.Equal(byOwner, svc.shares) && svc.ledger.Knows(s.origins()) {
+		return
+	}
+	svc.shares = byOwner
+	peers := make([]fairness.Peer, 0, len(s.peers))
+	for _, p := range sortedPeers(s.peers) {
+		peers = append(peers, fairness.Peer{Origin: originOf(p), Share: byOwner[p.Router]})
+	}
+	svc.ledger.SetPeers(byOwner[s.self.Router], peers)
+}
+
+// usualSlots is the mean of the known figures: of upstreams that others own,
+// this router sees no report.
+func usualSlots(upstreams []*upstream) float64 {
+	sum, known := 0, 0
+	for _, u := range upstreams {
+		if n := u.tracker.Slots(); n > 0 {
+			sum += n
+			known++
+		}
+	}
+	if known == 0 {
+		return 1
+	}
+	return float64(sum) / float64(known)
+}
+
+func originOf(p Peer) fairness.Origin {
+	return fairness.Origin{Router: p.Router, Incarnation: p.Incarnation}
+}
+
+func (s *Scheduler) origins() []fairness.Origin {
+	list := make([]fairness.Origin, 0, len(s.peers))
+	for _, p := range sortedPeers(s.peers) {
+		list = append(list, originOf(p))
+	}
+	return list
+}
+
+// introduce tells a router that newly appeared what it cannot know: first the
+// counters of incarnations that are gone, then this router's own, with the
+// virtual times that result from all of them.
+func (s *Scheduler) introduce(r state.Router) {
+	relayed := make(map[fairness.Origin][]UsageEntry)
+	var order []fairness.Origin
+	var own []UsageEntry
+	for _, svc := range s.sortedServices() {
+		for _, relay := range svc.ledger.Dead() {
+			if _, ok := relayed[relay.Origin]; !ok {
+				order = append(order, relay.Origin)
+			}
+			relayed[relay.Origin] = append(relayed[relay.Origin], usageEntries(svc.name, relay.Entries)...)
+		}
+		own = append(own, usageEntries(svc.name, svc.ledger.Own())...)
+	}
+	for _, o := range order {
+		s.do(SendUsage{To: r, Origin: o.Router, Incarnation: o.Incarnation, Entries: relayed[o]})
+	}
+	s.do(SendUsage{To: r, Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: own, Full: true})
+}
--- /dev/null
+++ b/coordination/scheduler/scheduler.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figstile/figstile/coordination/estimate"
+	"github.com/figstile/figstile/coordination/grants"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/queue"
+	"github.com/figstile/figstile/coordination/retry"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+)
+
+// Scheduler is the state of one router. It must not be used concurrently.
+type Scheduler struct {
+	opts Options
+	self Peer
+	seed uint64
+
+	now     time.Time
+	actions []Action
+	// touched are the services that this step may have made ready to grant.
+	touched map[state.Service]struct{}
+
+	configured bool
+	settings   config.Settings
+	services   map[state.Service]*service
+	upstreams  map[state.Upstream]*upstream
+	peers      map[state.Router]Peer
+	owned      []state.Upstream
+	ownedSent  bool
+
+	queues     *queue.Set
+	running    map[state.RequestID]*run
+	estimates  *estimate.Estimator
+	retries    *retry.Budget
+	quarantine *quarantine.List
+	suspicions quarantine.Suspicions
+	given      *grants.Book
+	seen       *grants.Seen
+
+	timers timers
+	// voidUntil ends the time in which what arrives may be from before a
+	// pause of the process.
+	voidUntil time.Time
+	draining  bool
+	drained   bool
+}
+
+// timers are the times of the last or next periodic work.
+type timers struct {
+	started      time.Time
+	lastTick     time.Time
+	lastExchange time.Time
+	lastRefresh  time.Time
+	nextDemand   time.Time
+	nextRepeat   time.Time
+	nextTrim     time.Time
+	nextLeaving  time.Time
+}
+
+// New returns the scheduler of a router that knows nothing yet.
+func New(opts Options) *Scheduler {
+	opts = opts.withDefaults()
+	identity := string(opts.Self.Router) + "." + strconv.FormatUint(uint64(opts.Self.Incarnation), 10)
+	seed := xxhash.Sum64String(identity) ^ opts.Seed
+	return &Scheduler{
+		opts:       opts,
+		self:       opts.Self,
+		seed:       seed,
+		touched:    make(map[state.Service]struct{}),
+		services:   make(map[state.Service]*service),
+		upstreams:  make(map[state.Upstream]*upstream),
+		peers:      make(map[state.Router]Peer),
+		queues:     queue.New(opts.Queues),
+		running:    make(map[state.RequestID]*run),
+		estimates:  estimate.New(estimate.DefaultCapacity),
+		retries:    retry.NewBudget(),
+		quarantine: quarantine.New(quarantine.DefaultCapacity),
+		given:      grants.NewBook(seed),
+		seen:       grants.NewSeen(),
+	}
+}
+
+// Step takes in one event and returns what is to be done. Time must not run
+// backwards between steps.
+func (s *Scheduler) Step(now time.Time, ev Event) []Action {
+	s.now = now
+	s.actions = nil
+	s.noticePause()
+	s.handle(ev)
+	s.expire()
+	s.grantAll()
+	s.announceDemand()
+	s.finishDrain()
+	clear(s.touched)
+	return s.actions
+}
+
+func (s *Scheduler) handle(ev Event) {
+	switch e := ev.(type) {
+	case Configured:
+		s.configure(e.Settings)
+	case PeersChanged:
+		s.changePeers(e.Peers)
+	case Arrived:
+		s.arrive(e.Request)
+	case Left:
+		s.leave(e.ID)
+	case Reported:
+		s.report(e.Report)
+	case Unreachable:
+		s.unreachable(e.Upstream)
+	case UpstreamLeaving:
+		s.upstreamLeaving(e)
+	case DemandHeard:
+		s.hearDemand(e.From, e.Demand)
+	case GrantHeard:
+		s.hearGrant(e.Grant)
+	case DeclineHeard:
+		s.hearDecline(e)
+	case ProgressHeard:
+		s.hearProgress(e)
+	case EndedHeard:
+		s.hearEnded(e)
+	case UsageHeard:
+		s.hearUsage(e)
+	case CrashHeard:
+		s.hearCrash(e)
+	case Progressed:
+		s.progress(e.ID, e.Cost)
+	case Ended:
+		s.end(e)
+	case Drain:
+		s.drain()
+	case Tick:
+		s.tick()
+	}
+}
+
+func (s *Scheduler) do(a Action) {
+	s.actions = append(s.actions, a)
+}
+
+func (s *Scheduler) touch(name state.Service) {
+	s.touched[name] = struct{}{}
+}
+
+// noticePause guards against a process that was stopped and resumed. It shows
+// as a gap between ticks. Grants and load reports read from the sockets now
+// may be older than the pause: the grants have expired at their owners and
+// were given away again, and the reports would earn grants for upstreams that
+// are gone. Both are refused until the buffers must have been read.
+func (s *Scheduler) noticePause() {
+	if s.timers.started.IsZero() {
+		s.timers.started = s.now
+		s.timers.lastTick = s.now
+		s.timers.lastExchange = s.now
+		s.timers.lastRefresh = s.now
+	}
+	if s.now.Sub(s.timers.lastTick) <= s.opts.FreezeAfter {
+		return
+	}
+	s.timers.lastTick = s.now
+	s.voidUntil = s.now.Add(wakeGrace)
+	for _, u := range s.upstreams {
+		u.tracker.Distrust()
+	}
+}
+
+func (s *Scheduler) justWoke() bool {
+	return s.now.Before(s.voidUntil)
+}
+
+func (s *Scheduler) tick() {
+	s.timers.lastTick = s.now
+	for _, svc := range s.services {
+		svc.ledger.Refold()
+		s.noteUsable(svc)
+		s.touch(svc.name)
+	}
+	if s.now.Sub(s.timers.lastExchange) >= s.opts.ExchangeInterval {
+		s.exchange()
+	}
+	if !s.now.Before(s.timers.nextDemand) {
+		s.timers.nextDemand = s.now.Add(s.opts.DemandInterval)
+		s.batchDemand()
+	}
+	if !s.now.Before(s.timers.nextRepeat) {
+		s.timers.nextRepeat = s.now.Add(demandRefresh)
+		s.refreshDemand()
+	}
+	if !s.now.Before(s.timers.nextTrim) {
+		s.timers.nextTrim = s.now.Add(trimInterval)
+		s.queues.Trim(s.now)
+	}
+	if !s.now.Before(s.timers.nextLeaving) {
+		s.timers.nextLeaving = s.now.Add(leaveRepeat)
+		s.repeatLeaving()
+	}
+}
+
+func (s *Scheduler) drain() {
+	if s.draining {
+		return
+	}
+	s.draining = true
+	s.self.Draining = true
+	s.refreshOwners()
+}
+
+func (s *Scheduler) finishDrain() {
+	if !s.draining || s.drained || s.queues.Total() > 0 || len(s.running) > 0 {
+		return
+	}
+	s.drained = true
+	s.exchange()
+	s.do(Drained{})
+}
+
+// sortedServices lists the services in order of name, so that the same events
+// give the same actions.
+func (s *Scheduler) sortedServices() []*service {
+	list := slices.Collect(maps.Values(s.services))
+	slices.SortFunc(list, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
+
+func (s *Scheduler) sortedTouched() []*service {
+	list := make([]*service, 0, len(s.touched))
+	for name := range s.touched {
+		if svc := s.services[name]; svc != nil {
+			list = append(list, svc)
+		}
+	}
+	slices.SortFunc(list, func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
+
+func (s *Scheduler) sortedUpstreams() []*upstream {
+	list := slices.Collect(maps.Values(s.upstreams))
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.name, b.name) })
+	return list
+}
--- /dev/null
+++ b/coordination/scheduler/settings.go
@@ -0,0 +1,156 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figstile/figstile/coordination/demand"
+	"github.com/figstile/figstile/coordination/fairness"
+	"github.com/figstile/figstile/coordination/outlier"
+	"github.com/figstile/figstile/coordination/queue"
+	"github.com/figstile/figstile/coordination/slots"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+)
+
+// service is what a router knows of one service.
+type service struct {
+	name     state.Service
+	settings config.Service
+	// configured is false while only peers speak of the service.
+	configured bool
+	upstreams  []*upstream
+	ledger     *fairness.Ledger
+	demand     *demand.Book
+	// shares are the routers' parts of the service's slots.
+	shares map[state.Router]float64
+	// believed is what other owners take to be waiting here.
+	believed map[state.Router]map[demand.Key]int
+	// changed are lines to compare with believed at the next batch, urgent
+	// those of this step.
+	changed map[demand.Key]struct{}
+	urgent  map[demand.Key]struct{}
+	// unusableSince is when the last usable upstream went; zero if there is
+	// one.
+	unusableSince time.Time
+}
+
+// upstream is what a router knows of one upstream.
+type upstream struct {
+	name     state.Upstream
+	service  *service
+	settings config.Upstream
+	owner    state.Router
+	tracker  slots.Tracker
+	outlier  outlier.Detector
+	// fell is when the upstream was last seen gone or restarted, and which
+	// run of it that ended.
+	fell     time.Time
+	fellBoot string
+}
+
+// service returns a service's state, or nil beyond the bound.
+func (s *Scheduler) service(name state.Service) *service {
+	if svc := s.services[name]; svc != nil {
+		return svc
+	}
+	if len(s.services) >= maxServices {
+		return nil
+	}
+	svc := &service{
+		name:     name,
+		ledger:   fairness.New(s.seed),
+		demand:   demand.New(),
+		shares:   make(map[state.Router]float64),
+		believed: make(map[state.Router]map[demand.Key]int),
+		changed:  make(map[demand.Key]struct{}),
+		urgent:   make(map[demand.Key]struct{}),
+	}
+	s.services[name] = svc
+	return svc
+}
+
+func (s *Scheduler) configure(settings config.Settings) {
+	s.configured = true
+	s.settings = settings
+	listed := make(map[state.Service]bool, len(settings.Services))
+	for _, cs := range settings.Services {
+		listed[cs.Name] = true
+	}
+	for _, svc := range s.sortedServices() {
+		if !listed[svc.name] {
+			s.removeService(svc)
+		}
+	}
+	s.estimates.Retain(func(name state.Service) bool { return listed[name] })
+	known := s.upstreams
+	s.upstreams = make(map[state.Upstream]*upstream)
+	for _, cs := range settings.Services {
+		s.configureService(cs, known)
+	}
+	s.refreshOwners()
+}
+
+func (s *Scheduler) configureService(cs config.Service, known map[state.Upstream]*upstream) {
+	svc := s.service(cs.Name)
+	if svc == nil {
+		return
+	}
+	svc.settings = cs
+	svc.configured = true
+	svc.upstreams = nil
+	for _, cu := range cs.Upstreams {
+		u := known[cu.Name]
+		if u == nil {
+			u = &upstream{name: cu.Name}
+		}
+		u.service = svc
+		u.settings = cu
+		u.tracker.SetLimit(cu.Slots)
+		svc.upstreams = append(svc.upstreams, u)
+		s.upstreams[cu.Name] = u
+	}
+	for _, ws := range s.settings.Workspaces {
+		svc.ledger.SetShare(ws.Name, ws.Share)
+	}
+	s.touch(cs.Name)
+}
+
+// removeService gives requests of a service that is gone their answer.
+func (s *Scheduler) removeService(svc *service) {
+	for _, k := range svc.demand.Keys(s.self.Router) {
+		for {
+			it := s.queues.Head(svc.queueKey(k))
+			if it == nil {
+				break
+			}
+			s.queues.Remove(it.ID)
+			s.refuse(it, result.New(result.UnknownService, "The service was removed."))
+		}
+	}
+	delete(s.services, svc.name)
+}
+
+func (svc *service) queueKey(k demand.Key) queue.Key {
+	return queue.Key{Service: svc.name, Workspace: k.Workspace, Model: k.Model}
+}
+
+func demandKey(k queue.Key) demand.Key {
+	return demand.Key{Workspace: k.Workspace, Model: k.Model}
+}
+
+func (svc *service) offers(m state.Model) bool {
+	return m == "" || len(svc.settings.Models) == 0 || slices.Contains(svc.settings.Models, m)
+}
+
+// ownedBy lists the service's upstreams of one owner.
+func (svc *service) ownedBy(r state.Router) []*upstream {
+	var owned []*upstream
+	for _, u := range svc.upstreams {
+		if u.owner == r {
+			owned = append(owned, u)
+		}
+	}
+	return owned
+}
--- /dev/null
+++ b/coordination/scheduler/status.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/state"
+)
+
+// Status is a snapshot for operators.
+type Status struct {
+	Router   state.Router     `json:"router"`
+	Draining bool             `json:"draining"`
+	Waiting  int              `json:"waiting"`
+	Running  int              `json:"running"`
+	Granted  int              `json:"granted"`
+	Services []ServiceStatus  `json:"services"`
+	Owned    []UpstreamStatus `json:"owned"`
+	Peers    []PeerStatus     `json:"peers"`
+}
+
+// ServiceStatus is one service as this router sees it.
+type ServiceStatus struct {
+	Name state.Service `json:"name"`
+	// Share is this router's part of the service's slots.
+	Share      float64           `json:"share"`
+	Workspaces []WorkspaceStatus `json:"workspaces"`
+}
+
+// WorkspaceStatus is one workspace's use of a service.
+type WorkspaceStatus struct {
+	Name state.Workspace `json:"name"`
+	// Waiting counts requests at this router.
+	Waiting int `json:"waiting"`
+	// Charged and Reserved are this router's counters, Fleet those of all.
+	Charged  state.Cost `json:"charged"`
+	Reserved state.Cost `json:"reserved"`
+	Fleet    state.Cost `json:"fleet"`
+	Virtual  float64    `json:"virtual_time"`
+}
+
+// UpstreamStatus is one owned upstream.
+type UpstreamStatus struct {
+	Name        state.Upstream `json:"name"`
+	Service     state.Service  `json:"service"`
+	Slots       int            `json:"slots"`
+	Outstanding int            `json:"outstanding"`
+	// Reported is the load of the last report; Fresh says that it counts.
+	Reported int  `json:"reported"`
+	Fresh    bool `json:"fresh"`
+	Leaving  bool `json:"leaving"`
+	Cooling  bool `json:"cooling"`
+}
+
+// PeerStatus is one live peer.
+type PeerStatus struct {
+	Router      state.Router      `json:"router"`
+	DataCentre  state.DataCentre  `json:"data_centre"`
+	Incarnation state.Incarnation `json:"incarnation"`
+	Draining    bool              `json:"draining"`
+}
+
+// Status returns a snapshot. It changes nothing.
+func (s *Scheduler) Status(now time.Time) Status {
+	st := Status{
+		Router:   s.self.Router,
+		Draining: s.draining,
+		Waiting:  s.queues.Total(),
+		Running:  len(s.running),
+		Granted:  s.given.Len(),
+		Services: []ServiceStatus{},
+		Owned:    []UpstreamStatus{},
+		Peers:    []PeerStatus{},
+	}
+	for _, svc := range s.sortedServices() {
+		st.Services = append(st.Services, s.serviceStatus(svc))
+	}
+	for _, u := range s.sortedUpstreams() {
+		if u.owner == s.self.Router {
+			st.Owned = append(st.Owned, u.status(now))
+		}
+	}
+	for _, p := range sortedPeers(s.peers) {
+		st.Peers = append(st.Peers, PeerStatus(p))
+	}
+	return st
+}
+
+func (s *Scheduler) serviceStatus(svc *service) ServiceStatus {
+	status := ServiceStatus{Name: svc.name, Share: svc.shares[s.self.Router], Workspaces: []WorkspaceStatus{}}
+	for _, f := range svc.ledger.Figures() {
+		status.Workspaces = append(status.Workspaces, WorkspaceStatus{
+			Name:     f.Workspace,
+			Waiting:  s.queues.Waiting(svc.name, f.Workspace),
+			Charged:  f.Charged,
+			Reserved: f.Reserved,
+			Fleet:    f.Fleet,
+			Virtual:  f.Virtual,
+		})
+	}
+	return status
+}
+
+func (u *upstream) status(now time.Time) UpstreamStatus {
+	r, fresh := u.tracker.Last(now)
+	return UpstreamStatus{
+		Name:        u.name,
+		Service:     u.service.name,
+		Slots:       u.tracker.Slots(),
+		Outstanding: u.tracker.Outstanding(),
+		Reported:    r.Running + r.Waiting,
+		Fresh:       fresh,
+		Leaving:     u.tracker.Leaving(),
+		Cooling:     u.outlier.Cooling(now),
+	}
+}
--- /dev/null
+++ b/coordination/scheduler/upstream.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/state"
+)
+
+func (s *Scheduler) report(r state.LoadReport) {
+	u := s.upstreams[r.Upstream]
+	if u == nil || s.justWoke() {
+		return
+	}
+	boot := u.tracker.Boot()
+	leaving := u.tracker.Leaving()
+	if u.tracker.Report(s.now, r) {
+		s.fallen(u, boot)
+	}
+	if u.tracker.Leaving() && !leaving && u.owner == s.self.Router {
+		s.do(SendLeaving{Upstream: u.name, Boot: r.Boot})
+	}
+	s.noteUsable(u.service)
+	s.touch(u.service.name)
+}
+
+func (s *Scheduler) unreachable(name state.Upstream) {
+	u := s.upstreams[name]
+	if u == nil {
+		return
+	}
+	u.tracker.Distrust()
+	s.fallen(u, u.tracker.Boot())
+	s.noteUsable(u.service)
+}
+
+func (s *Scheduler) upstreamLeaving(e UpstreamLeaving) {
+	u := s.upstreams[e.Upstream]
+	if u == nil {
+		return
+	}
+	u.tracker.Leave(s.now, e.Boot)
+	s.noteUsable(u.service)
+}
+
+// repeatLeaving keeps others from taking a draining upstream for usable once
+// their memory of the announcement ends.
+func (s *Scheduler) repeatLeaving() {
+	for _, u := range s.sortedUpstreams() {
+		if _, fresh := u.tracker.Last(s.now); fresh && u.owner == s.self.Router && u.tracker.Leaving() {
+			s.do(SendLeaving{Upstream: u.name, Boot: u.tracker.Boot()})
+		}
+	}
+}
+
+// accepts reports whether an owned upstream may get new work.
+func (s *Scheduler) accepts(u *upstream) bool {
+	return !u.settings.Draining && u.tracker.Usable(s.now) && !u.outlier.Cooling(s.now)
+}
+
+// noteUsable keeps track of since when a service has no usable upstream. Of
+// upstreams that others own this router only knows announced departures.
+func (s *Scheduler) noteUsable(svc *service) {
+	for _, u := range svc.upstreams {
+		if s.mayBeUsable(u) {
+			svc.unusableSince = time.Time{}
+			return
+		}
+	}
+	if svc.unusableSince.IsZero() {
+		svc.unusableSince = s.now
+	}
+}
+
+func (s *Scheduler) mayBeUsable(u *upstream) bool {
+	if u.owner == s.self.Router {
+		return s.accepts(u)
+	}
+	return u.owner != "" && !u.settings.Draining && !u.tracker.LeftLately(s.now)
+}
+
+// watch judges an owned upstream by how dispatches end.
+//
+// Made for an upstream that fails at once: it always looks idle and would
+// draw all the work of its owner. The last upstream that an owner has left is
+// never taken out, unless other routers own more of the service: trying a bad
+// upstream is better than having none.
+func (s *Scheduler) watch(name state.Upstream, outcome Outcome) {
+	u := s.upstreams[name]
+	if u == nil || u.owner != s.self.Router {
+		return
+	}
+	switch outcome {
+	case OutcomeServed, OutcomeFailed:
+		u.outlier.Served()
+	case OutcomeNotSent, OutcomeLost:
+		if u.outlier.Failed() && s.canSpare(u) {
+			u.outlier.CoolDown(s.now)
+		}
+	}
+}
+
+func (s *Scheduler) canSpare(u *upstream) bool {
+	owned := u.service.ownedBy(s.self.Router)
+	for _, other := range owned {
+		if other != u && s.accepts(other) {
+			return true
+		}
+	}
+	return len(owned) == 1 && len(u.service.upstreams) > 1
+}
+
+// suspect tells the owner of an upstream that the connection of a request was
+// lost. Only the owner sees load reports and can tell a crash from a broken
+// connection. A crash without a boot is a suspicion.
+func (s *Scheduler) suspect(r *run, outcome Outcome) {
+	if outcome != OutcomeLost && outcome != OutcomeTruncated || r.item.Fingerprint == 0 {
+		return
+	}
+	u := s.upstreams[r.upstream]
+	if u == nil {
+		return
+	}
+	if u.owner == s.self.Router {
+		s.judge(r.item.Fingerprint, u)
+		return
+	}
+	s.do(SendCrash{Fingerprint: r.item.Fingerprint, Upstream: u.name})
+}
+
+func (s *Scheduler) hearCrash(e CrashHeard) {
+	if e.Boot != "" {
+		s.quarantine.Record(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot})
+		return
+	}
+	if u := s.upstreams[e.Upstream]; u != nil && u.owner == s.self.Router {
+		s.judge(e.Fingerprint, u)
+	}
+}
+
+// judge confirms a suspicion if the upstream was just seen to fall, or keeps
+// it until that is known.
+func (s *Scheduler) judge(f state.Fingerprint, u *upstream) {
+	if !u.fell.IsZero() && s.now.Sub(u.fell) <= quarantine.ConfirmWithin {
+		s.confirm(f, u)
+		return
+	}
+	s.suspicions.Add(s.now, f, u.name)
+}
+
+// fallen notes that a run of an upstream is over.
+func (s *Scheduler) fallen(u *upstream, boot string) {
+	u.fell = s.now
+	u.fellBoot = boot
+	for _, f := range s.suspicions.Confirm(s.now, u.name) {
+		s.confirm(f, u)
+	}
+}
+
+func (s *Scheduler) confirm(f state.Fingerprint, u *upstream) {
+	if s.quarantine.Record(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.fellBoot}) {
+		s.do(SendCrash{Fingerprint: f, Upstream: u.name, Boot: u.fellBoot})
+	}
+}
--- /dev/null
+++ b/coordination/scheduler/usage.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"github.com/figstile/figstile/coordination/fairness"
+	"github.com/figstile/figstile/state"
+)
+
+// exchange spreads the counters that changed since the last time.
+func (s *Scheduler) exchange() {
+	period := max(s.now.Sub(s.timers.lastExchange), TickInterval)
+	s.timers.lastExchange = s.now
+	full := s.now.Sub(s.timers.lastRefresh) >= usageRefresh
+	if full {
+		s.timers.lastRefresh = s.now
+	}
+	var entries []UsageEntry
+	serving := false
+	for _, svc := range s.sortedServices() {
+		s.refreshShares(svc)
+		changed := svc.ledger.Exchange(period)
+		if full {
+			changed = withoutVirtual(svc.ledger.Own())
+		}
+		entries = append(entries, usageEntries(svc.name, changed)...)
+		serving = serving || svc.ledger.Backlogged() > 0 && svc.shares[s.self.Router] > 0
+	}
+	if len(s.peers) == 0 || len(entries) == 0 && !serving {
+		return
+	}
+	// Without changes the message still says that nothing was granted, or
+	// the others would take this owner to grant as they do.
+	s.do(SendUsage{Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: entries, Full: full})
+}
+
+func withoutVirtual(entries []fairness.Entry) []fairness.Entry {
+	for i := range entries {
+		entries[i].Virtual = 0
+	}
+	return entries
+}
+
+func usageEntries(name state.Service, entries []fairness.Entry) []UsageEntry {
+	list := make([]UsageEntry, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, UsageEntry{
+			Service: name, Workspace: e.Workspace,
+			Charged: e.Charged, Reserved: e.Reserved, Lift: e.Lift, Virtual: e.Virtual,
+		})
+	}
+	return list
+}
+
+func (s *Scheduler) hearUsage(e UsageHeard) {
+	origin := fairness.Origin{Router: e.Origin, Incarnation: e.Incarnation}
+	if origin == originOf(s.self) {
+		return
+	}
+	byService := make(map[state.Service][]fairness.Entry)
+	for _, u := range e.Entries {
+		s.service(u.Service)
+		byService[u.Service] = append(byService[u.Service], fairness.Entry{
+			Workspace: u.Workspace,
+			Counter:   fairness.Counter{Charged: u.Charged, Reserved: u.Reserved},
+			Lift:      u.Lift,
+			Virtual:   u.Virtual,
+		})
+	}
+	cold := s.now.Sub(s.timers.started) <= adoptWithin
+	for name, svc := range s.services {
+		entries := byService[name]
+		if len(entries) == 0 && !s.isLive(origin) {
+			continue
+		}
+		svc.ledger.Hear(origin, entries)
+		if cold {
+			svc.ledger.Adopt(entries)
+		}
+	}
+}
+
+func (s *Scheduler) isLive(o fairness.Origin) bool {
+	p, ok := s.peers[o.Router]
+	return ok && p.Incarnation == o.Incarnation
+}
+
+// chargeService counts served cost and a change of what is set aside.
+func (s *Scheduler) chargeService(name state.Service, w state.Workspace, served, reserved state.Cost) {
+	if svc := s.service(name); svc != nil {
+		svc.ledger.Charge(w, served, reserved)
+	}
+}
