Claim idempotency keys at most once by conditional update

Cause: a booking that carries a key may be sent again over any router, during outages, after crashes and with lost store answers, and must run once at most; a caller told "not run" must be able to run it later.

Weighed: one object for each key (a write a request, and no bound on the platform's rate) against shards with group commit; many shards (small objects, but little to share in one write) against sixteen. Releasing a claim that may have landed: the release stays queued until the object's version has passed the one the lost write expected, touching the object if need be, so a write that lands late meets a conflict. A resend at the same router takes the key over in the same write.

Ruled out: taking over a running claim of another router, also after a time: a paused claimer would wake and run. Forgetting old claims to make room: a full shard refuses with claim-unavailable.

--- /dev/null
+++ b/coordination/claims/codec.go
@@ -0,0 +1,171 @@
+package claims
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figstile/figstile/state"
+)
+
+// The object of a shard: a magic number, the claimers, the entries in digest
+// order, and a checksum. An entry names its claimer by index, which keeps it
+// at 31 bytes.
+var magic = []byte("fsc1")
+
+const (
+	entryBytes    = digestBytes + 2 + 8 + 1 + 4
+	checksumBytes = 8
+	// maxClaimers is what an entry's index can name.
+	maxClaimers = 1 << 16
+	// maxNameBytes bounds a router's name in an object.
+	maxNameBytes = 255
+)
+
+// errFormat says that an object is not a shard of this format. It is never
+// overwritten: what it holds may be claims.
+var errFormat = errors.New("claims: object is not a shard of this format")
+
+// errFull says that a shard does not fit its object.
+var errFull = errors.New("claims: shard is full")
+
+type claimer struct {
+	router      state.Router
+	incarnation state.Incarnation
+}
+
+func claimerOf(a state.AttemptID) claimer { return claimer{a.Router, a.Incarnation} }
+
+// Encode renders the shard.
+func (s *Shard) Encode() ([]byte, error) {
+	index, order := s.claimers()
+	if len(order) > maxClaimers {
+		return nil, errFull
+	}
+	buf := make([]byte, 0, len(magic)+len(order)*32+len(s.Entries)*entryBytes+checksumBytes)
+	buf = append(buf, magic...)
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(order)))
+	for _, c := range order {
+		if len(c.router) > maxNameBytes {
+			return nil, errFormat
+		}
+		buf = append(buf, byte(len(c.router)))
+		buf = append(buf, c.router...)
+		buf = binary.BigEndian.AppendUint64(buf, uint64(c.incarnation))
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(s.Entries)))
+	for i := range s.Entries {
+		buf = appendEntry(buf, &s.Entries[i], index)
+	}
+	buf = binary.BigEndian.AppendUint64(buf, xxhash.Sum64(buf))
+	if len(buf) > MaxShardBytes {
+		return nil, errFull
+	}
+	return buf, nil
+}
+
+// claimers numbers the claimers in the order of their first entry.
+func (s *Shard) claimers() (index map[claimer]uint16, order []claimer) {
+	index = make(map[claimer]uint16)
+	for i := range s.Entries {
+		c := claimerOf(s.Entries[i].Claim)
+		if _, ok := index[c]; !ok {
+			index[c] = uint16(len(order))
+			order = append(order, c)
+		}
+	}
+	return index, order
+}
+
+func appendEntry(buf []byte, e *Entry, index map[claimer]uint16) []byte {
+	buf = append(buf, e.Digest[:]...)
+	buf = binary.BigEndian.AppendUint16(buf, index[claimerOf(e.Claim)])
+	buf = binary.BigEndian.AppendUint64(buf, e.Claim.Sequence)
+	buf = append(buf, byte(e.Status))
+	return binary.BigEndian.AppendUint32(buf, uint32(e.At.Unix()))
+}
+
+// Decode reads a shard. An empty value is an empty shard.
+func Decode(value []byte) (*Shard, error) {
+	if len(value) == 0 {
+		return &Shard{}, nil
+	}
+	body := value[:max(len(value)-checksumBytes, 0)]
+	r := &reader{rest: body}
+	if !bytes.Equal(r.take(len(magic)), magic) {
+		return nil, errFormat
+	}
+	if binary.BigEndian.Uint64(value[len(body):]) != xxhash.Sum64(body) {
+		return nil, errFormat
+	}
+	claimers := r.claimers()
+	entries := r.entries(claimers)
+	if r.failed || len(r.rest) > 0 {
+		return nil, errFormat
+	}
+	return &Shard{Entries: entries}, nil
+}
+
+// reader takes fields from a value and remembers the first failure.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (r *reader) take(n int) []byte {
+	if n > len(r.rest) {
+		r.failed = true
+		return make([]byte, n)
+	}
+	field := r.rest[:n]
+	r.rest = r.rest[n:]
+	return field
+}
+
+func (r *reader) count(atLeast int) int {
+	n := int(binary.BigEndian.Uint32(r.take(4)))
+	if n*atLeast > len(r.rest) {
+		r.failed = true
+		return 0
+	}
+	return n
+}
+
+func (r *reader) claimers() []claimer {
+	order := make([]claimer, r.count(1+8))
+	for i := range order {
+		name := r.take(int(r.take(1)[0]))
+		order[i].router = state.Router(name)
+		order[i].incarnation = state.Incarnation(binary.BigEndian.Uint64(r.take(8)))
+	}
+	return order
+}
+
+func (r *reader) entries(claimers []claimer) []Entry {
+	entries := make([]Entry, r.count(entryBytes))
+	for i := range entries {
+		entries[i] = r.entry(claimers)
+		if i > 0 && bytes.Compare(entries[i-1].Digest[:], entries[i].Digest[:]) >= 0 {
+			r.failed = true
+		}
+	}
+	return entries
+}
+
+func (r *reader) entry(claimers []claimer) Entry {
+	e := Entry{Digest: Digest(r.take(digestBytes))}
+	by := int(binary.BigEndian.Uint16(r.take(2)))
+	e.Claim.Sequence = binary.BigEndian.Uint64(r.take(8))
+	e.Status = Status(r.take(1)[0])
+	e.At = time.Unix(int64(binary.BigEndian.Uint32(r.take(4))), 0).UTC()
+	if by >= len(claimers) || e.Status < StatusRunning || e.Status > StatusUnknown {
+		r.failed = true
+		return e
+	}
+	e.Claim.Router = claimers[by].router
+	e.Claim.Incarnation = claimers[by].incarnation
+	return e
+}
--- /dev/null
+++ b/coordination/claims/event.go
@@ -0,0 +1,123 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// Version is the platform's version of an object; zero means none.
+type Version uint64
+
+// Event is something that happened to a router's claims.
+type Event interface{ event() }
+
+// Wanted asks for a claim. The machine answers with one Decide.
+type Wanted struct {
+	Request Request
+}
+
+// Withdrawn says that the claim will not be used: its request is refused or
+// its caller left, and nothing was sent. It may come before or after Decide;
+// no Decide follows it.
+type Withdrawn struct {
+	Request Request
+}
+
+// Finished says what became of a request that had its claim.
+type Finished struct {
+	Request Request
+	Ran     result.Ran
+}
+
+// ReadOutcome tells how a read ended.
+type ReadOutcome uint8
+
+// The outcomes of a read. An object that does not exist is read as empty.
+const (
+	ReadOK ReadOutcome = iota + 1
+	ReadFailed
+)
+
+// ReadDone answers a Read.
+type ReadDone struct {
+	Shard   int
+	Outcome ReadOutcome
+	Version Version
+	Value   []byte
+}
+
+// WriteOutcome tells how a conditional write ended.
+type WriteOutcome uint8
+
+// The outcomes of a conditional write.
+const (
+	WriteOK WriteOutcome = iota + 1
+	// WriteConflict: the object has another version; nothing was written.
+	WriteConflict
+	// WriteUnavailable: the write surely had no effect.
+	WriteUnavailable
+	// WriteUnknown: the write may have taken effect or may yet do so.
+	WriteUnknown
+)
+
+// WriteDone answers a Write.
+type WriteDone struct {
+	Shard   int
+	Outcome WriteOutcome
+	// Version is the object's new version after WriteOK.
+	Version Version
+}
+
+// FleetSized says how many routers share the platform.
+type FleetSized struct {
+	Routers int
+}
+
+// Flushed makes waiting completions due, before a shutdown.
+type Flushed struct{}
+
+// Tick lets time pass; the host sends one at each Wake.
+type Tick struct{}
+
+func (Wanted) event()     {}
+func (Withdrawn) event()  {}
+func (Finished) event()   {}
+func (ReadDone) event()   {}
+func (WriteDone) event()  {}
+func (FleetSized) event() {}
+func (Flushed) event()    {}
+func (Tick) event()       {}
+
+// Action is something the host must do.
+type Action interface{ action() }
+
+// Read fetches a shard's object; the host answers with ReadDone.
+type Read struct {
+	Shard int
+}
+
+// Write replaces a shard's object if it has the expected version; the host
+// answers with WriteDone.
+type Write struct {
+	Shard    int
+	Expected Version
+	Value    []byte
+}
+
+// Decide answers a Wanted: OK means that the request may run.
+type Decide struct {
+	Attempt state.AttemptID
+	Result  result.Result
+}
+
+// Wake asks for a Tick. A later Wake replaces it.
+type Wake struct {
+	At time.Time
+}
+
+func (Read) action()   {}
+func (Write) action()  {}
+func (Decide) action() {}
+func (Wake) action()   {}
--- /dev/null
+++ b/coordination/claims/machine.go
@@ -0,0 +1,233 @@
+package claims
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// opKind is what an op does to a shard.
+type opKind uint8
+
+const (
+	opClaim opKind = iota + 1
+	opComplete
+	opRelease
+)
+
+// op is one change that a router wants in a shard.
+type op struct {
+	kind    opKind
+	digest  Digest
+	claim   state.AttemptID
+	arrived time.Time
+	// status is what opComplete sets.
+	status Status
+	// fence is the version that the last write with an unknown outcome
+	// expected. Until the object has a later one, that write may yet land.
+	fence Version
+	// fenced says that fence holds, since an object's first write expects 0.
+	fenced bool
+	// withdrawn is set on a claim in flight that nobody waits for.
+	withdrawn bool
+}
+
+// settled says whether no write of this op can land any more.
+func (o *op) settled(v Version) bool { return !o.fenced || v > o.fence }
+
+type flight uint8
+
+const (
+	flightNone flight = iota
+	flightRead
+	flightWrite
+)
+
+// shardState is a router's view of one shard and its work on it.
+type shardState struct {
+	index int
+	// copy is the last content known, nil if it must be read.
+	copy    *Shard
+	version Version
+	// asOf is a time at which copy was surely current.
+	asOf time.Time
+	// contended is set while other routers write the shard too: reads are
+	// cheaper than conflicts, so each round then reads first.
+	contended bool
+	// notBefore holds back rounds on an object of another format.
+	notBefore time.Time
+	waiting   []*op
+	flight    flight
+	// begun is when the call in flight began.
+	begun time.Time
+	// round are the ops of the write in flight, next what it writes.
+	round  []*op
+	next   *Shard
+	queued bool
+}
+
+// Machine decides claims for one router. It does no I/O and reads no clock.
+//
+// Load: bookings and publications come in bursts, hundreds at once when a
+// flight or a season opens, while the platform takes only some hundred writes
+// a second from everybody. Claims of a shard therefore share writes, one in
+// flight at a time, and rounds are paced for the whole router.
+type Machine struct {
+	self   claimer
+	shards [Shards]shardState
+	// queue holds shards with work, first come first served.
+	queue []*shardState
+	// spare is the queue's other buffer.
+	spare []*shardState
+	// interval is the time between rounds, nextRound when one may start.
+	interval  time.Duration
+	nextRound time.Time
+	// suspect is set while the platform did not answer the last call, and
+	// awayUntil is when it is tried again.
+	suspect   bool
+	awayUntil time.Time
+	flights   int
+	settling  int
+	flushing  bool
+	out       []Action
+}
+
+// NewMachine returns a machine for one incarnation of a router.
+func NewMachine(router state.Router, incarnation state.Incarnation) *Machine {
+	m := &Machine{self: claimer{router, incarnation}}
+	m.resize(1)
+	for i := range m.shards {
+		m.shards[i].index = i
+	}
+	return m
+}
+
+// Pending counts changes that are not in the platform yet.
+func (m *Machine) Pending() int {
+	pending := 0
+	for i := range m.shards {
+		pending += len(m.shards[i].waiting) + len(m.shards[i].round)
+	}
+	return pending
+}
+
+// Step takes one event and returns what to do. The same events at the same
+// times give the same actions. The slice is valid until the next Step.
+func (m *Machine) Step(now time.Time, event Event) []Action {
+	m.out = m.out[:0]
+	switch e := event.(type) {
+	case Wanted:
+		m.want(now, e.Request)
+	case Withdrawn:
+		m.withdraw(now, e.Request)
+	case Finished:
+		m.finish(now, e)
+	case ReadDone:
+		m.readDone(now, e)
+	case WriteDone:
+		m.writeDone(now, e)
+	case FleetSized:
+		m.resize(e.Routers)
+	case Flushed:
+		m.flushing = true
+	case Tick:
+	}
+	m.pump(now)
+	return m.out
+}
+
+func (m *Machine) emit(a Action) { m.out = append(m.out, a) }
+
+// resize divides the fleet's rounds among its routers, so that calls to the
+// platform do not grow with the fleet.
+func (m *Machine) resize(routers int) {
+	m.interval = time.Second * time.Duration(max(routers, 1)) / FleetRounds
+}
+
+func (m *Machine) want(now time.Time, req Request) {
+	digest := req.Digest()
+	s := &m.shards[ShardOf(digest)]
+	m.enqueue(s, &op{kind: opClaim, digest: digest, claim: req.Attempt, arrived: now})
+}
+
+func (m *Machine) enqueue(s *shardState, o *op) {
+	if o.kind != opClaim {
+		m.settling++
+		if m.settling > maxSettling {
+			m.dropOldest(s)
+		}
+	}
+	s.waiting = append(s.waiting, o)
+	m.queueShard(s)
+}
+
+func (m *Machine) queueShard(s *shardState) {
+	if s.queued || s.flight != flightNone || len(s.waiting) == 0 {
+		return
+	}
+	s.queued = true
+	m.queue = append(m.queue, s)
+}
+
+// dropOldest forgets one completion or release of a shard. The entry stays as
+// it is in the platform, so the key is never free by this.
+func (m *Machine) dropOldest(s *shardState) {
+	i := slices.IndexFunc(s.waiting, func(o *op) bool { return o.kind != opClaim })
+	if i < 0 {
+		return
+	}
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	m.settling--
+}
+
+// withdraw gives up a claim that was not used. One that no write has carried
+// is just dropped; any other is released.
+func (m *Machine) withdraw(now time.Time, req Request) {
+	digest := req.Digest()
+	s := &m.shards[ShardOf(digest)]
+	sameClaim := func(o *op) bool { return o.kind == opClaim && o.claim == req.Attempt }
+	if i := slices.IndexFunc(s.round, sameClaim); i >= 0 {
+		s.round[i].withdrawn = true
+		return
+	}
+	i := slices.IndexFunc(s.waiting, sameClaim)
+	if i < 0 {
+		m.enqueue(s, &op{kind: opRelease, digest: digest, claim: req.Attempt, arrived: now})
+		return
+	}
+	o := s.waiting[i]
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	m.release(now, s, o)
+}
+
+// release takes a claim back that is not going to run. Only a write with an
+// unknown outcome can have left something to take back.
+func (m *Machine) release(now time.Time, s *shardState, o *op) {
+	if !o.fenced {
+		return
+	}
+	m.enqueue(s, &op{kind: opRelease, digest: o.digest, claim: o.claim, arrived: now, fence: o.fence, fenced: true})
+}
+
+func (m *Machine) finish(now time.Time, e Finished) {
+	if e.Ran == result.RanNo {
+		m.withdraw(now, e.Request)
+		return
+	}
+	status := StatusCompleted
+	if e.Ran == result.RanUnknown {
+		status = StatusUnknown
+	}
+	digest := e.Request.Digest()
+	o := &op{kind: opComplete, digest: digest, claim: e.Request.Attempt, arrived: now, status: status}
+	m.enqueue(&m.shards[ShardOf(digest)], o)
+}
+
+func (m *Machine) decide(o *op, res result.Result) {
+	if o.withdrawn {
+		return
+	}
+	m.emit(Decide{Attempt: o.claim, Result: res})
+}
--- /dev/null
+++ b/coordination/claims/machine_test.go
@@ -0,0 +1,337 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+var epoch = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// platform is a store of shard objects. The test decides when a call takes
+// effect and whether its answer arrives.
+type platform struct {
+	version Version
+	objects [Shards]struct {
+		version Version
+		value   []byte
+	}
+	reads, writes int
+}
+
+func (p *platform) read(a Read) ReadDone {
+	p.reads++
+	o := p.objects[a.Shard]
+	return ReadDone{Shard: a.Shard, Outcome: ReadOK, Version: o.version, Value: o.value}
+}
+
+func (p *platform) write(a Write) WriteDone {
+	p.writes++
+	o := &p.objects[a.Shard]
+	if o.version != a.Expected {
+		return WriteDone{Shard: a.Shard, Outcome: WriteConflict}
+	}
+	p.version++
+	o.version = p.version
+	o.value = a.Value
+	return WriteDone{Shard: a.Shard, Outcome: WriteOK, Version: o.version}
+}
+
+// router is a machine with what it decided and the calls it has under way.
+type router struct {
+	*Machine
+	now     time.Time
+	decided map[state.AttemptID]result.Result
+	calls   []Action
+	wake    time.Time
+}
+
+func newRouter(name state.Router, incarnation state.Incarnation) *router {
+	return &router{Machine: NewMachine(name, incarnation), now: epoch, decided: map[state.AttemptID]result.Result{}}
+}
+
+func (r *router) step(event Event) {
+	for _, action := range r.Step(r.now, event) {
+		switch a := action.(type) {
+		case Decide:
+			if _, twice := r.decided[a.Attempt]; twice {
+				panic("a claim was decided twice")
+			}
+			r.decided[a.Attempt] = a.Result
+		case Wake:
+			r.wake = a.At
+		default:
+			r.calls = append(r.calls, action)
+		}
+	}
+}
+
+// next takes the oldest call under way.
+func (r *router) next() Action {
+	call := r.calls[0]
+	r.calls = r.calls[1:]
+	return call
+}
+
+func (r *router) answer(p *platform, call Action) {
+	switch a := call.(type) {
+	case Read:
+		r.step(p.read(a))
+	case Write:
+		r.step(p.write(a))
+	}
+}
+
+// settle answers all calls and lets time pass until nothing is left to do.
+func (r *router) settle(p *platform) {
+	for {
+		switch {
+		case len(r.calls) > 0:
+			r.answer(p, r.next())
+		case r.Pending() > 0:
+			r.now = latest(r.now, r.wake)
+			r.step(Tick{})
+		default:
+			return
+		}
+	}
+}
+
+func (r *router) request(key string, sequence uint64) Request {
+	return Request{
+		Workspace: "lan", Service: "bookings", Key: key,
+		Attempt: state.AttemptID{Router: r.self.router, Incarnation: r.self.incarnation, Sequence: sequence},
+	}
+}
+
+// claim asks and settles, and returns the decision.
+func (r *router) claim(p *platform, key string, sequence uint64) result.Result {
+	req := r.request(key, sequence)
+	r.step(Wanted{Request: req})
+	r.settle(p)
+	return r.decided[req.Attempt]
+}
+
+// TestSameKeyAtTwoRouters: two escorts are assigned to one child. A phone sends
+// a booking again over another router at the same moment; both read the shard
+// before either writes.
+func TestSameKeyAtTwoRouters(t *testing.T) {
+	p := &platform{}
+	a, b := newRouter("pudahuel-1", 1), newRouter("quilicura-1", 1)
+	reqA, reqB := a.request("k", 1), b.request("k", 1)
+	a.step(Wanted{Request: reqA})
+	b.step(Wanted{Request: reqB})
+	a.answer(p, a.next())
+	b.answer(p, b.next())
+	a.settle(p)
+	b.settle(p)
+	require.Equal(t, result.OK, a.decided[reqA.Attempt].Code)
+	require.Equal(t, result.KeyInProgress, b.decided[reqB.Attempt].Code)
+	require.Equal(t, result.RanUnknown, b.decided[reqB.Attempt].Ran)
+
+	a.step(Finished{Request: reqA, Ran: result.RanYes})
+	a.settle(p)
+	require.Equal(t, result.KeyCompleted, b.claim(p, "k", 2).Code)
+}
+
+// TestResendAfterAKill: a family is charged twice. The router is replaced
+// between claim and dispatch, so nobody knows whether the booking was sent,
+// and the resend must not run.
+func TestResendAfterAKill(t *testing.T) {
+	p := &platform{}
+	require.Equal(t, result.OK, newRouter("pudahuel-1", 1).claim(p, "k", 1).Code)
+	again := newRouter("pudahuel-1", 2)
+	require.Equal(t, result.KeyUnknown, again.claim(p, "k", 1).Code)
+	other := newRouter("quilicura-1", 1)
+	require.Equal(t, result.KeyInProgress, other.claim(p, "k", 1).Code)
+	other.now = other.now.Add(inProgressFor + time.Second)
+	require.Equal(t, result.KeyUnknown, other.claim(p, "k", 2).Code)
+	other.now = other.now.Add(Retention + clockSkew)
+	require.Equal(t, result.OK, other.claim(p, "k", 3).Code)
+}
+
+// TestLostAnswerIsSettled: a guardian's booking hangs although it could run.
+// The platform's answer to the write is lost; reading back finds the router's
+// own claim id, whether the write landed before the read or only after it.
+func TestLostAnswerIsSettled(t *testing.T) {
+	for _, landsLate := range []bool{false, true} {
+		p := &platform{}
+		r := newRouter("pudahuel-1", 1)
+		req := r.request("k", 1)
+		r.step(Wanted{Request: req})
+		r.answer(p, r.next())
+		write := r.next().(Write)
+		if !landsLate {
+			p.write(write)
+		}
+		r.step(WriteDone{Shard: write.Shard, Outcome: WriteUnknown})
+		require.Empty(t, r.decided, "nothing runs on an unknown write")
+		r.now = r.wake
+		r.step(Tick{})
+		r.answer(p, r.next())
+		if landsLate {
+			p.write(write)
+		}
+		r.settle(p)
+		require.Equal(t, result.OK, r.decided[req.Attempt].Code)
+	}
+}
+
+// TestUnsettledClaimIsTakenBack: a caller was told "not run", yet its resend
+// hears "in progress" for a day. The platform goes away within the write, so
+// the claim may have landed or may land later; once the platform is back the
+// claim is withdrawn before or together with the resend.
+func TestUnsettledClaimIsTakenBack(t *testing.T) {
+	for _, lands := range []string{"never", "before the outage", "after the first read back"} {
+		t.Run(lands, func(t *testing.T) {
+			p := &platform{}
+			r := newRouter("pudahuel-1", 1)
+			req := r.request("k", 1)
+			r.step(Wanted{Request: req})
+			r.answer(p, r.next())
+			write := r.next().(Write)
+			if lands == "before the outage" {
+				p.write(write)
+			}
+			r.step(WriteDone{Shard: write.Shard, Outcome: WriteUnknown})
+			r.now = r.wake
+			r.step(Tick{})
+			r.step(ReadDone{Shard: r.next().(Read).Shard, Outcome: ReadFailed})
+			require.Equal(t, result.ClaimUnavailable, r.decided[req.Attempt].Code)
+			require.Equal(t, result.RanNo, r.decided[req.Attempt].Ran)
+
+			r.now = r.wake
+			r.step(Tick{})
+			r.answer(p, r.next())
+			if lands == "after the first read back" {
+				p.write(write)
+			}
+			r.settle(p)
+			require.Equal(t, result.OK, newRouter("quilicura-1", 1).claim(p, "k", 1).Code)
+			require.Equal(t, WriteConflict, p.write(write).Outcome, "the late write must not land any more")
+		})
+	}
+}
+
+// TestFrozenClaimer: a booking runs twice. A router is paused within its write;
+// meanwhile the caller sends again elsewhere. When it wakes, its write meets a
+// later version, or lands so late that its caller is long gone.
+func TestFrozenClaimer(t *testing.T) {
+	p := &platform{}
+	frozen, other := newRouter("pudahuel-1", 1), newRouter("quilicura-1", 1)
+	req := frozen.request("k", 1)
+	frozen.step(Wanted{Request: req})
+	frozen.answer(p, frozen.next())
+	require.Equal(t, result.OK, other.claim(p, "k", 1).Code)
+	frozen.now = frozen.now.Add(time.Hour)
+	frozen.settle(p)
+	require.Equal(t, result.KeyUnknown, frozen.decided[req.Attempt].Code)
+
+	late := frozen.request("k2", 2)
+	frozen.step(Wanted{Request: late})
+	frozen.now = frozen.now.Add(decideWithin + time.Second)
+	frozen.settle(p)
+	require.Equal(t, result.ClaimUnavailable, frozen.decided[late.Attempt].Code)
+	require.Equal(t, result.OK, other.claim(p, "k2", 2).Code, "the late claim was given back")
+}
+
+// TestPlatformAway: counter staff stare at a spinner for every booking of an
+// outage. After the first failure claims are refused at once, and one call at
+// a time asks whether the platform is back.
+func TestPlatformAway(t *testing.T) {
+	p := &platform{}
+	r := newRouter("pudahuel-1", 1)
+	first := r.request("k0", 1)
+	r.step(Wanted{Request: first})
+	r.step(ReadDone{Shard: r.next().(Read).Shard, Outcome: ReadFailed})
+	for i := range 100 {
+		req := r.request(fmt.Sprint("k", i+1), uint64(i+2))
+		r.step(Wanted{Request: req})
+		res := r.decided[req.Attempt]
+		require.Equal(t, result.ClaimUnavailable, res.Code)
+		require.Equal(t, result.RanNo, res.Ran)
+		require.Positive(t, res.RetryAfter)
+	}
+	require.Empty(t, r.calls)
+
+	r.now = r.now.Add(awayFor)
+	probe := r.request("probe", 200)
+	r.step(Wanted{Request: probe})
+	meanwhile := r.request("meanwhile", 201)
+	r.step(Wanted{Request: meanwhile})
+	require.Len(t, r.calls, 1)
+	require.Equal(t, result.ClaimUnavailable, r.decided[meanwhile.Attempt].Code)
+	r.settle(p)
+	require.Equal(t, result.OK, r.decided[probe.Attempt].Code)
+	require.Equal(t, result.OK, r.claim(p, "k0", 202).Code)
+}
+
+// TestFullShard: a booking runs twice because its claim was dropped to make
+// room. A full shard refuses new claims instead, and still takes completions
+// and releases.
+func TestFullShard(t *testing.T) {
+	p := &platform{}
+	r := newRouter("pudahuel-1", 1)
+	held := r.request("held", 1)
+	r.step(Wanted{Request: held})
+	r.settle(p)
+	at := ShardOf(held.Digest())
+	shard, err := Decode(p.objects[at].value)
+	require.NoError(t, err)
+	d := newDraft(shard, epoch)
+	for i := range (MaxShardBytes - 80) / entryBytes {
+		d.put(Entry{Digest: Digest{0xff, byte(i >> 16), byte(i >> 8), byte(i)}, Claim: held.Attempt, Status: StatusRunning, At: epoch})
+	}
+	value, err := d.build().Encode()
+	require.NoError(t, err)
+	require.Equal(t, WriteOK, p.write(Write{Shard: at, Expected: p.objects[at].version, Value: value}).Outcome)
+
+	key := sameShard(r, at)
+	res := r.claim(p, key, 2)
+	require.Equal(t, result.ClaimUnavailable, res.Code)
+	require.Equal(t, result.RanNo, res.Ran)
+	r.step(Finished{Request: held, Ran: result.RanYes})
+	r.settle(p)
+	require.Equal(t, result.KeyCompleted, r.claim(p, "held", 3).Code)
+	r.now = r.now.Add(Retention + clockSkew + time.Second)
+	require.Equal(t, result.OK, r.claim(p, key, 4).Code, "what has expired makes room")
+}
+
+// sameShard returns a key that lies in the shard.
+func sameShard(r *router, shard int) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprint("other-", i)
+		if ShardOf(r.request(key, 0).Digest()) == shard {
+			return key
+		}
+	}
+}
+
+// TestForeignObjectIsLeftAlone keeps an object that this version cannot read.
+func TestForeignObjectIsLeftAlone(t *testing.T) {
+	p := &platform{}
+	for i := range p.objects {
+		p.write(Write{Shard: i, Value: []byte("a later format")})
+	}
+	before := p.writes
+	r := newRouter("pudahuel-1", 1)
+	require.Equal(t, result.ClaimUnavailable, r.claim(p, "k", 1).Code)
+	require.Equal(t, before, p.writes)
+}
+
+// TestGroupCommit counts the platform's calls against the load. One router
+// takes claims for ten seconds of its own clock; calls take 5 ms, and every
+// claim is completed 300 ms after it was granted.
+func TestGroupCommit(t *testing.T) {
+	const seconds, callTime = 10, 5 * time.Millisecond
+	for _, rate := range []int{10, 100, 1000} {
+		reads, writes := commitLoad(t, rate, seconds, callTime)
+		t.Logf("claims/s=%d reads/s=%.1f writes/s=%.1f", rate, float64(reads)/seconds, float64(writes)/seconds)
+		require.LessOrEqual(t, writes, FleetRounds/8*(seconds+3))
+	}
+}
--- /dev/null
+++ b/coordination/claims/property_test.go
@@ -0,0 +1,238 @@
+package claims
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// fleet runs several routers against a platform whose answers get lost, whose
+// writes land late, and some of whose routers crash.
+type fleet struct {
+	t       *rapid.T
+	p       *platform
+	routers []*router
+	keys    []string
+	// adrift are writes whose answer was given up and that may yet land.
+	adrift []Write
+	// pending and granted are the requests of each router by state.
+	pending, granted [][]Request
+	running          [][]Request
+	sequence         uint64
+	runs             map[string]int
+	// unclear are keys whose claimer crashed or that may be running.
+	unclear map[string]bool
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, p: &platform{}, runs: map[string]int{}, unclear: map[string]bool{}}
+	for i := range 3 {
+		f.routers = append(f.routers, newRouter(state.Router(fmt.Sprint("r", i)), 1))
+	}
+	first := f.routers[0]
+	f.keys = []string{"k", sameShard(first, ShardOf(first.request("k", 0).Digest())), "elsewhere"}
+	f.pending = make([][]Request, len(f.routers))
+	f.granted = make([][]Request, len(f.routers))
+	f.running = make([][]Request, len(f.routers))
+	return f
+}
+
+func (f *fleet) pick(label string, n int) int {
+	return rapid.IntRange(0, n-1).Draw(f.t, label)
+}
+
+func take[T any](list *[]T, i int) T {
+	item := (*list)[i]
+	*list = slices.Delete(*list, i, i+1)
+	return item
+}
+
+func (f *fleet) step(i int, event Event) {
+	f.routers[i].step(event)
+	f.collect(i)
+}
+
+// collect looks at what a router decided.
+func (f *fleet) collect(i int) {
+	r := f.routers[i]
+	f.pending[i] = slices.DeleteFunc(f.pending[i], func(req Request) bool {
+		res, decided := r.decided[req.Attempt]
+		if !decided {
+			return false
+		}
+		switch {
+		case res.Code == result.OK:
+			f.granted[i] = append(f.granted[i], req)
+		case res.Code == result.KeyCompleted:
+			require.Equal(f.t, 1, f.runs[req.Key], "told completed, but it never ran")
+		case res.Code == result.ClaimUnavailable:
+			require.Equal(f.t, result.RanNo, res.Ran)
+		default:
+			require.Equal(f.t, result.RanUnknown, res.Ran)
+		}
+		return true
+	})
+}
+
+func (f *fleet) ask(i int) {
+	f.sequence++
+	req := f.routers[i].request(f.keys[f.pick("key", len(f.keys))], f.sequence)
+	f.pending[i] = append(f.pending[i], req)
+	f.step(i, Wanted{Request: req})
+}
+
+// call ends one call of a router in one of the ways a network allows.
+func (f *fleet) call(i int) {
+	r := f.routers[i]
+	if len(r.calls) == 0 {
+		return
+	}
+	fate := f.pick("fate", 6)
+	switch a := take(&r.calls, f.pick("call", len(r.calls))).(type) {
+	case Read:
+		if fate == 0 {
+			f.step(i, ReadDone{Shard: a.Shard, Outcome: ReadFailed})
+			return
+		}
+		f.step(i, f.p.read(a))
+	case Write:
+		f.write(i, a, fate)
+	}
+}
+
+func (f *fleet) write(i int, a Write, fate int) {
+	lost := WriteDone{Shard: a.Shard, Outcome: WriteUnknown}
+	switch fate {
+	case 0:
+		f.step(i, WriteDone{Shard: a.Shard, Outcome: WriteUnavailable})
+	case 1:
+		f.p.write(a)
+		f.step(i, lost)
+	case 2:
+		f.adrift = append(f.adrift, a)
+		f.step(i, lost)
+	default:
+		f.step(i, f.p.write(a))
+	}
+}
+
+// host does what a router's host does with its claims.
+func (f *fleet) host(i int) {
+	switch f.pick("host", 4) {
+	case 0:
+		if len(f.pending[i]) > 0 {
+			f.step(i, Withdrawn{Request: take(&f.pending[i], 0)})
+		}
+	case 1:
+		if len(f.granted[i]) > 0 {
+			f.step(i, Finished{Request: take(&f.granted[i], 0), Ran: result.RanNo})
+		}
+	case 2:
+		if len(f.granted[i]) > 0 {
+			req := take(&f.granted[i], 0)
+			f.runs[req.Key]++
+			require.LessOrEqual(f.t, f.runs[req.Key], 1, "%s ran twice", req.Key)
+			f.running[i] = append(f.running[i], req)
+		}
+	default:
+		if len(f.running[i]) > 0 {
+			ran := rapid.SampledFrom([]result.Ran{result.RanYes, result.RanUnknown}).Draw(f.t, "ran")
+			f.step(i, Finished{Request: take(&f.running[i], 0), Ran: ran})
+		}
+	}
+}
+
+// crash replaces a router. What it sent may yet arrive.
+func (f *fleet) crash(i int) {
+	old := f.routers[i]
+	for _, list := range [][]Request{f.pending[i], f.granted[i], f.running[i]} {
+		for _, req := range list {
+			f.unclear[req.Key] = true
+		}
+	}
+	if old.Pending() > 0 {
+		for _, key := range f.keys {
+			f.unclear[key] = true
+		}
+	}
+	for _, call := range old.calls {
+		if w, ok := call.(Write); ok {
+			f.adrift = append(f.adrift, w)
+		}
+	}
+	fresh := newRouter(old.self.router, old.self.incarnation+1)
+	fresh.now = old.now
+	f.routers[i] = fresh
+	f.pending[i], f.granted[i], f.running[i] = nil, nil, nil
+}
+
+func (f *fleet) act() {
+	i := f.pick("router", len(f.routers))
+	switch f.pick("act", 10) {
+	case 0, 1:
+		f.ask(i)
+	case 2, 3, 4:
+		f.call(i)
+	case 5, 6:
+		f.host(i)
+	case 7:
+		f.routers[i].now = f.routers[i].now.Add(time.Duration(f.pick("ms", 5000)) * time.Millisecond)
+		f.step(i, Tick{})
+	case 8:
+		if len(f.adrift) > 0 {
+			f.p.write(take(&f.adrift, f.pick("adrift", len(f.adrift))))
+		}
+	default:
+		if f.pick("crash", 4) == 0 {
+			f.crash(i)
+		}
+	}
+}
+
+// TestAtMostOneRun: a booking is run twice, or a caller told "not run" can
+// never run it. Claims, crashes, lost answers and late writes come in any
+// order; no key runs twice, nobody is told a lie, and once all is quiet a key
+// that nobody ran and no crashed router held is free.
+func TestAtMostOneRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		for range f.pick("steps", 120) + 30 {
+			f.act()
+		}
+		f.quiet()
+	})
+}
+
+func (f *fleet) quiet() {
+	for i, r := range f.routers {
+		r.settle(f.p)
+		f.collect(i)
+		for _, req := range f.granted[i] {
+			f.step(i, Finished{Request: req, Ran: result.RanNo})
+		}
+		f.granted[i] = nil
+		r.settle(f.p)
+	}
+	for _, write := range f.adrift {
+		f.p.write(write)
+	}
+	last := f.routers[0]
+	last.now = last.now.Add(awayFor)
+	for _, key := range f.keys {
+		f.sequence++
+		res := last.claim(f.p, key, f.sequence)
+		switch {
+		case f.runs[key] > 0:
+			require.NotEqual(f.t, result.OK, res.Code, "%s would run again", key)
+		case !f.unclear[key]:
+			require.Equal(f.t, result.OK, res.Code, "%s never ran and is lost", key)
+		}
+	}
+}
