Add faults of the platform, its limits and counts, and a watcher that outlives them

Cause: routers must keep serving through outages, lost answers and stale reads of the platform, and must stay within its rates.

Ruled out: the jitter of the back-off library, half of the interval either way, because its source cannot be set by a test; the draw is even over twice the mean and comes from the watcher's options. Ruled out too: going back to a list's version after a watch was too old. A list may come from an old replica; everything up to the watcher's position has been delivered, so it only rises.

Weighed: a watch held for 20 s against 5 s. A watch hung on a cut connection is noticed within its wait and the timeout, and changes have to be in force within seconds; 5 s costs a fifth of a call a second and watch.

--- /dev/null
+++ b/standin/platform/count.go
@@ -0,0 +1,22 @@
+package platform
+
+import (
+	"net/http"
+	"sync/atomic"
+)
+
+// countingWriter counts the bytes of an answer's body.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+// Write counts and passes on.
+func (w *countingWriter) Write(text []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(text)
+	w.bytes.Add(int64(n))
+	return n, err
+}
+
+// Unwrap lets http.ResponseController find the writer underneath.
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,39 +1,86 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/figstile/figstile/standin/upstream"
 	"github.com/figstile/figstile/transport/objectstore"
 )
 
 // Options sets up a Platform. The zero value is usable.
 type Options struct {
-	Store StoreOptions
+	Store  StoreOptions
+	Faults Faults
+	// Now is the clock of the rate limits and of the lag of the list of
+	// machines; time.Now if nil.
+	Now func() time.Time
+	// Sleep delays the calls of a slow platform; by real time if nil.
+	Sleep func(ctx context.Context, d time.Duration) error
 }
 
-// Platform serves a Store over HTTP.
+// Platform serves a Store over HTTP, with faults to order.
 type Platform struct {
+	opts  Options
 	store *Store
 	mux   *http.ServeMux
+	bytes atomic.Int64
+
+	mu      sync.Mutex
+	faults  Faults
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	counts  [kinds]int64
+	limited int64
+	// stale answers reads while Faults.StaleReads is set.
+	stale *Store
+	// epoch ends when the outage changes.
+	epoch    context.Context
+	endEpoch context.CancelFunc
 }
 
 // New returns a platform with an empty store.
 func New(opts Options) *Platform {
-	p := &Platform{store: NewStore(opts.Store), mux: http.NewServeMux()}
-	p.mux.HandleFunc("GET "+objectstore.PathObjects+"/{key...}", p.get)
-	p.mux.HandleFunc("PUT "+objectstore.PathObjects+"/{key...}", p.put)
-	p.mux.HandleFunc("GET "+objectstore.PathObjects, p.list)
-	p.mux.HandleFunc("GET "+objectstore.PathWatch, p.watch)
-	p.mux.HandleFunc("GET "+objectstore.PathVMs, p.vms)
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Sleep == nil {
+		opts.Sleep = upstream.Sleep
+	}
+	opts.Store.Now = opts.Now
+	p := &Platform{
+		opts:   opts,
+		store:  NewStore(opts.Store),
+		mux:    http.NewServeMux(),
+		writes: newLimiter(0),
+		reads:  newLimiter(0),
+	}
+	p.epoch, p.endEpoch = context.WithCancel(context.Background())
+	p.SetFaults(opts.Faults)
+	p.routes()
+	return p
+}
+
+func (p *Platform) routes() {
+	p.mux.HandleFunc("GET "+objectstore.PathObjects+"/{key...}", p.guarded(GetCall, p.get))
+	p.mux.HandleFunc("PUT "+objectstore.PathObjects+"/{key...}", p.guarded(PutCall, p.put))
+	p.mux.HandleFunc("GET "+objectstore.PathObjects, p.guarded(ListCall, p.list))
+	p.mux.HandleFunc("GET "+objectstore.PathWatch, p.guarded(WatchCall, p.watch))
+	p.mux.HandleFunc("GET "+objectstore.PathVMs, p.guarded(VMsCall, p.vms))
 	p.mux.HandleFunc("PUT "+objectstore.PathVMs+"/{name}", p.putVM)
 	p.mux.HandleFunc("DELETE "+objectstore.PathVMs+"/{name}", p.deleteVM)
-	return p
+	p.mux.HandleFunc("POST /v1/faults", p.controlFaults)
+	p.mux.HandleFunc("GET /v1/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Faults(), nil) })
+	p.mux.HandleFunc("GET /v1/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Calls(), nil) })
 }
 
 // Store returns the store behind the API, for tests to set up and look into.
@@ -48,12 +95,12 @@
 }
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
-	object, err := p.store.Get(r.Context(), r.PathValue("key"))
+	object, err := p.readStore().Get(r.Context(), r.PathValue("key"))
 	reply(w, object, err)
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	objects, version, err := p.store.List(r.Context(), r.URL.Query().Get(objectstore.ParamPrefix))
+	objects, version, err := p.readStore().List(r.Context(), r.URL.Query().Get(objectstore.ParamPrefix))
 	reply(w, objectstore.ListAnswer{Objects: objects, Version: version}, err)
 }
 
@@ -69,7 +116,7 @@
 		reply(w, nil, objectstore.ErrInvalid)
 		return
 	}
-	objects, version, err := p.store.watch(r.Context(), query.Get(objectstore.ParamPrefix), objectstore.Version(after), wait)
+	objects, version, err := p.readStore().watch(r.Context(), query.Get(objectstore.ParamPrefix), objectstore.Version(after), wait)
 	reply(w, objectstore.ListAnswer{Objects: objects, Version: version}, err)
 }
 
@@ -84,12 +131,19 @@
 		reply(w, nil, err)
 		return
 	}
+	if p.use(func(f *Faults) *int { return &f.LoseWrites }) {
+		panic(http.ErrAbortHandler)
+	}
 	version, err := p.store.Put(r.Context(), r.PathValue("key"), body.Value, expected)
+	if err == nil && p.use(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, objectstore.PutAnswer{Version: version}, err)
 }
 
 func (p *Platform) vms(w http.ResponseWriter, r *http.Request) {
-	list, err := p.store.VMs(r.Context())
+	lag := time.Duration(p.Faults().VMLagMs) * time.Millisecond
+	list, err := p.store.vmsBefore(r.Context(), lag)
 	reply(w, objectstore.VMsAnswer{VMs: list}, err)
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	History int
 	// MaxWait is the platform's own timeout of a watch.
 	MaxWait time.Duration
+	// Now is the clock by which the list of machines lags; time.Now if nil.
+	Now func() time.Time
 }
 
 // Store is an in-memory objectstore.Store.
@@ -40,7 +43,7 @@
 	history []change
 	// forgotten is the version of the newest write dropped from history.
 	forgotten objectstore.Version
-	vms       map[string]objectstore.VM
+	vms       vmHistory
 	waiters   map[*waiter]struct{}
 }
 
@@ -66,10 +69,12 @@
 	if opts.MaxWait <= 0 {
 		opts.MaxWait = DefaultMaxWait
 	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	return &Store{
 		opts:    opts,
 		objects: make(map[string]objectstore.Object),
-		vms:     make(map[string]objectstore.VM),
 		waiters: make(map[*waiter]struct{}),
 	}
 }
@@ -229,33 +234,17 @@
 	return s.version
 }
 
-// VMs implements objectstore.Store.
-func (s *Store) VMs(ctx context.Context) ([]objectstore.VM, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]objectstore.VM, 0, len(s.vms))
-	for _, vm := range s.vms {
-		list = append(list, vm)
-	}
-	slices.SortFunc(list, func(a, b objectstore.VM) int { return strings.Compare(a.Name, b.Name) })
-	return list, nil
-}
-
-// PutVM adds a machine to the list or replaces it.
-func (s *Store) PutVM(vm objectstore.VM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.vms[vm.Name] = vm
-}
-
-// DeleteVM takes a machine off the list.
-func (s *Store) DeleteVM(name string) {
+// snapshot returns a store that holds the objects as they are now and never
+// changes.
+func (s *Store) snapshot() *Store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.vms, name)
+	frozen := NewStore(s.opts)
+	frozen.version = s.version
+	frozen.objects = maps.Clone(s.objects)
+	frozen.history = slices.Clone(s.history)
+	frozen.forgotten = s.forgotten
+	return frozen
 }
 
 func clone(o objectstore.Object) objectstore.Object {
--- a/standin/upstream/host.go
+++ b/standin/upstream/host.go
@@ -70,7 +70,7 @@
 		opts.Now = time.Now
 	}
 	if opts.Sleep == nil {
-		opts.Sleep = sleep
+		opts.Sleep = Sleep
 	}
 	h := &Host{
 		opts:   opts,
@@ -82,7 +82,8 @@
 	return h
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
+// Sleep waits for a duration or the context's end, by real time.
+func Sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/transport/objectstore/client.go
+++ b/transport/objectstore/client.go
@@ -21,8 +21,11 @@
 	// DefaultTimeout is a thousand times the platform's usual answer time:
 	// beyond it the platform is down, and callers are better refused.
 	DefaultTimeout = 3 * time.Second
-	// DefaultWatchWait keeps the idle calls of one watch to three a minute.
-	DefaultWatchWait = 20 * time.Second
+	// DefaultWatchWait bounds, with DefaultTimeout, how long a watch can hang
+	// on a connection that a partition has cut, to some seconds. It costs a
+	// fifth of a call a second: at 730 routers with three watches each, a
+	// fifth of the platform's reads.
+	DefaultWatchWait = 5 * time.Second
 	// DefaultMaxAnswerBytes holds a list of some dozen values of full size.
 	DefaultMaxAnswerBytes = 64 << 20
 )
--- /dev/null
+++ b/transport/objectstore/watcher_test.go
@@ -0,0 +1,225 @@
+package objectstore_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// answer is what a scripted store says to one list or watch.
+type answer struct {
+	objects []objectstore.Object
+	version objectstore.Version
+	err     error
+}
+
+// script is a store that answers lists and watches in turn and ends the
+// watcher's context after the last answer.
+type script struct {
+	objectstore.Store
+	answers []answer
+	done    context.CancelFunc
+	// after holds the versions that watches asked for.
+	after []objectstore.Version
+	lists int
+}
+
+func (s *script) next() ([]objectstore.Object, objectstore.Version, error) {
+	if len(s.answers) == 0 {
+		s.done()
+		return nil, 0, context.Canceled
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a.objects, a.version, a.err
+}
+
+func (s *script) List(context.Context, string) ([]objectstore.Object, objectstore.Version, error) {
+	s.lists++
+	return s.next()
+}
+
+func (s *script) Watch(_ context.Context, _ string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, error) {
+	s.after = append(s.after, after)
+	return s.next()
+}
+
+// follow runs a watcher through a script and returns what it delivered and
+// how long it slept after each answer.
+func follow(t *testing.T, s *script, draw func() float64) (w *objectstore.Watcher, delivered [][]objectstore.Object, slept []time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s.done = cancel
+	w = objectstore.NewWatcher(objectstore.WatcherOptions{
+		Store:   s,
+		Deliver: func(objects []objectstore.Object) { delivered = append(delivered, objects) },
+		Now:     func() time.Time { return time.Unix(100, 0) },
+		Sleep: func(_ context.Context, d time.Duration) error {
+			slept = append(slept, d)
+			return nil
+		},
+		Rand: draw,
+	})
+	require.ErrorIs(t, w.Run(ctx), context.Canceled)
+	return w, delivered, slept
+}
+
+func half() float64 { return 0.5 }
+
+func object(key string, version objectstore.Version) objectstore.Object {
+	return objectstore.Object{Key: key, Version: version}
+}
+
+// A setting is changed at version 10. Then a lagging replica answers a watch
+// and, after the history was cut, a list with the setting of version 7. The
+// reader must never see it, and must not watch from the past again.
+func TestWatcherNeverGoesBack(t *testing.T) {
+	s := &script{answers: []answer{
+		{objects: []objectstore.Object{object("a", 10)}, version: 10},
+		{objects: []objectstore.Object{object("a", 7)}, version: 7},
+		{err: objectstore.ErrTooOld},
+		{objects: []objectstore.Object{object("a", 7)}, version: 7},
+		{objects: []objectstore.Object{object("b", 11)}, version: 11},
+	}}
+	w, delivered, _ := follow(t, s, half)
+	require.Equal(t, [][]objectstore.Object{{object("a", 10)}, {object("b", 11)}}, delivered)
+	require.Equal(t, []objectstore.Version{10, 10, 10, 11}, s.after)
+	require.Equal(t, 2, s.lists)
+	require.EqualValues(t, 11, w.Health().Version)
+}
+
+// A router has been cut off for longer than the platform's history reaches.
+// It lists again and passes on just what changed meanwhile.
+func TestWatcherListsAgainWhenTooOld(t *testing.T) {
+	s := &script{answers: []answer{
+		{objects: []objectstore.Object{object("a", 1), object("b", 2)}, version: 2},
+		{err: objectstore.ErrTooOld},
+		{objects: []objectstore.Object{object("a", 900), object("b", 2)}, version: 950},
+	}}
+	_, delivered, _ := follow(t, s, half)
+	require.Equal(t, [][]objectstore.Object{{object("a", 1), object("b", 2)}, {object("a", 900)}}, delivered)
+	require.Equal(t, []objectstore.Version{2, 950}, s.after)
+}
+
+func TestWatcherReportsAnEmptyListOnce(t *testing.T) {
+	_, delivered, _ := follow(t, &script{answers: []answer{{version: 3}, {version: 3}}}, half)
+	require.Equal(t, [][]objectstore.Object{nil}, delivered)
+}
+
+// The platform is away for seven calls. The watcher calls less and less often,
+// up to a bound, keeps count, and is back at its usual pace after one success.
+func TestWatcherBacksOffDuringAnOutage(t *testing.T) {
+	s := &script{answers: []answer{{version: 1}}}
+	for range 7 {
+		s.answers = append(s.answers, answer{err: objectstore.ErrUnavailable})
+	}
+	w, _, slept := follow(t, s, half)
+	require.Equal(t, objectstore.DefaultPause, slept[0])
+	require.Equal(t, objectstore.DefaultFirstRetry, slept[1])
+	require.Equal(t, 2*objectstore.DefaultFirstRetry, slept[2])
+	require.Equal(t, objectstore.DefaultLastRetry, slept[7])
+	health := w.Health()
+	require.Equal(t, 7, health.Failures)
+	require.ErrorIs(t, health.LastError, objectstore.ErrUnavailable)
+	require.Equal(t, time.Unix(100, 0), health.LastSuccess)
+
+	s = &script{answers: []answer{{err: objectstore.ErrUnavailable}, {version: 1}, {err: objectstore.ErrUnavailable}}}
+	w, _, slept = follow(t, s, half)
+	require.Equal(t, objectstore.DefaultFirstRetry, slept[2])
+	require.Equal(t, 1, w.Health().Failures)
+}
+
+// Every router loses the platform at the same moment. Were they to retry in
+// step, each retry would meet the rate limit as one burst. Of 730 routers no
+// tenth of the retry interval may see much more than its tenth of the calls.
+func TestRetriesOfAFleetAreSpread(t *testing.T) {
+	const routers, slices = 730, 10
+	source := rand.New(rand.NewPCG(1, 2))
+	var calls [slices]int
+	for range routers {
+		_, _, slept := follow(t, &script{answers: []answer{{err: objectstore.ErrUnavailable}}}, source.Float64)
+		calls[slept[0]*slices/(2*objectstore.DefaultFirstRetry)]++
+	}
+	for _, n := range calls {
+		require.Less(t, n, 2*routers/slices)
+	}
+}
+
+// A prefix is written many times a second. The watcher must not make a call
+// for each write: what is written during its pause comes as one change.
+func TestWatcherGathersWritesOfABusyPrefix(t *testing.T) {
+	const writes = 50
+	store := platform.NewStore(platform.StoreOptions{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var versions []objectstore.Version
+	pause := func(context.Context, time.Duration) error {
+		version := store.Version()
+		for range writes {
+			version, _ = store.Put(t.Context(), "a", nil, version)
+		}
+		return nil
+	}
+	w := objectstore.NewWatcher(objectstore.WatcherOptions{
+		Store: store, Prefix: "a", Sleep: pause,
+		Deliver: func(objects []objectstore.Object) {
+			for _, o := range objects {
+				versions = append(versions, o.Version)
+			}
+			if len(versions) == 3 {
+				cancel()
+			}
+		},
+	})
+	require.ErrorIs(t, w.Run(ctx), context.Canceled)
+	require.Equal(t, []objectstore.Version{writes, 2 * writes, 3 * writes}, versions)
+}
+
+// The platform cuts a waiting watch and goes away. A setting is changed before
+// routers reach it again. The change must arrive without anybody's help.
+func TestWatcherResumesAfterAnOutage(t *testing.T) {
+	p := platform.New(platform.Options{})
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	var mu sync.Mutex
+	seen := map[string]string{}
+	w := objectstore.NewWatcher(objectstore.WatcherOptions{
+		Store:      objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL}),
+		Prefix:     "settings/",
+		FirstRetry: time.Millisecond,
+		LastRetry:  time.Millisecond,
+		Pause:      time.Millisecond,
+		Deliver: func(objects []objectstore.Object) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, o := range objects {
+				seen[o.Key] = string(o.Value)
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
+	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, patience, time.Millisecond)
+	for _, outage := range []platform.Outage{platform.Drop, platform.Refuse} {
+		p.SetFaults(platform.Faults{Outage: outage})
+		require.Eventually(t, func() bool { return w.Health().Failures > 1 }, patience, time.Millisecond)
+		_, err := p.Store().Put(t.Context(), "settings/"+string(outage), []byte("changed"), 0)
+		require.NoError(t, err)
+		p.SetFaults(platform.Faults{})
+		require.Eventually(t, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return seen["settings/"+string(outage)] == "changed"
+		}, patience, time.Millisecond)
+	}
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
