Learn costs over a hundred requests

The noise of an estimate goes into every reservation made with it, and so into the choice of workspace.

--- a/coordination/estimate/estimate.go
+++ b/coordination/estimate/estimate.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// smoothing is the weight of the newest cost. One in ten follows a
-	// workspace that changes its kind of work within some tens of requests,
-	// and keeps a single long guide from multiplying the next reservations.
-	smoothing = 0.1
+	// smoothing is the weight of the newest cost, once as many as its inverse
+	// are known; until then all known ones weigh alike. Reservations carry
+	// the estimate's noise into the choice of workspace, and with it into the
+	// fairness gap. A hundredth follows a workspace that changes its kind of
+	// work within a minute or two of heavy use.
+	smoothing = 0.01
 	// DefaultCapacity bounds the learned keys. Some hundred workspaces over a
 	// few services fit many times over; names invented by a faulty caller
 	// cannot grow the memory.
@@ -25,18 +27,30 @@
 	Workspace state.Workspace
 }
 
+// average is a mean over all costs at first, an exponentially weighted one
+// later.
+type average struct {
+	mean  float64
+	count float64
+}
+
+func (a *average) add(cost state.Cost) {
+	a.count++
+	a.mean += max(smoothing, 1/a.count) * (float64(cost) - a.mean)
+}
+
 type entry struct {
-	key  Key
-	mean float64
+	key Key
+	average
 }
 
-// Estimator holds exponentially weighted mean costs; the least recently
-// updated key makes room for a new one.
+// Estimator holds mean costs; the least recently updated key makes room for a
+// new one.
 type Estimator struct {
 	capacity int
 	entries  map[Key]*list.Element
 	recent   *list.List
-	services map[state.Service]float64
+	services map[state.Service]*average
 }
 
 // New returns an estimator that remembers at most capacity keys.
@@ -45,7 +59,7 @@
 		capacity: capacity,
 		entries:  make(map[Key]*list.Element),
 		recent:   list.New(),
-		services: make(map[state.Service]float64),
+		services: make(map[state.Service]*average),
 	}
 }
 
@@ -54,10 +68,10 @@
 	if cost <= 0 {
 		return
 	}
-	e.services[k.Service] = blend(e.services[k.Service], cost)
+	e.service(k.Service).add(cost)
 	if el, ok := e.entries[k]; ok {
 		known := el.Value.(*entry)
-		known.mean = blend(known.mean, cost)
+		known.add(cost)
 		e.recent.MoveToFront(el)
 		return
 	}
@@ -66,7 +80,7 @@
 		delete(e.entries, oldest.Value.(*entry).key)
 		e.recent.Remove(oldest)
 	}
-	e.entries[k] = e.recent.PushFront(&entry{key: k, mean: float64(cost)})
+	e.entries[k] = e.recent.PushFront(&entry{key: k, average: average{mean: float64(cost), count: 1}})
 }
 
 // Estimate returns the expected cost, at least one thousandth of a unit. A
@@ -79,8 +93,8 @@
 	if hint > 0 {
 		return hint
 	}
-	if mean := e.services[k.Service]; mean > 0 {
-		return max(state.Cost(mean), 1)
+	if known := e.services[k.Service]; known != nil {
+		return max(state.Cost(known.mean), 1)
 	}
 	return state.CostUnit
 }
@@ -94,9 +108,11 @@
 	}
 }
 
-func blend(mean float64, cost state.Cost) float64 {
-	if mean == 0 {
-		return float64(cost)
+func (e *Estimator) service(name state.Service) *average {
+	known := e.services[name]
+	if known == nil {
+		known = &average{}
+		e.services[name] = known
 	}
-	return mean + smoothing*(float64(cost)-mean)
+	return known
 }
--- /dev/null
+++ b/coordination/scheduler/baseline_test.go
@@ -0,0 +1,44 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/state"
+)
+
+// roundRobin sends each request at once to the next engine in turn.
+type roundRobin struct {
+	engines []state.Upstream
+	next    int
+}
+
+func newRoundRobin(_ Peer, seed uint64) stepper { return &roundRobin{next: int(seed)} }
+
+func (r *roundRobin) Step(_ time.Time, ev Event) []Action {
+	switch e := ev.(type) {
+	case Configured:
+		for _, u := range e.Settings.Services[0].Upstreams {
+			r.engines = append(r.engines, u.Name)
+		}
+	case Arrived:
+		r.next++
+		return []Action{Dispatch{ID: e.Request.ID, Upstream: r.engines[r.next%len(r.engines)], Attempt: 1}}
+	}
+	return nil
+}
+
+// alone queues fairly, but for the requests and engines of one router: each
+// owner is a Scheduler that hears of no peers' demand or counters.
+type alone struct{ *Scheduler }
+
+func newAlone(self Peer, seed uint64) stepper {
+	return alone{New(Options{Self: self, Seed: seed})}
+}
+
+func (r alone) Step(now time.Time, ev Event) []Action {
+	switch ev.(type) {
+	case DemandHeard, UsageHeard, GrantHeard:
+		return nil
+	}
+	return r.Scheduler.Step(now, ev)
+}
--- /dev/null
+++ b/coordination/scheduler/fleet_test.go
@@ -0,0 +1,297 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+)
+
+// stepper is a Scheduler or a baseline.
+type stepper interface {
+	Step(now time.Time, ev Event) []Action
+}
+
+type timed struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type timeline []timed
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
+func (t *timeline) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+type job struct {
+	id       state.RequestID
+	home     *router
+	ws       state.Workspace
+	cost     time.Duration
+	arrived  time.Time
+	started  time.Time
+	reported time.Time
+	final    int
+	refused  int
+}
+
+type router struct {
+	name  state.Router
+	step  stepper
+	down  bool
+	side  int
+	owned []state.Upstream
+	jobs  map[state.RequestID]*job
+	last  state.RequestID
+}
+
+type engine struct {
+	name    state.Upstream
+	slots   int
+	slow    float64
+	running map[*job]struct{}
+	waiting []*job
+}
+
+// fleet is an in-memory network of routers and engines with a clock of its
+// own. Costs are slot-seconds. Only the seed decides what happens.
+type fleet struct {
+	now      time.Time
+	start    time.Time
+	seq      int
+	pending  timeline
+	rng      *rand.Rand
+	routers  []*router
+	engines  []*engine
+	byName   map[state.Upstream]*engine
+	served   map[state.Workspace]time.Duration
+	waits    map[state.Workspace][]time.Duration
+	busy     time.Duration
+	messages int
+	results  []Refuse
+	// cost draws a request's cost; onFinal follows each request's end.
+	cost    func(ws state.Workspace) time.Duration
+	onFinal func(j *job)
+}
+
+const (
+	netDelay     = time.Millisecond
+	reportPeriod = 500 * time.Millisecond
+	reportDelay  = 100 * time.Millisecond
+)
+
+func newFleet(routers, engines, slots int, seed uint64, build func(self Peer, seed uint64) stepper) *fleet {
+	f := &fleet{
+		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byName: map[state.Upstream]*engine{},
+		served: map[state.Workspace]time.Duration{}, waits: map[state.Workspace][]time.Duration{},
+		onFinal: func(*job) {},
+	}
+	f.start = f.now
+	f.cost = func(state.Workspace) time.Duration { return f.lognormal(4*time.Second, 1) }
+	for i := range engines {
+		e := &engine{name: state.Upstream(fmt.Sprintf("engine-%02d", i)), slots: slots / engines, slow: 1, running: map[*job]struct{}{}}
+		if i < slots%engines {
+			e.slots++
+		}
+		f.engines = append(f.engines, e)
+		f.byName[e.name] = e
+	}
+	for i := range routers {
+		self := Peer{Router: state.Router(fmt.Sprintf("router-%d", i)), DataCentre: centre(i), Incarnation: 1}
+		f.routers = append(f.routers, &router{name: self.Router, step: build(self, seed), jobs: map[state.RequestID]*job{}})
+	}
+	return f
+}
+
+func centre(i int) state.DataCentre { return state.DataCentre(fmt.Sprintf("dc-%d", i%4)) }
+
+func (f *fleet) settings(shares map[state.Workspace]float64) config.Settings {
+	svc := config.Service{Name: "draft", Kind: config.KindEngine, Limits: config.Limits{QueueRequests: 10_000, DeadlineMillis: 3_600_000}}
+	for i, e := range f.engines {
+		svc.Upstreams = append(svc.Upstreams, config.Upstream{Name: e.name, DataCentre: centre(i)})
+	}
+	out := config.Settings{Services: []config.Service{svc}}
+	for i := range len(shares) {
+		out.Workspaces = append(out.Workspaces, config.WorkspaceSettings{Name: tenant(i), Share: shares[tenant(i)]})
+	}
+	return out
+}
+
+func tenant(i int) state.Workspace { return state.Workspace(fmt.Sprintf("w%02d", i)) }
+
+// boot starts every router and the periodic work.
+func (f *fleet) boot(settings config.Settings) {
+	f.spread()
+	for _, r := range f.routers {
+		f.deliver(r, Configured{Settings: settings})
+		f.every(TickInterval, func() { f.deliver(r, Tick{}) })
+	}
+	for _, e := range f.engines {
+		f.every(reportPeriod, func() { f.sendReport(e) })
+	}
+}
+
+// spread tells every router which others it can reach.
+func (f *fleet) spread() {
+	for _, r := range f.routers {
+		var peers []Peer
+		for i, p := range f.routers {
+			if !p.down && p.side == r.side {
+				peers = append(peers, Peer{Router: p.name, DataCentre: centre(i), Incarnation: 1})
+			}
+		}
+		f.deliver(r, PeersChanged{Peers: peers})
+	}
+}
+
+func (f *fleet) sendReport(e *engine) {
+	report := Reported{Report: state.LoadReport{Upstream: e.name, Boot: "1", Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}}
+	f.after(reportDelay, func() {
+		for _, r := range f.routers {
+			for _, name := range r.owned {
+				if name == e.name {
+					f.deliver(r, report)
+				}
+			}
+		}
+	})
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.pending, timed{at: f.now.Add(d), seq: f.seq, run: run})
+}
+
+func (f *fleet) every(d time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		f.after(d, again)
+	}
+	f.after(time.Duration(f.rng.Int64N(int64(d))), again)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); len(f.pending) > 0 && !f.pending[0].at.After(end); {
+		next := heap.Pop(&f.pending).(timed)
+		for _, e := range f.engines {
+			f.busy += time.Duration(len(e.running)) * next.at.Sub(f.now)
+		}
+		f.now = next.at
+		next.run()
+	}
+}
+
+func (f *fleet) lognormal(median time.Duration, sigma float64) time.Duration {
+	return min(time.Duration(float64(median)*math.Exp(sigma*f.rng.NormFloat64())), time.Minute)
+}
+
+func (f *fleet) submit(r *router, ws state.Workspace) *job {
+	r.last++
+	j := &job{id: r.last, home: r, ws: ws, cost: f.cost(ws), arrived: f.now}
+	r.jobs[j.id] = j
+	f.deliver(r, Arrived{Request: Request{ID: j.id, Service: "draft", Workspace: ws, Repeatable: true}})
+	return j
+}
+
+func (f *fleet) send(from *router, to state.Router, ev Event) {
+	for _, r := range f.routers {
+		if r != from && (to == "" || r.name == to) {
+			f.messages++
+			f.after(netDelay, func() {
+				if r.side == from.side {
+					f.deliver(r, ev)
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) deliver(r *router, ev Event) {
+	if r.down {
+		return
+	}
+	for _, a := range r.step.Step(f.now, ev) {
+		f.perform(r, a)
+	}
+}
+
+func (f *fleet) perform(r *router, action Action) {
+	switch a := action.(type) {
+	case Dispatch:
+		j := r.jobs[a.ID]
+		f.waits[j.ws] = append(f.waits[j.ws], f.now.Sub(j.arrived))
+		f.after(netDelay, func() { f.admit(f.byName[a.Upstream], j) })
+	case Refuse:
+		f.results = append(f.results, a)
+		r.jobs[a.ID].refused++
+		f.finish(r.jobs[a.ID])
+	case SendDemand:
+		f.send(r, a.To, DemandHeard{From: r.name, Demand: a.Demand})
+	case SendGrant:
+		f.send(r, a.To, GrantHeard{Grant: a.Grant})
+	case SendDecline:
+		f.send(r, a.To, DeclineHeard{From: r.name, Sequence: a.Sequence, Service: a.Service, Demand: a.Demand})
+	case SendProgress:
+		f.send(r, a.To, ProgressHeard{From: r.name, Sequence: a.Sequence, Upstream: a.Upstream, Service: a.Service, Workspace: a.Workspace, Cost: a.Cost, Started: a.Started})
+	case SendEnded:
+		f.send(r, a.To, EndedHeard{From: r.name, Sequence: a.Sequence, Upstream: a.Upstream, Service: a.Service, Workspace: a.Workspace, Cost: a.Cost, Outcome: a.Outcome})
+	case SendUsage:
+		f.send(r, a.To, UsageHeard{Origin: a.Origin, Incarnation: a.Incarnation, Entries: a.Entries, Full: a.Full})
+	case Owned:
+		r.owned = a.Upstreams
+	}
+}
+
+func (f *fleet) admit(e *engine, j *job) {
+	if len(e.running) >= e.slots {
+		e.waiting = append(e.waiting, j)
+		return
+	}
+	e.running[j] = struct{}{}
+	j.started, j.reported = f.now, f.now
+	f.advance(e, j)
+}
+
+// advance reports a second of progress or the end.
+func (f *fleet) advance(e *engine, j *job) {
+	left := time.Duration(float64(j.cost)*e.slow) - f.now.Sub(j.started)
+	f.after(min(left, time.Second), func() {
+		spent := f.now.Sub(j.reported)
+		j.reported = f.now
+		f.served[j.ws] += spent
+		if left > time.Second {
+			f.deliver(j.home, Progressed{ID: j.id, Cost: state.Cost(spent.Milliseconds())})
+			f.advance(e, j)
+			return
+		}
+		delete(e.running, j)
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			f.admit(e, next)
+		}
+		f.after(netDelay, func() {
+			f.deliver(j.home, Ended{ID: j.id, Cost: state.Cost(spent.Milliseconds()), Outcome: OutcomeServed})
+			f.finish(j)
+		})
+	})
+}
+
+func (f *fleet) finish(j *job) {
+	j.final++
+	f.onFinal(j)
+}
