Host the claims machine on the object store

Cause: the machine needs its reads, conditional writes and timers done, one message at a time, and callers need a bounded wait for the decision.

Ruled out: taking the end of a write's time-out for "no effect"; every error that is neither a conflict nor the store's own "unavailable" is an unknown outcome, and the machine reads back. Spawning the actor from a producer: a supervisor's restart would lose the claims that are to be taken back.

Conclusion: a closing router writes pending completions first; what the platform does not take in time reads as in progress and later as unknown.

--- /dev/null
+++ b/transport/claims/host.go
@@ -0,0 +1,203 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/coordination/claims"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+const (
+	// callTimeout bounds one call to the platform, which answers in
+	// milliseconds. A call that takes this long has most likely been lost.
+	callTimeout = time.Second
+	// patience bounds a caller's wait for its claim: two calls that time
+	// out and a round between them. Then it hears "not run" and may send
+	// again, which serves it better than an open connection.
+	patience = 3 * time.Second
+)
+
+// Options wire a Host.
+type Options struct {
+	Router      state.Router
+	Incarnation state.Incarnation
+	Store       objectstore.Store
+	System      *actor.ActorSystem
+	Log         zerolog.Logger
+	// Now is the clock; nil takes the system's.
+	Now func() time.Time
+}
+
+// Host runs the claims of one router.
+type Host struct {
+	opts   Options
+	pid    *actor.PID
+	ctx    context.Context
+	cancel context.CancelFunc
+	calls  sync.WaitGroup
+	closed atomic.Bool
+
+	// What follows belongs to the actor.
+	machine *claims.Machine
+	waiting map[state.AttemptID]chan<- result.Result
+	wake    *time.Timer
+	flushed chan<- struct{}
+}
+
+// ask is a claim with the channel its decision goes to.
+type ask struct {
+	request claims.Request
+	answer  chan<- result.Result
+}
+
+// flush asks to be told once nothing is pending.
+type flush struct {
+	done chan<- struct{}
+}
+
+// NewHost starts a host.
+func NewHost(opts Options) *Host {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		opts:    opts,
+		ctx:     ctx,
+		cancel:  cancel,
+		machine: claims.NewMachine(opts.Router, opts.Incarnation),
+		waiting: make(map[state.AttemptID]chan<- result.Result),
+	}
+	// The function and not a producer: a restart by the supervisor keeps the
+	// machine, which alone knows the claims to be taken back.
+	h.pid = opts.System.Root.Spawn(actor.PropsFromFunc(h.receive))
+	return h
+}
+
+// Claim asks for the right to run a request. Any result but OK is final and
+// nothing may be sent.
+func (h *Host) Claim(ctx context.Context, req claims.Request) result.Result {
+	if h.closed.Load() {
+		return result.New(result.Draining, "")
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	answer := make(chan result.Result, 1)
+	h.send(ask{request: req, answer: answer})
+	select {
+	case res := <-answer:
+		return res
+	case <-ctx.Done():
+		h.send(claims.Withdrawn{Request: req})
+		return result.New(result.ClaimUnavailable, "")
+	}
+}
+
+// Complete records what became of a claimed request. It does not block.
+func (h *Host) Complete(req claims.Request, ran result.Ran) {
+	h.send(claims.Finished{Request: req, Ran: ran})
+}
+
+// Resize says how many routers share the platform.
+func (h *Host) Resize(routers int) {
+	h.send(claims.FleetSized{Routers: routers})
+}
+
+// Close takes no more claims, writes what is pending and stops. It returns the
+// context's error if the platform does not take everything in time; the keys
+// concerned then read as in progress and later as unknown.
+func (h *Host) Close(ctx context.Context) error {
+	h.closed.Store(true)
+	done := make(chan struct{}, 1)
+	h.send(flush{done: done})
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	// The actor stops first, so that no call starts while they are awaited.
+	_ = h.opts.System.Root.PoisonFuture(h.pid).Wait()
+	h.cancel()
+	h.calls.Wait()
+	return err
+}
+
+func (h *Host) send(message any) { h.opts.System.Root.Send(h.pid, message) }
+
+// receive is the actor: one message at a time reaches the machine.
+func (h *Host) receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case ask:
+		h.waiting[m.request.Attempt] = m.answer
+		h.step(claims.Wanted{Request: m.request})
+	case claims.Withdrawn:
+		delete(h.waiting, m.Request.Attempt)
+		h.step(m)
+	case flush:
+		h.flushed = m.done
+		h.step(claims.Flushed{})
+	case claims.Event:
+		h.step(m)
+	case *actor.Stopping:
+		h.stopTimer()
+	}
+}
+
+func (h *Host) step(event claims.Event) {
+	for _, action := range h.machine.Step(h.opts.Now(), event) {
+		h.perform(action)
+	}
+	if h.flushed != nil && h.machine.Pending() == 0 {
+		close(h.flushed)
+		h.flushed = nil
+	}
+}
+
+func (h *Host) perform(action claims.Action) {
+	switch a := action.(type) {
+	case claims.Read:
+		h.call(func(ctx context.Context) claims.Event { return h.read(ctx, a) })
+	case claims.Write:
+		h.call(func(ctx context.Context) claims.Event { return h.write(ctx, a) })
+	case claims.Decide:
+		h.answer(a)
+	case claims.Wake:
+		h.stopTimer()
+		h.wake = time.AfterFunc(a.At.Sub(h.opts.Now()), func() { h.send(claims.Tick{}) })
+	}
+}
+
+func (h *Host) stopTimer() {
+	if h.wake != nil {
+		h.wake.Stop()
+	}
+}
+
+func (h *Host) answer(d claims.Decide) {
+	answer, ok := h.waiting[d.Attempt]
+	if !ok {
+		return
+	}
+	delete(h.waiting, d.Attempt)
+	answer <- d.Result
+}
+
+// call runs one call to the platform beside the actor.
+func (h *Host) call(do func(context.Context) claims.Event) {
+	h.calls.Add(1)
+	go func() {
+		defer h.calls.Done()
+		ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+		defer cancel()
+		h.send(do(ctx))
+	}()
+}
--- /dev/null
+++ b/transport/claims/host_test.go
@@ -0,0 +1,150 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/claims"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// memory is an object store in memory. fault, if set, decides how a write
+// ends; it may let it take effect first.
+type memory struct {
+	objectstore.Store
+	mu      sync.Mutex
+	objects map[string]objectstore.Object
+	version objectstore.Version
+	fault   func(apply func()) error
+	away    bool
+}
+
+func (m *memory) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return objectstore.Object{}, objectstore.ErrUnavailable
+	}
+	object, ok := m.objects[key]
+	if !ok {
+		return object, objectstore.ErrNotFound
+	}
+	return object, ctx.Err()
+}
+
+func (m *memory) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return 0, objectstore.ErrUnavailable
+	}
+	if current := m.objects[key].Version; current != expected {
+		return 0, &objectstore.ConflictError{Key: key, Current: current}
+	}
+	apply := func() {
+		m.version++
+		m.objects[key] = objectstore.Object{Key: key, Version: m.version, Value: value}
+	}
+	if fault := m.fault; fault != nil {
+		m.fault = nil
+		return 0, fault(apply)
+	}
+	apply()
+	return m.version, nil
+}
+
+func start(t *testing.T, store *memory, router state.Router) *Host {
+	t.Helper()
+	system := actor.NewActorSystem()
+	t.Cleanup(system.Shutdown)
+	return NewHost(Options{Router: router, Incarnation: 1, Store: store, System: system, Log: zerolog.Nop()})
+}
+
+func request(router state.Router, key string, sequence uint64) claims.Request {
+	return claims.Request{
+		Workspace: "lan", Service: "bookings", Key: key,
+		Attempt: state.AttemptID{Router: router, Incarnation: 1, Sequence: sequence},
+	}
+}
+
+func TestHostClaimsOverTheStore(t *testing.T) {
+	ctx := context.Background()
+	store := &memory{objects: map[string]objectstore.Object{}}
+	a, b := start(t, store, "a"), start(t, store, "b")
+	first := request("a", "k", 1)
+	require.Equal(t, result.OK, a.Claim(ctx, first).Code)
+	require.Equal(t, result.KeyInProgress, b.Claim(ctx, request("b", "k", 1)).Code)
+	a.Complete(first, result.RanYes)
+	require.NoError(t, a.Close(ctx), "closing writes the completion")
+	require.Equal(t, result.Draining, a.Claim(ctx, request("a", "k2", 2)).Code)
+	require.Equal(t, result.KeyCompleted, b.Claim(ctx, request("b", "k", 2)).Code)
+	require.NoError(t, b.Close(ctx))
+}
+
+// TestHostSettlesLostAnswers: a booking is refused though its claim landed.
+// The platform's answer is lost after the write took effect, or the write
+// itself is.
+func TestHostSettlesLostAnswers(t *testing.T) {
+	for name, lands := range map[string]bool{"landed": true, "lost": false} {
+		t.Run(name, func(t *testing.T) {
+			store := &memory{objects: map[string]objectstore.Object{}}
+			store.fault = func(apply func()) error {
+				if lands {
+					apply()
+				}
+				return objectstore.ErrUnknownOutcome
+			}
+			h := start(t, store, "a")
+			require.Equal(t, result.OK, h.Claim(context.Background(), request("a", "k", 1)).Code)
+			require.Equal(t, result.KeyInProgress, h.Claim(context.Background(), request("a", "k", 2)).Code)
+			require.NoError(t, h.Close(context.Background()))
+		})
+	}
+}
+
+// TestHostRefusesWhileAway: a guardian waits for a time-out to hear that
+// nothing can be booked now.
+func TestHostRefusesWhileAway(t *testing.T) {
+	store := &memory{objects: map[string]objectstore.Object{}, away: true}
+	h := start(t, store, "a")
+	for i := range uint64(3) {
+		res := h.Claim(context.Background(), request("a", "k", i))
+		require.Equal(t, result.ClaimUnavailable, res.Code)
+		require.Equal(t, result.RanNo, res.Ran)
+	}
+	require.NoError(t, h.Close(context.Background()))
+}
+
+// TestHostWithdrawsWithItsCaller: a resend hears "in progress" of a claim that
+// nobody holds. The caller leaves while its claim is being written.
+func TestHostWithdrawsWithItsCaller(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	answered := make(chan struct{})
+	store := &memory{objects: map[string]objectstore.Object{}}
+	store.fault = func(apply func()) error {
+		apply()
+		leave()
+		<-answered
+		return objectstore.ErrUnknownOutcome
+	}
+	h := start(t, store, "a")
+	require.Equal(t, result.ClaimUnavailable, h.Claim(ctx, request("a", "k", 1)).Code)
+	close(answered)
+	require.Equal(t, result.OK, h.Claim(context.Background(), request("a", "k", 2)).Code)
+	require.NoError(t, h.Close(context.Background()))
+}
+
+func TestWriteOutcome(t *testing.T) {
+	require.Equal(t, claims.WriteUnknown, writeOutcome(context.DeadlineExceeded))
+	require.Equal(t, claims.WriteUnknown, writeOutcome(errors.New("reset")))
+	require.Equal(t, claims.WriteUnavailable, writeOutcome(objectstore.ErrUnavailable))
+	require.Equal(t, claims.WriteConflict, writeOutcome(&objectstore.ConflictError{}))
+}
