Try a repeatable request elsewhere when an upstream turns it away

Cause: within the seconds before everybody knows that an upstream leaves, it answers 503, and kiosks would show that. Access to a model is asked for once the body is read, because the settings refuse an engine's service without a model where models are listed.

Ruled out: doing so for requests that may not be repeated, since a 503 does not prove that nothing ran; doing so more than once, since the second answer tells the caller more than another attempt would.

Conclusion: a turned-away first attempt ends as lost and the scheduler decides on the retry within its budget.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/figstile/figstile/coordination/scheduler"
@@ -90,10 +91,21 @@
 	}
 	defer answer.Close()
 	x.sent = true
+	if d.Attempt == 1 && x.job.request.Repeatable && turnedAway(answer.Status) {
+		x.end(&m, 0, scheduler.OutcomeLost)
+		return result.Result{}, false
+	}
 	x.record.Head = x.since()
 	return x.relay(answer, &m), true
 }
 
+// turnedAway recognises an upstream that would not take the request, as one
+// that starts to leave or is overloaded. A request that may be repeated is then
+// tried once elsewhere; a second such answer goes to the caller.
+func turnedAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // baseURL reads the view anew: an upstream's address may have changed while
 // the request waited.
 func (x *exchange) baseURL(name state.Upstream) (string, bool) {
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -340,6 +340,35 @@
 	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeNotSent, scheduler.OutcomeLost}, outcomes)
 }
 
+// TestTurnedAwayIsTriedElsewhere: a kiosk shows an error while its upstream is
+// shut down in a planned way. A page may be fetched again, a booking may not.
+func TestTurnedAwayIsTriedElsewhere(t *testing.T) {
+	var calls atomic.Int64
+	worker := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		sse("[DONE]")(w, r)
+	}
+	first, second := dispatch("one"), dispatch("one")
+	first.Attempt, second.Attempt = 1, 2
+	b := newBench(t, worker, first, second)
+	resp, _, err := b.call(t, "/drafts/v1/chat/completions", prompt)
+	require.NoError(t, err)
+	require.Equal(t, "0", resp.Trailer.Get(HeaderResult))
+	outcomes, _ := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeLost, scheduler.OutcomeServed}, outcomes)
+
+	calls.Store(0)
+	b = newBench(t, worker, first, second)
+	resp, _, err = b.call(t, "/bookings/seats", "4A")
+	require.NoError(t, err)
+	require.Equal(t, "3007", resp.Header.Get(HeaderResult))
+	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+	require.EqualValues(t, 1, calls.Load())
+}
+
 // TestNoSecondDispatch: two escorts are assigned to one child. The scheduler
 // errs and dispatches a request again that may not be repeated.
 func TestNoSecondDispatch(t *testing.T) {
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -210,7 +210,7 @@
 // result states a whole answer's result by its status.
 func (y *relay) result() result.Result {
 	switch status := y.answer.Status; {
-	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+	case turnedAway(status):
 		return result.New(result.UpstreamRefused, "")
 	case status >= http.StatusInternalServerError:
 		return result.New(result.UpstreamFailed, "")
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -99,8 +99,11 @@
 		return nil, result.New(result.UnknownService, "")
 	}
 	x.record.Service = name
-	if code := view.Allows(workspace, name, ""); code != result.OK {
-		return nil, result.New(code, "")
+	if service.Kind != config.KindEngine {
+		// An engine's model is known only from the body.
+		if code := view.Allows(workspace, name, ""); code != result.OK {
+			return nil, result.New(code, "")
+		}
 	}
 	hints, err := parseHints(x.r.Header, x.arrived)
 	if err != nil {
@@ -124,8 +127,10 @@
 	if err := j.readCompletion(); err != nil {
 		return nil, err
 	}
-	if code := view.Allows(workspace, name, j.request.Model); code != result.OK {
-		return nil, result.New(code, "")
+	if j.engine() {
+		if code := view.Allows(workspace, name, j.request.Model); code != result.OK {
+			return nil, result.New(code, "")
+		}
 	}
 	return j, nil
 }
@@ -189,7 +194,7 @@
 	if c.Model == "" && len(j.service.Models) == 1 {
 		c.Model = j.service.Models[0]
 	}
-	if c.Model == "" {
+	if c.Model == "" && len(j.service.Models) > 1 {
 		return result.New(result.BadRequest, "The body names no model.")
 	}
 	prompt := c.prompt()
