--- /dev/null
+++ b/transport/caller/bench_test.go
@@ -0,0 +1,125 @@
+package caller
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+var benchEvent = []byte(`data: {"id":"chatcmpl-1","object":"chat.completion.chunk","model":"guide","choices":[{"index":0,"delta":{"content":"valley "},"finish_reason":null}],"usage":null}` + "\n\n")
+
+// BenchmarkScanToken is what counting adds to one token.
+func BenchmarkScanToken(b *testing.B) {
+	var s eventScanner
+	b.ReportAllocs()
+	b.SetBytes(int64(len(benchEvent)))
+	for b.Loop() {
+		s.feed(benchEvent)
+	}
+}
+
+// instant dispatches each request at once.
+type instant struct{}
+
+func (instant) NextID() state.RequestID { return 1 }
+
+func (instant) Submit(scheduler.Request) <-chan scheduler.Action {
+	actions := make(chan scheduler.Action, 1)
+	actions <- scheduler.Dispatch{ID: 1, Upstream: "one", Attempt: 1}
+	return actions
+}
+
+func (instant) Left(state.RequestID)                                 {}
+func (instant) Progressed(state.RequestID, state.Cost)               {}
+func (instant) Ended(state.RequestID, state.Cost, scheduler.Outcome) {}
+
+// discard is a caller that reads everything at once.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) Flush()                      {}
+
+func benchHandler(b *testing.B, worker http.HandlerFunc) (*Handler, string) {
+	b.Helper()
+	up := httptest.NewServer(worker)
+	b.Cleanup(up.Close)
+	client := upstream.NewClient(upstream.ClientOptions{})
+	b.Cleanup(client.Close)
+	ups := []config.Upstream{{Name: "one", URL: up.URL}}
+	view := fakeView{services: map[state.Service]config.Service{
+		"pages":  {Name: "pages", Kind: config.KindWorker, Repeatable: true, Upstreams: ups},
+		"drafts": {Name: "drafts", Kind: config.KindEngine, Repeatable: true, Upstreams: ups},
+	}}
+	return NewHandler(Options{Router: "r", Scheduler: instant{}, Settings: view, Client: client, Log: zerolog.Nop()}), up.URL
+}
+
+func benchRequest(method, path, body string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer secret")
+	return r
+}
+
+func page(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "a map") }
+
+// BenchmarkPage is one short request through the handler. BenchmarkPagePlain
+// is the same exchange without it; the difference is the router's part.
+func BenchmarkPage(b *testing.B) {
+	h, _ := benchHandler(b, page)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.ServeHTTP(&discard{header: http.Header{}}, benchRequest(http.MethodGet, "/pages/map", ""))
+	}
+}
+
+func BenchmarkPagePlain(b *testing.B) {
+	_, url := benchHandler(b, page)
+	transport := &http.Transport{}
+	b.Cleanup(transport.CloseIdleConnections)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = benchRequest(http.MethodGet, "/pages/map", "")
+		req, err := http.NewRequest(http.MethodGet, url+"/map", nil)
+		require.NoError(b, err)
+		resp, err := transport.RoundTrip(req)
+		require.NoError(b, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+// BenchmarkStream relays drafts of different lengths; the difference between
+// two, divided by the tokens between them, is the cost of one token.
+func BenchmarkStream(b *testing.B) {
+	for _, tokens := range []int{10, 1010} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			draft := append(bytes.Repeat(benchEvent, tokens), "data: [DONE]\n\n"...)
+			h, _ := benchHandler(b, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for rest := draft; len(rest) > 0; {
+					n := min(len(benchEvent), len(rest))
+					_, _ = w.Write(rest[:n])
+					_ = http.NewResponseController(w).Flush()
+					rest = rest[n:]
+				}
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				h.ServeHTTP(&discard{header: http.Header{}}, benchRequest(http.MethodPost, "/drafts/v1/chat/completions", prompt))
+			}
+		})
+	}
+}
