Spare a short request some allocations

Cause: a bodiless request went out with an empty reader, which net/http probes with a goroutine and a timer for each kiosk page; headers were cloned twice and the result set twice.

Ruled out: leaving the replay of bodiless requests to the fence alone, because net/http would then try every kept connection; a replay now also cancels the round trip.

--- a/transport/caller/bench_test.go
+++ b/transport/caller/bench_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -53,6 +54,9 @@
 func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
 func (d *discard) Flush()                      {}
 
+func (d *discard) SetReadDeadline(time.Time) error  { return nil }
+func (d *discard) SetWriteDeadline(time.Time) error { return nil }
+
 func benchHandler(b *testing.B, worker http.HandlerFunc) (*Handler, string) {
 	b.Helper()
 	up := httptest.NewServer(worker)
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -42,7 +42,9 @@
 	events *eventScanner
 	stream bool
 	passed int64
-	begun  bool
+	// begun is set once the head went out, trailers if it announced them.
+	begun    bool
+	trailers bool
 }
 
 // relay delivers the answer and ends the dispatch.
@@ -137,6 +139,7 @@
 	copyEndToEnd(header, y.answer.Header)
 	header.Set("Trailer", HeaderResult+", "+HeaderRan)
 	y.begun = true
+	y.trailers = true
 	y.x.extendWrite()
 	y.x.w.WriteHeader(y.answer.Status)
 	_ = y.x.control.Flush()
@@ -244,7 +247,9 @@
 // streamed answer the result becomes a trailer.
 func (y *relay) whole(total state.Cost) result.Result {
 	res := y.result()
-	setResult(y.x.w.Header(), res)
+	if y.trailers {
+		setResult(y.x.w.Header(), res)
+	}
 	outcome := scheduler.OutcomeServed
 	if res.Code != result.OK {
 		outcome = scheduler.OutcomeFailed
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -192,7 +193,7 @@
 
 func (c *Client) sendOver(ctx context.Context, transport *http.Transport, a Attempt) (answer *Answer, reused bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	watch := &sendWatch{}
+	watch := &sendWatch{cancel: cancel}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, watch.trace()), a)
 	if err != nil {
 		cancel(err)
@@ -212,36 +213,21 @@
 	return newAnswer(ctx, cancel, resp, c.answerIdle), false, nil
 }
 
-// newRequest sets no GetBody, so that net/http has nothing to replay; the
-// fence holds where it would replay without one.
+// newRequest sets no GetBody, so that net/http has no body to replay; the fence
+// holds where it would replay without one.
 func newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, a.Method, a.BaseURL+a.Target, nil)
 	if err != nil {
 		return nil, err
 	}
-	if a.Header != nil {
-		req.Header = a.Header.Clone()
-	}
+	maps.Copy(req.Header, a.Header)
 	req.Header.Set(AttemptHeader, a.ID.String())
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
-	req.Body = onceBody(a)
-	req.ContentLength = int64(len(a.Body))
-	return req, nil
-}
-
-// onceBody returns a body that can be read once. Methods that usually lack one
-// get an empty reader: net/http finds it empty and sends none, but does not
-// take the request for one that it may replay.
-func onceBody(a Attempt) io.ReadCloser {
 	if len(a.Body) > 0 {
-		return io.NopCloser(bytes.NewReader(a.Body))
-	}
-	switch a.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete:
-		return io.NopCloser(bytes.NewReader(nil))
-	default:
-		return http.NoBody
+		req.Body = io.NopCloser(bytes.NewReader(a.Body))
+		req.ContentLength = int64(len(a.Body))
 	}
+	return req, nil
 }
--- a/transport/upstream/fence.go
+++ b/transport/upstream/fence.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -58,6 +59,9 @@
 
 // sendWatch follows one attempt over the connections net/http gives it.
 type sendWatch struct {
+	// cancel ends the round trip when net/http wants to replay it.
+	cancel context.CancelCauseFunc
+
 	mu     sync.Mutex
 	conn   *fencedConn
 	mark   uint64
@@ -71,7 +75,8 @@
 
 // gotConn runs before the first write on a connection. If a connection before
 // it took part of the request, the new one is fenced at once: net/http wants to
-// replay, and a second copy must not leave.
+// replay, and a second copy must not leave. Cancelling keeps it from trying one
+// kept connection after the other.
 func (w *sendWatch) gotConn(info httptrace.GotConnInfo) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -85,6 +90,7 @@
 	w.mark = w.conn.writes()
 	if w.sent {
 		w.conn.fence()
+		w.cancel(errFenced)
 	}
 }
 
