Give orders to engines under the lease and write down what it cannot stop

Cause: the decider needs its store calls and orders performed, and the last look at the clock has to come after the connection stands.

Weighed: looking at the clock before the request is made against looking when the transport reads the body. The latter also covers a slow connect and a pause inside the transport; an engine acts on a whole body only.

Ruled out: kept connections for orders. One that was cut without notice holds an order back in the kernel and may deliver it after the lease's end. Ruled out too: reporting an order as late at any read of its body. The transport reads on after the last byte, when the order is already on its way.

--- /dev/null
+++ b/transport/orders/controller_test.go
@@ -0,0 +1,186 @@
+package orders
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/fencing"
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// patience bounds waits on conditions; no outcome depends on it.
+const patience = 20 * time.Second
+
+// bench is an engine, a store and a clock that only the test moves.
+type bench struct {
+	t      *testing.T
+	engine *engine.Engine
+	url    string
+	store  objectstore.Store
+	now    fencing.Instant
+	checks bool
+}
+
+func newBench(t *testing.T, checks bool) *bench {
+	t.Helper()
+	e := engine.New(engine.Options{ChecksFencing: checks})
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	return &bench{
+		t: t, engine: e, url: server.URL, checks: checks,
+		store: platform.NewStore(platform.StoreOptions{}),
+		now:   fencing.Instant{Wall: time.Unix(1_000_000, 0)},
+	}
+}
+
+func (b *bench) controller(name state.Router, client *http.Client) *Controller {
+	return New(Options{
+		Upstream: "engine", BaseURL: b.url, Store: b.store, HTTPClient: client,
+		Holder: fencing.Config{Self: name, Incarnation: 1, ChecksNumber: b.checks, Timing: fencing.DefaultTiming()},
+		Clock:  func() fencing.Instant { return b.now },
+		Log:    zerolog.Nop(),
+	})
+}
+
+// step lets a controller take an event and all that follows from it at once.
+func (b *bench) step(c *Controller, event fencing.Event) {
+	for _, action := range c.holder.Step(b.now, event) {
+		b.step(c, c.perform(b.t.Context(), action))
+	}
+}
+
+// second lets a second pass, at whose end a controller reads the load.
+func (b *bench) second(c *Controller) {
+	b.now.Monotonic += time.Second
+	b.now.Wall = b.now.Wall.Add(time.Second)
+	b.step(c, fencing.Reported{Report: b.engine.Load()})
+}
+
+// pause is a transport that holds up the first order until the test has done
+// something else.
+type pause struct{ meanwhile func() }
+
+func (p *pause) RoundTrip(r *http.Request) (*http.Response, error) {
+	if p.meanwhile != nil {
+		p.meanwhile()
+		p.meanwhile = nil
+	}
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// A router takes the lease to load model "old" and is paused before the order
+// leaves it. Its lease lapses, another router takes it and loads "new". The
+// first router resumes and lets its order go. An engine that checks fencing
+// numbers refuses it; for one that ignores them the router finds by its own
+// clock that it is late. Either way the engine holds "new" alone, and the first
+// router reads who holds the lease before anything else.
+func TestPausedHolderResumes(t *testing.T) {
+	for name, checks := range map[string]bool{"engine checks numbers": true, "engine ignores numbers": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, checks)
+			second := b.controller("r2", nil)
+			transport := &pause{meanwhile: func() {
+				b.step(second, fencing.Wanted{Wish: &fencing.Wish{Models: []state.Model{"new"}}})
+				for range 20 {
+					b.second(second)
+				}
+			}}
+			first := b.controller("r1", &http.Client{Transport: transport})
+			b.step(first, fencing.Wanted{Wish: &fencing.Wish{Models: []state.Model{"old"}}})
+			b.second(first)
+
+			require.Nil(t, transport.meanwhile, "the order was not held up")
+			require.Equal(t, []state.Model{"new"}, b.engine.Models())
+			require.Zero(t, first.holder.Number())
+			received := b.engine.Orders().Orders
+			if !checks {
+				require.Len(t, received, 1)
+				return
+			}
+			require.Len(t, received, 2)
+			require.False(t, received[1].Applied)
+		})
+	}
+}
+
+// The time for an order runs out while its bytes go out. It has been given, so
+// it must not be reported as one that was never sent.
+func TestOrderOnItsWayIsNotLate(t *testing.T) {
+	var now fencing.Instant
+	var late atomic.Bool
+	body := &guardedBody{
+		Reader: strings.NewReader("order"), late: &late,
+		order: fencing.SendOrder{Within: time.Second},
+		clock: func() fencing.Instant { return now },
+	}
+	_, err := body.Read(make([]byte, 2))
+	require.NoError(t, err)
+	now.Monotonic = time.Minute
+	rest, err := io.ReadAll(body)
+	require.NoError(t, err)
+	require.Equal(t, "der", string(rest))
+	require.False(t, late.Load())
+}
+
+// The store loses the answer to the write that takes the lease, and then is
+// away. No order may go out meanwhile; afterwards the wish is fulfilled.
+func TestNoOrderWithoutAnAnsweredLease(t *testing.T) {
+	b := newBench(t, false)
+	p := platform.New(platform.Options{Faults: platform.Faults{LoseAnswers: 1}})
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	b.store = objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL})
+	c := b.controller("r1", nil)
+	b.step(c, fencing.Wanted{Wish: &fencing.Wish{Models: []state.Model{"m"}, Role: "decode"}})
+	b.second(c)
+	p.SetFaults(platform.Faults{Outage: platform.Refuse})
+	for range 10 {
+		b.second(c)
+	}
+	require.Empty(t, b.engine.Orders().Orders)
+	p.SetFaults(platform.Faults{})
+	for range 10 {
+		b.second(c)
+	}
+	require.Equal(t, []state.Model{"m"}, b.engine.Models())
+	require.Equal(t, "decode", b.engine.Orders().Role)
+	require.Zero(t, c.holder.Number(), "the lease is released")
+}
+
+func TestRunFulfilsAWish(t *testing.T) {
+	e := engine.New(engine.Options{Options: upstream.Options{Models: []state.Model{"surplus"}}})
+	url, stop, err := e.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	defer stop()
+	timing := fencing.DefaultTiming()
+	timing.ReportLag = 0
+	c := New(Options{
+		Upstream: "engine", BaseURL: url, Store: platform.NewStore(platform.StoreOptions{}),
+		Holder: fencing.Config{Self: "r1", Incarnation: 1, Timing: timing}, Log: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	c.Want(&fencing.Wish{Models: []state.Model{"m"}})
+	require.Eventually(t, func() bool {
+		c.Report(e.Load())
+		models := e.Models()
+		return len(models) == 1 && models[0] == "m"
+	}, patience, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	c.Want(nil)
+}
--- /dev/null
+++ b/transport/orders/send.go
@@ -0,0 +1,145 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/figstile/figstile/coordination/fencing"
+	"github.com/figstile/figstile/state"
+)
+
+// orderBody is the body of POST /orders at an engine.
+type orderBody struct {
+	Action  fencing.OrderKind `json:"action"`
+	Model   state.Model       `json:"model,omitempty"`
+	Role    string            `json:"role,omitempty"`
+	Fencing uint64            `json:"fencing"`
+}
+
+// refusedBody is the part of an engine's refusal that is read.
+type refusedBody struct {
+	Stale bool `json:"stale"`
+}
+
+// maxAnswerBytes bounds what is read of an engine's answer to an order.
+const maxAnswerBytes = 1 << 20
+
+// errLate stops an order whose time to be sent has passed.
+var errLate = errors.New("orders: too late in the lease")
+
+// guardedBody is an order's body that looks at the clock when it is read. The
+// transport reads it once the connection stands, as the last thing before the
+// bytes go out; an engine acts on a whole body only. An order held up before
+// that, by a slow connection or a paused process, is thus never given.
+type guardedBody struct {
+	io.Reader
+	order fencing.SendOrder
+	clock func() fencing.Instant
+	late  *atomic.Bool
+	begun bool
+}
+
+// Read fails with errLate if the order's time has passed at the first read. The
+// transport reads on after the last byte to find the end; by then the order is
+// on its way and must not be reported as never sent.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	if !b.begun && b.order.Late(b.clock()) {
+		b.late.Store(true)
+		return 0, errLate
+	}
+	b.begun = true
+	return b.Reader.Read(p)
+}
+
+// sendOrder sends an order once. An answer that is no clear one counts as
+// failed: the engine may have obeyed, and its next reports will tell.
+func (c *Controller) sendOrder(ctx context.Context, order fencing.SendOrder) fencing.Event {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	var late atomic.Bool
+	event, err := c.exchange(ctx, order, &late)
+	if late.Load() {
+		event = fencing.OrderLate{}
+	}
+	c.logOrder(order.Order, event, err)
+	return event
+}
+
+func (c *Controller) exchange(ctx context.Context, order fencing.SendOrder, late *atomic.Bool) (fencing.Event, error) {
+	request, err := c.request(ctx, order, late)
+	if err != nil {
+		return fencing.OrderFailed{}, err
+	}
+	response, err := c.opts.HTTPClient.Do(request)
+	if err != nil {
+		return fencing.OrderFailed{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fencing.OrderFailed{}, err
+	}
+	return decodeAnswer(response.StatusCode, body), nil
+}
+
+func (c *Controller) request(ctx context.Context, order fencing.SendOrder, late *atomic.Bool) (*http.Request, error) {
+	text, err := json.Marshal(orderBody{
+		Action:  order.Order.Kind,
+		Model:   order.Order.Model,
+		Role:    order.Order.Role,
+		Fencing: order.Order.Number,
+	})
+	if err != nil {
+		return nil, err
+	}
+	body := &guardedBody{Reader: bytes.NewReader(text), order: order, clock: c.opts.Clock, late: late}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.opts.BaseURL+"/orders", body)
+	if err != nil {
+		return nil, err
+	}
+	// With its length known the body is sent whole or not at all, and without
+	// GetBody the transport cannot send it twice.
+	request.ContentLength = int64(len(text))
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func decodeAnswer(status int, body []byte) fencing.Event {
+	if status == http.StatusOK {
+		return fencing.OrderDone{}
+	}
+	var refused refusedBody
+	if status == http.StatusConflict && json.Unmarshal(body, &refused) == nil && refused.Stale {
+		return fencing.OrderStale{}
+	}
+	return fencing.OrderFailed{}
+}
+
+func (c *Controller) logOrder(order fencing.Order, event fencing.Event, err error) {
+	c.opts.Log.Info().
+		Str("kind", string(order.Kind)).
+		Str("model", string(order.Model)).
+		Str("role", order.Role).
+		Uint64("number", order.Number).
+		Str("outcome", outcomeName(event)).
+		AnErr("error", err).
+		Msg("order")
+}
+
+func outcomeName(event fencing.Event) string {
+	switch event.(type) {
+	case fencing.OrderDone:
+		return "done"
+	case fencing.OrderStale:
+		return "stale"
+	case fencing.OrderLate:
+		return "late"
+	default:
+		return "failed"
+	}
+}
