Keep a lease through a lost renewal while an order runs

Cause: one lost answer to a renewal made the holder forget its lease for as long as its order ran. A load takes minutes, so another router would have found the lease lapsed and given orders beside it.

Ruled out: taking the renewal as done. It may not have taken effect; what the write before it won still stands for its own time, and no longer.

--- a/coordination/fencing/holder.go
+++ b/coordination/fencing/holder.go
@@ -110,9 +110,7 @@
 		h.store = storeCall{}
 		h.distrust()
 	case LeaseFailed:
-		h.store = storeCall{}
-		h.distrust()
-		h.idleUntil = now.Monotonic + h.config.Timing.Retry
+		h.leaseFailed(now)
 	case OrderDone:
 		h.orderDone(now)
 	case OrderStale:
@@ -161,6 +159,18 @@
 	}
 }
 
+// leaseFailed has the lease read again, for a write may have taken effect. What
+// an earlier write won still holds for its time, unless it was being released.
+func (h *Holder) leaseFailed(now Instant) {
+	failed := h.store
+	h.store = storeCall{}
+	h.known = nil
+	if failed.lease != nil && failed.lease.Holder == "" {
+		h.held = nil
+	}
+	h.idleUntil = now.Monotonic + h.config.Timing.Retry
+}
+
 // leaseRead notes a version that was not seen before. A lower one comes from
 // an old replica; counting from it would put off a take-over for ever.
 func (h *Holder) leaseRead(now Instant, e LeaseRead) {
@@ -170,7 +180,14 @@
 		return
 	}
 	h.known = &knownLease{lease: e.Lease, version: e.Version, since: now}
-	h.held = nil
+	if !h.isOwn(e.Lease) || e.Lease.Number != h.Number() {
+		h.held = nil
+	}
+}
+
+// isOwn reports whether a lease names this run of this router.
+func (h *Holder) isOwn(lease Lease) bool {
+	return lease.Holder == h.config.Self && lease.Incarnation == h.config.Incarnation
 }
 
 // leaseWritten makes this router the holder from when the write was sent. An
@@ -275,6 +292,9 @@
 	if h.report == nil && h.wish != nil {
 		return nil
 	}
+	if h.known == nil {
+		return h.read(now)
+	}
 	return h.write(now, Lease{Number: h.held.number})
 }
 
@@ -285,7 +305,7 @@
 	}
 	lease := h.known.lease
 	switch {
-	case lease.Holder == h.config.Self && lease.Incarnation == h.config.Incarnation:
+	case h.isOwn(lease):
 		return h.write(now, h.ownLease(lease.Number))
 	case lease.Holder == "" || h.lapsed(now):
 		return h.write(now, h.ownLease(lease.Number+1))
--- a/coordination/fencing/holder_test.go
+++ b/coordination/fencing/holder_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// A load takes long and the answer to a renewal is lost. The renewal is tried
+// again, or another router would find the lease lapsed and order beside it.
+func TestLostRenewalIsRepeatedWhileAnOrderRuns(t *testing.T) {
+	r, _ := ready(t, false)
+	r.ticks(t, 3)
+	renewal := []Action{WriteLease{Lease: own("r1", 8), Expected: 41}}
+	require.Equal(t, renewal, r.after(time.Second, Tick{}))
+	require.Empty(t, r.after(0, LeaseFailed{}))
+	require.Empty(t, r.after(time.Second, Tick{}))
+	require.Equal(t, []Action{ReadLease{}}, r.after(time.Second, Tick{}))
+	require.Equal(t, renewal, r.after(0, LeaseRead{Lease: own("r1", 8), Version: 41}))
+	require.Empty(t, r.after(0, LeaseWritten{Version: 42}))
+	require.Equal(t, uint64(8), r.Number())
+}
+
 // A model never loads, for example because its weights are broken. It is tried
 // again less and less often, and the model behind it loads meanwhile.
 func TestFailingLoadBacksOffAndHoldsUpNothing(t *testing.T) {
