--- /dev/null
+++ b/standin/platform/bench_test.go
@@ -0,0 +1,67 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// BenchmarkWatchFanOut measures one write of a kilobyte that every watcher
+// follows, from the write until the last has it: calls and bytes of answers
+// for each write. 8 is a deployment of today, 730 the fleet planned for.
+func BenchmarkWatchFanOut(b *testing.B) {
+	for _, watchers := range []int{8, 64, 730} {
+		b.Run(fmt.Sprintf("watchers=%d", watchers), func(b *testing.B) { benchFanOut(b, watchers) })
+	}
+}
+
+func benchFanOut(b *testing.B, watchers int) {
+	p := New(Options{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	transport := &http.Transport{MaxIdleConnsPerHost: watchers}
+	defer transport.CloseIdleConnections()
+	client := objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL, HTTPClient: &http.Client{Transport: transport}})
+	ctx, cancel := context.WithCancel(b.Context())
+	seen := make(chan objectstore.Version, watchers)
+	var running sync.WaitGroup
+	for range watchers {
+		running.Go(func() { follow(ctx, client, seen) })
+	}
+	value := make([]byte, 1024)
+	version := objectstore.Version(0)
+	before := p.Calls()
+	b.ResetTimer()
+	for range b.N {
+		version, _ = p.store.Put(ctx, "settings/root", value, version)
+		for range watchers {
+			<-seen
+		}
+	}
+	b.StopTimer()
+	after := p.Calls()
+	b.ReportMetric(float64(after.Watch-before.Watch)/float64(b.N), "calls/op")
+	b.ReportMetric(float64(after.Bytes-before.Bytes)/float64(b.N), "answer-B/op")
+	cancel()
+	running.Wait()
+}
+
+// follow watches without pause and tells each version it sees.
+func follow(ctx context.Context, store objectstore.Store, seen chan<- objectstore.Version) {
+	after := objectstore.Version(0)
+	for ctx.Err() == nil {
+		objects, version, err := store.Watch(ctx, "settings/", after)
+		if err != nil {
+			continue
+		}
+		after = version
+		for range objects {
+			seen <- version
+		}
+	}
+}
--- a/transport/objectstore/client.go
+++ b/transport/objectstore/client.go
@@ -98,7 +98,7 @@
 	if err := c.read(ctx, PathObjects+"?"+query.Encode(), c.opts.Timeout, &list); err != nil {
 		return nil, 0, err
 	}
-	return list.Objects, list.Version, nil
+	return checkedList(prefix, list)
 }
 
 // Watch implements Store.
@@ -112,7 +112,7 @@
 	if err := c.read(ctx, PathWatch+"?"+query.Encode(), c.opts.Timeout+c.opts.WatchWait, &list); err != nil {
 		return nil, 0, err
 	}
-	return list.Objects, list.Version, nil
+	return checkedList(prefix, list)
 }
 
 // VMs implements Store.
--- a/transport/objectstore/decode.go
+++ b/transport/objectstore/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // CallError is a failed call. errors.Is finds both its kind, which is one of
@@ -96,6 +97,18 @@
 	return nil
 }
 
+// checkedList refuses a list that cannot be the answer to this prefix. Taken
+// for it, a list of other objects would be delivered as settings, and a version
+// beyond the list's own would make a watcher skip changes.
+func checkedList(prefix string, list ListAnswer) ([]Object, Version, error) {
+	for _, object := range list.Objects {
+		if !strings.HasPrefix(object.Key, prefix) || object.Version == 0 || object.Version > list.Version {
+			return nil, 0, &CallError{Op: http.MethodGet, Target: prefix, Kind: ErrUnavailable, Cause: errCrossedAnswer}
+		}
+	}
+	return list.Objects, list.Version, nil
+}
+
 // decodeError maps an error answer to its kind, or to fallback if the answer
 // is not one that the platform gives.
 func decodeError(op, target string, answer httpAnswer, fallback error) error {
--- /dev/null
+++ b/transport/orders/report_test.go
@@ -0,0 +1,37 @@
+package orders
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzDecodeReport feeds answers of any upstream, broken ones too. Whatever is
+// accepted must be within bounds and must survive another round.
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(`{"upstream":"u","boot":"u-1","running":1,"waiting":2,"slots":8,"models":["m"]}`))
+	f.Add([]byte(`{"upstream":"other","boot":"u-1"}`))
+	f.Add([]byte(`{"upstream":"u","boot":"u-1","running":-1}`))
+	f.Add([]byte(`{"upstream":"u","boot":"u-1","slots":1e9}`))
+	f.Add([]byte(`{"upstream":"u","boot":"u-1","models":[""]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		report, err := DecodeReport("u", body)
+		if err != nil {
+			var fault *ReportError
+			require.True(t, errors.As(err, &fault))
+			require.Zero(t, report)
+			return
+		}
+		require.Empty(t, faultOf("u", report))
+		text, err := json.Marshal(report)
+		require.NoError(t, err)
+		again, err := DecodeReport("u", text)
+		require.NoError(t, err)
+		if len(report.Models) == 0 {
+			report.Models = nil
+		}
+		require.Equal(t, report, again)
+	})
+}
