--- a/standin/upstream/job.go
+++ b/standin/upstream/job.go
@@ -51,20 +51,35 @@
 
 // Run takes a request through the host: ledger, faults, slot, work.
 func (h *Host) Run(w http.ResponseWriter, r *http.Request, plan Plan) {
-	current := h.currentRun()
-	if current.down {
-		panic(http.ErrAbortHandler)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	h.Guard(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		job := &Job{Header: r.Header, Body: body, host: h, run: runOf(r.Context()), ctx: r.Context()}
+		job.receive()
+		job.serve(w, plan)
+	})(w, r)
+}
+
+// runKey is the context key of the run that received a request.
+type runKey struct{}
+
+func runOf(ctx context.Context) run { return ctx.Value(runKey{}).(run) }
+
+// Guard wraps a handler so that a host that is down drops the connection, and
+// a crash ends the context of what it serves.
+func (h *Host) Guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		current := h.currentRun()
+		if current.down {
+			panic(http.ErrAbortHandler)
+		}
+		ctx, cancel := context.WithCancel(context.WithValue(r.Context(), runKey{}, current))
+		defer cancel()
+		defer context.AfterFunc(current.ctx, cancel)()
+		next(w, r.WithContext(ctx))
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	defer context.AfterFunc(current.ctx, cancel)()
-	job := &Job{Header: r.Header, Body: body, host: h, run: current, ctx: ctx}
-	job.receive()
-	job.serve(w, plan)
 }
 
 // receive enters the job into the ledger and gives it the faults it meets.
@@ -154,13 +169,15 @@
 	}
 }
 
+// end frees the slot last, so that no load report shows more requests running
+// than there are slots.
 func (j *Job) end(err error) {
-	j.host.slots.Release(1)
 	j.host.change(func() { j.host.running-- })
 	j.host.ledger.update(j.index, func(e *Entry) {
 		e.Ended = j.host.opts.Now()
 		e.Outcome = j.outcome(err)
 	})
+	j.host.slots.Release(1)
 }
 
 // outcome tells a crash from a caller that left: a crash cancels both.
--- a/transport/objectstore/client.go
+++ b/transport/objectstore/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -30,12 +31,21 @@
 	DefaultMaxAnswerBytes = 64 << 20
 )
 
+// Settings of the connections to the platform.
+const (
+	// connectTimeout leaves time within DefaultTimeout for the call itself.
+	connectTimeout = 2 * time.Second
+	maxIdleConns   = 16
+	// idleConnTimeout outlasts several watches.
+	idleConnTimeout = 30 * time.Second
+)
+
 // ClientOptions sets up a Client.
 type ClientOptions struct {
 	// BaseURL is the platform's address, for example http://10.0.0.1:8080.
 	BaseURL string
-	// HTTPClient makes the calls; http.DefaultClient if nil. Its redirects
-	// are switched off: a redirected write could run twice.
+	// HTTPClient makes the calls; one that keeps a few connections if nil. Its
+	// redirects are switched off: a redirected write could run twice.
 	HTTPClient *http.Client
 	// Token is sent as a bearer token unless empty.
 	Token string
@@ -60,7 +70,7 @@
 func NewClient(opts ClientOptions) *Client {
 	opts.BaseURL = strings.TrimSuffix(opts.BaseURL, "/")
 	if opts.HTTPClient == nil {
-		opts.HTTPClient = http.DefaultClient
+		opts.HTTPClient = newHTTPClient()
 	}
 	if opts.Timeout <= 0 {
 		opts.Timeout = DefaultTimeout
@@ -76,6 +86,17 @@
 	return c
 }
 
+// newHTTPClient keeps enough connections for a router's watches and the calls
+// beside them; the standard two would have each further call connect anew.
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+}
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	if err := CheckKey(key); err != nil {
