--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -1,12 +1,9 @@
 package worker_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,7 +50,6 @@
 
 // reply is what a caller got.
 type reply struct {
-	status int
 	answer worker.Answer
 	err    error
 }
@@ -66,24 +62,13 @@
 }
 
 func (b *bench) exchange(ctx context.Context, attempt, body string) reply {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/book", strings.NewReader(body))
+	call := upstream.Call{Attempt: attempt, IdempotencyKey: "key-" + attempt, Body: body}
+	response, err := call.Post(ctx, http.DefaultClient, b.url+"/book")
 	if err != nil {
 		return reply{err: err}
 	}
-	req.Header.Set(upstream.HeaderAttempt, attempt)
-	req.Header.Set(upstream.HeaderIdempotencyKey, "key-"+attempt)
-	response, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return reply{err: err}
-	}
-	r := reply{status: response.StatusCode}
-	r.err = json.NewDecoder(bytes.NewReader(text)).Decode(&r.answer)
-	return r
+	answer, err := worker.Read(response)
+	return reply{answer: answer, err: err}
 }
 
 // wait returns once the worker's load is as given.
@@ -128,21 +113,25 @@
 	}
 }
 
-// A caller hangs up while its request runs and another while its request
-// waits. Both must be counted as cancelled and the waiting one must not run.
+// A caller hangs up while its request waits, and another while its request
+// runs. Both must be counted as cancelled and the waiting one must not run.
 func TestLeavingCallersAreCancelled(t *testing.T) {
 	b := start(t, worker.Options{})
-	ctx, leave := context.WithCancel(t.Context())
-	running := b.send(ctx, "a", `{"busy_ms":1}`)
+	ctxRunning, leaveRunning := context.WithCancel(t.Context())
+	running := b.send(ctxRunning, "a", `{"busy_ms":1}`)
 	b.wait(1, 0)
-	waiting := b.send(ctx, "b", `{"busy_ms":1}`)
+	ctxWaiting, leaveWaiting := context.WithCancel(t.Context())
+	waiting := b.send(ctxWaiting, "b", `{"busy_ms":1}`)
 	b.wait(1, 1)
-	leave()
-	require.Error(t, (<-running).err)
+	leaveWaiting()
 	require.Error(t, (<-waiting).err)
+	b.wait(1, 0)
+	leaveRunning()
+	require.Error(t, (<-running).err)
 	b.wait(0, 0)
-	require.Eventually(t, func() bool { return b.outcome(0) == upstream.Cancelled }, patience, time.Millisecond)
-	require.Equal(t, upstream.Cancelled, b.outcome(1))
+	for index := range 2 {
+		require.Eventually(t, func() bool { return b.outcome(index) == upstream.Cancelled }, patience, time.Millisecond)
+	}
 	require.Zero(t, b.Ledger().Started("key-b"))
 }
 
@@ -192,7 +181,7 @@
 	close(b.gate)
 	require.ErrorIs(t, (<-b.send(t.Context(), "a", `{}`)).err, io.ErrUnexpectedEOF)
 	b.SetFaults(upstream.Faults{Refuse: 1})
-	require.Equal(t, http.StatusServiceUnavailable, (<-b.send(t.Context(), "b", `{}`)).status)
+	require.Equal(t, worker.StatusError(http.StatusServiceUnavailable), (<-b.send(t.Context(), "b", `{}`)).err)
 	require.Equal(t, upstream.Truncated, b.outcome(0))
 	require.Equal(t, upstream.Refused, b.outcome(1))
 }
--- a/transport/objectstore/client.go
+++ b/transport/objectstore/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -30,12 +31,21 @@
 	DefaultMaxAnswerBytes = 64 << 20
 )
 
+// Settings of the connections to the platform.
+const (
+	// connectTimeout leaves time within DefaultTimeout for the call itself.
+	connectTimeout = 2 * time.Second
+	maxIdleConns   = 16
+	// idleConnTimeout outlasts several watches.
+	idleConnTimeout = 30 * time.Second
+)
+
 // ClientOptions sets up a Client.
 type ClientOptions struct {
 	// BaseURL is the platform's address, for example http://10.0.0.1:8080.
 	BaseURL string
-	// HTTPClient makes the calls; http.DefaultClient if nil. Its redirects
-	// are switched off: a redirected write could run twice.
+	// HTTPClient makes the calls; one that keeps a few connections if nil. Its
+	// redirects are switched off: a redirected write could run twice.
 	HTTPClient *http.Client
 	// Token is sent as a bearer token unless empty.
 	Token string
@@ -47,8 +57,9 @@
 	MaxAnswerBytes int64
 }
 
-// Client is a Store over the platform's HTTP API. It never repeats a call by
-// itself.
+// Client is a Store over the platform's HTTP API. It repeats no write and no
+// watch by itself; the transport may repeat another read on a new connection
+// if a kept one turns out to be closed.
 type Client struct {
 	opts ClientOptions
 	http http.Client
@@ -60,7 +71,7 @@
 func NewClient(opts ClientOptions) *Client {
 	opts.BaseURL = strings.TrimSuffix(opts.BaseURL, "/")
 	if opts.HTTPClient == nil {
-		opts.HTTPClient = http.DefaultClient
+		opts.HTTPClient = newHTTPClient()
 	}
 	if opts.Timeout <= 0 {
 		opts.Timeout = DefaultTimeout
@@ -76,13 +87,24 @@
 	return c
 }
 
+// newHTTPClient keeps enough connections for a router's watches and the calls
+// beside them; the standard two would have each further call connect anew.
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+}
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	if err := CheckKey(key); err != nil {
 		return Object{}, err
 	}
 	var object Object
-	if err := c.read(ctx, objectPath(key), c.opts.Timeout, &object); err != nil {
+	if err := c.read(ctx, c.reading(objectPath(key)), &object); err != nil {
 		return Object{}, withKey(err, key)
 	}
 	if object.Key != key || object.Version == 0 {
@@ -95,10 +117,10 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, Version, error) {
 	query := url.Values{ParamPrefix: {prefix}}
 	var list ListAnswer
-	if err := c.read(ctx, PathObjects+"?"+query.Encode(), c.opts.Timeout, &list); err != nil {
+	if err := c.read(ctx, c.reading(PathObjects+"?"+query.Encode()), &list); err != nil {
 		return nil, 0, err
 	}
-	return list.Objects, list.Version, nil
+	return checkedList(prefix, list)
 }
 
 // Watch implements Store.
@@ -109,16 +131,19 @@
 		ParamWait:   {c.opts.WatchWait.String()},
 	}
 	var list ListAnswer
-	if err := c.read(ctx, PathWatch+"?"+query.Encode(), c.opts.Timeout+c.opts.WatchWait, &list); err != nil {
+	spec := c.reading(PathWatch + "?" + query.Encode())
+	spec.timeout += c.opts.WatchWait
+	spec.once = true
+	if err := c.read(ctx, spec, &list); err != nil {
 		return nil, 0, err
 	}
-	return list.Objects, list.Version, nil
+	return checkedList(prefix, list)
 }
 
 // VMs implements Store.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	var list VMsAnswer
-	if err := c.read(ctx, PathVMs, c.opts.Timeout, &list); err != nil {
+	if err := c.read(ctx, c.reading(PathVMs), &list); err != nil {
 		return nil, err
 	}
 	return list.VMs, nil
@@ -143,14 +168,19 @@
 	return decodePut(key, answer)
 }
 
+// reading describes a call without effects.
+func (c *Client) reading(target string) callSpec {
+	return callSpec{method: http.MethodGet, target: target, timeout: c.opts.Timeout}
+}
+
 // read makes a call without effects and decodes its answer. Any failure that
 // is no whole answer is ErrUnavailable, for nothing can have been changed.
-func (c *Client) read(ctx context.Context, target string, timeout time.Duration, into any) error {
-	answer, err := c.call(ctx, callSpec{method: http.MethodGet, target: target, timeout: timeout})
+func (c *Client) read(ctx context.Context, spec callSpec, into any) error {
+	answer, err := c.call(ctx, spec)
 	if err != nil {
 		return asRead(err)
 	}
-	return decodeRead(target, answer, into)
+	return decodeRead(spec.target, answer, into)
 }
 
 // callSpec is one HTTP call.
@@ -159,6 +189,20 @@
 	body           []byte
 	timeout        time.Duration
 	condition      condition
+	// once keeps the transport from repeating the call.
+	once bool
+}
+
+// bodyReader returns the request's body. A body of a type that the transport
+// does not know keeps it from repeating a read at once when its connection is
+// cut. A platform that goes away cuts the watches of all routers, and their
+// repetitions would come as one burst, ahead of any back-off.
+func (s callSpec) bodyReader() io.Reader {
+	body := bytes.NewReader(s.body)
+	if s.once {
+		return struct{ io.Reader }{body}
+	}
+	return body
 }
 
 // condition is the header that a write is conditional on.
@@ -187,7 +231,7 @@
 	ctx, cancel := context.WithTimeout(ctx, spec.timeout)
 	defer cancel()
 	var sent sentTrace
-	request, err := http.NewRequestWithContext(sent.attach(ctx), spec.method, c.opts.BaseURL+spec.target, bytes.NewReader(spec.body))
+	request, err := http.NewRequestWithContext(sent.attach(ctx), spec.method, c.opts.BaseURL+spec.target, spec.bodyReader())
 	if err != nil {
 		return httpAnswer{}, &CallError{Op: spec.method, Target: spec.target, Kind: ErrInvalid, Cause: err}
 	}
