Serve the administration API

Cause: operators and teams change settings through any router, in a race one of them wins and the other has to see what won, and each team reaches its own subtree only.

Weighed: retrying an edit after a conflict would let the last of two operators win unseen, so a conflict is always shown. A change id chosen by the client makes a repeated edit safe after a lost answer: the id is looked for in the object's history before anything else. Status of other routers is asked for with the fleet token: an address spread by a peer is no reason to send an operator's token there. A root without operators' tokens is refused, as nobody could mend it.

Found by a test: after the first root of a fleet the router stayed not ready, since its earlier list had no root. A root that this router wrote now makes the tree whole.

--- /dev/null
+++ b/transport/admin/admin_test.go
@@ -0,0 +1,346 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/admin"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+// memoryStore is the platform's object API in memory.
+type memoryStore struct {
+	objectstore.Store
+
+	mu      sync.Mutex
+	version objectstore.Version
+	objects map[string]objectstore.Object
+	away    atomic.Bool
+}
+
+func (m *memoryStore) Get(_ context.Context, key string) (objectstore.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[key]
+	if m.away.Load() {
+		return o, objectstore.ErrUnavailable
+	}
+	if !ok {
+		return o, objectstore.ErrNotFound
+	}
+	return o, nil
+}
+
+func (m *memoryStore) List(context.Context, string) ([]objectstore.Object, objectstore.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []objectstore.Object
+	for _, o := range m.objects {
+		all = append(all, o)
+	}
+	if m.away.Load() {
+		return nil, 0, objectstore.ErrUnavailable
+	}
+	return all, m.version, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current := m.objects[key].Version; current != expected {
+		return 0, &objectstore.ConflictError{Key: key, Current: current}
+	}
+	m.version++
+	m.objects[key] = objectstore.Object{Key: key, Version: m.version, Value: value}
+	return m.version, nil
+}
+
+// router serves the API on a loopback address.
+type router struct {
+	t      *testing.T
+	name   state.Router
+	url    string
+	store  *memoryStore
+	source *settings.Source
+	peers  []admin.Peer
+	drains atomic.Int32
+}
+
+func (r *router) Status() admin.RouterStatus { return admin.RouterStatus{Router: r.name, Ready: true} }
+func (r *router) AdminPeers() []admin.Peer   { return r.peers }
+func (r *router) Drain()                     { r.drains.Add(1) }
+
+const (
+	operatorToken = "operator-token"
+	teamToken     = "team-token"
+	callerToken   = "caller-token"
+	fleetToken    = "fleet-token"
+)
+
+func newRouter(t *testing.T, name state.Router, store *memoryStore) *router {
+	t.Helper()
+	r := &router{t: t, name: name, store: store}
+	r.source = settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
+	writer := settings.NewWriter(settings.WriterOptions{Store: store, Source: r.source, Log: zerolog.Nop()})
+	handler := admin.New(admin.Options{
+		Source: r.source, Writer: writer, Status: r, Drain: r, Peers: r, FleetToken: fleetToken, Log: zerolog.Nop(),
+		Bootstrap: []config.Digest{config.DigestOf("bootstrap")},
+		Now:       func() time.Time { return time.Unix(1_700_000_000, 0) },
+	})
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	r.url = server.URL
+	return r
+}
+
+func newStore() *memoryStore {
+	return &memoryStore{objects: make(map[string]objectstore.Object)}
+}
+
+// do sends a request and decodes the answer, which must have the status.
+func (r *router) do(token, method, path string, body any, header map[string]string, status int, into any) {
+	r.t.Helper()
+	data, ok := body.([]byte)
+	if !ok && body != nil {
+		var err error
+		data, err = json.Marshal(body)
+		require.NoError(r.t, err)
+	}
+	request, err := http.NewRequest(method, r.url+admin.Prefix+path, bytes.NewReader(data))
+	require.NoError(r.t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(r.t, err)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(r.t, err)
+	require.Equal(r.t, status, response.StatusCode, "%s %s: %s", method, path, answer)
+	if into != nil {
+		require.NoError(r.t, json.Unmarshal(answer, into))
+	}
+}
+
+// refused sends a request that must be refused with the code.
+func (r *router) refused(token, method, path string, body any, header map[string]string, code result.Code) admin.Problem {
+	r.t.Helper()
+	var p admin.Problem
+	r.do(token, method, path, body, header, result.Lookup(code).Status, &p)
+	require.Equal(r.t, int(code), p.Code, "%+v", p)
+	require.Equal(r.t, result.Lookup(code).Ran.String(), p.Ran)
+	return p
+}
+
+func testRoot() config.Root {
+	return config.Root{
+		OperatorTokens: []string{config.DigestOf(operatorToken).String()},
+		Teams: []config.TeamShare{
+			{Name: "turismo", Share: 3, Tokens: []string{config.DigestOf(teamToken).String()}},
+			{Name: "reservas", Share: 1},
+		},
+		Services: []config.Service{{Name: "drafts", Kind: config.KindEngine, Upstreams: []config.Upstream{
+			{Name: "engine-1", URL: "http://127.0.0.1:1", DataCentre: "sala-laredo"},
+		}}},
+	}
+}
+
+// newReadyRouter returns a router of a fleet with a root and one workspace.
+func newReadyRouter(t *testing.T) *router {
+	t.Helper()
+	r := newRouter(t, "router-1", newStore())
+	r.do("bootstrap", http.MethodPut, "/config/root", testRoot(), map[string]string{"If-None-Match": "*"}, http.StatusOK, nil)
+	guides := config.Workspace{Name: "guides", Weight: 1, Tokens: []string{config.DigestOf(callerToken).String()}}
+	r.do(teamToken, http.MethodPost, "/teams/turismo/workspaces", guides, nil, http.StatusOK, nil)
+	return r
+}
+
+func TestBootstrapEndsWithTheFirstRoot(t *testing.T) {
+	r := newRouter(t, "router-1", newStore())
+	r.refused(operatorToken, http.MethodGet, "/config", nil, nil, result.NotReady)
+	locked := testRoot()
+	locked.OperatorTokens = nil
+	create := map[string]string{"If-None-Match": "*"}
+	p := r.refused("bootstrap", http.MethodPut, "/config/root", locked, create, result.ConfigInvalid)
+	require.Equal(t, "operator_tokens", p.Faults[0].Path)
+	r.do("bootstrap", http.MethodPut, "/config/root", testRoot(), create, http.StatusOK, nil)
+	r.refused("bootstrap", http.MethodGet, "/config", nil, nil, result.Unauthorized)
+	r.do(operatorToken, http.MethodGet, "/config", nil, nil, http.StatusOK, nil)
+}
+
+// A team's administrator tries to enlarge her team's share, to reach another
+// team, and to stop a router. All of it would be at other teams' cost.
+func TestTeamReachesOnlyItsSubtree(t *testing.T) {
+	r := newReadyRouter(t)
+	for _, c := range []struct {
+		method, path string
+		body         any
+	}{
+		{http.MethodPut, "/teams/turismo/share", admin.SetShare{Share: 100}},
+		{http.MethodPut, "/config/root", testRoot()},
+		{http.MethodGet, "/config/root", nil},
+		{http.MethodGet, "/history/root", nil},
+		{http.MethodGet, "/config/teams/reservas", nil},
+		{http.MethodPut, "/config/teams/reservas", config.Subtree{Team: "reservas"}},
+		{http.MethodPost, "/teams/reservas/workspaces", config.Workspace{Name: "x", Weight: 1}},
+		{http.MethodDelete, "/teams/turismo", nil},
+		{http.MethodPost, "/upstreams/engine-1/drain", nil},
+		{http.MethodGet, "/status", nil},
+		{http.MethodGet, "/fleet", nil},
+		{http.MethodPost, "/drain", nil},
+	} {
+		r.refused(teamToken, c.method, c.path, c.body, nil, result.ConfigOutside)
+		r.refused(callerToken, c.method, c.path, c.body, nil, result.ConfigOutside)
+		r.refused("nobody", c.method, c.path, c.body, nil, result.Unauthorized)
+	}
+	buried := config.Subtree{Team: "turismo", Deleted: true}
+	r.refused(teamToken, http.MethodPut, "/config/teams/turismo", buried, map[string]string{"If-Match": `"2"`}, result.ConfigOutside)
+	require.Zero(t, r.drains.Load())
+
+	var list admin.ObjectList
+	r.do(teamToken, http.MethodGet, "/config", nil, nil, http.StatusOK, &list)
+	require.Len(t, list.Objects, 1)
+	require.Equal(t, "team/turismo/"+config.DigestOf(teamToken).Short(), list.Objects[0].Change.By)
+	var teams admin.TeamList
+	r.do(teamToken, http.MethodGet, "/teams", nil, nil, http.StatusOK, &teams)
+	require.Len(t, teams.Teams, 1)
+}
+
+// Two operators have read the same version; the second to write is shown who
+// won and with which change, and his own change is not in force.
+func TestConflictShowsTheWinner(t *testing.T) {
+	r := newReadyRouter(t)
+	seen := map[string]string{"If-Match": `"2"`}
+	r.do(teamToken, http.MethodPut, "/teams/turismo/workspaces/guides/weight", admin.SetWeight{Weight: 2}, seen, http.StatusOK, nil)
+	p := r.refused(operatorToken, http.MethodPut, "/teams/turismo/workspaces/guides/weight", admin.SetWeight{Weight: 9}, seen, result.ConfigConflict)
+	require.Equal(t, uint64(3), p.Conflict.Version)
+	require.Contains(t, p.Conflict.Winner.By, "team/turismo/")
+	require.Equal(t, "set weight of workspace guides to 2", p.Conflict.Winner.Summary)
+	var list admin.WorkspaceList
+	r.do(operatorToken, http.MethodGet, "/workspaces", nil, nil, http.StatusOK, &list)
+	require.InDelta(t, 2, list.Workspaces[0].Weight, 0)
+	require.InDelta(t, 1, list.Workspaces[0].Share, 0)
+}
+
+// An operator's connection breaks after her change took effect, and another
+// changes the same workspace. She repeats hers with the same change id: it
+// must not come back over the later one.
+func TestRepeatedChangeIsNotDoneTwice(t *testing.T) {
+	r := newReadyRouter(t)
+	path := "/teams/turismo/workspaces/guides/weight"
+	mine := map[string]string{admin.HeaderChangeID: "0123456789abcdef"}
+	var first, again admin.WriteResult
+	r.do(operatorToken, http.MethodPut, path, admin.SetWeight{Weight: 2}, mine, http.StatusOK, &first)
+	r.do(operatorToken, http.MethodPut, path, admin.SetWeight{Weight: 3}, nil, http.StatusOK, nil)
+	r.do(operatorToken, http.MethodPut, path, admin.SetWeight{Weight: 2}, mine, http.StatusOK, &again)
+	require.Equal(t, first, again)
+	w := r.source.View().Root()
+	require.NotEmpty(t, w.Teams)
+	subtree, _ := r.source.View().Subtree("turismo")
+	require.InDelta(t, 3, subtree.Workspaces[0].Weight, 0)
+}
+
+// The platform goes away. Operators still see what is in force, and a change
+// is refused with the word that nothing was changed.
+func TestPlatformAway(t *testing.T) {
+	r := newReadyRouter(t)
+	r.store.away.Store(true)
+	var doc admin.ObjectDocument
+	r.do(operatorToken, http.MethodGet, "/config/teams/turismo", nil, nil, http.StatusOK, &doc)
+	require.Equal(t, admin.FromRouter, doc.Source)
+	require.Equal(t, uint64(2), doc.Version)
+	p := r.refused(operatorToken, http.MethodPut, "/teams/reservas/share", admin.SetShare{Share: 2}, nil, result.PlatformUnavailable)
+	require.Equal(t, "no", p.Ran)
+}
+
+func TestEditsLeaveHistory(t *testing.T) {
+	r := newReadyRouter(t)
+	digest := config.DigestOf("another").String()
+	r.do(operatorToken, http.MethodPost, "/teams", admin.CreateTeam{Name: "nueva", Share: 2}, nil, http.StatusOK, nil)
+	r.do(operatorToken, http.MethodPost, "/teams/nueva/tokens", admin.AddToken{Digest: digest}, nil, http.StatusOK, nil)
+	r.do(operatorToken, http.MethodPost, "/upstreams/engine-1/drain", nil, nil, http.StatusOK, nil)
+	var again admin.WriteResult
+	r.do(operatorToken, http.MethodPost, "/upstreams/engine-1/drain", nil, nil, http.StatusOK, &again)
+	require.True(t, again.Unchanged)
+	r.do(operatorToken, http.MethodDelete, "/teams/nueva/tokens/"+digest, nil, nil, http.StatusOK, nil)
+	r.do(operatorToken, http.MethodDelete, "/teams/nueva", nil, nil, http.StatusOK, nil)
+	p := r.refused(operatorToken, http.MethodDelete, "/teams/turismo", nil, nil, result.ConfigInvalid)
+	require.Equal(t, "workspaces", p.Faults[0].Path)
+	r.do(operatorToken, http.MethodDelete, "/teams/turismo?force=true", nil, nil, http.StatusOK, nil)
+	_, alive := r.source.View().Subtree("turismo")
+	require.False(t, alive)
+
+	var history admin.HistoryDocument
+	r.do(operatorToken, http.MethodGet, "/history/root", nil, nil, http.StatusOK, &history)
+	var summaries []string
+	for i, c := range history.Changes {
+		summaries = append(summaries, c.Summary)
+		if i > 0 {
+			require.Equal(t, history.Changes[i-1].Base, c.Version)
+		}
+	}
+	require.Equal(t, []string{
+		"deleted team turismo", "deleted team nueva", "removed a token of team nueva", "drained upstream engine-1",
+		"added a token of team nueva", "created team nueva with share 2", "replaced as a whole",
+	}, summaries)
+}
+
+func TestDryRunAndBadRequests(t *testing.T) {
+	r := newReadyRouter(t)
+	version := r.store.version
+	match := map[string]string{"If-Match": `"1"`}
+	var done admin.WriteResult
+	changed := testRoot()
+	changed.Teams[0].Share = 5
+	r.do(operatorToken, http.MethodPut, "/config/root?dry_run=true", changed, match, http.StatusOK, &done)
+	require.True(t, done.DryRun)
+	changed.Teams = changed.Teams[1:]
+	p := r.refused(operatorToken, http.MethodPut, "/config/root?dry_run=true", changed, match, result.ConfigInvalid)
+	require.Equal(t, "config/teams/turismo#team", p.Faults[0].Path)
+	r.refused(operatorToken, http.MethodPut, "/config/root", changed, nil, result.BadRequest)
+	r.refused(operatorToken, http.MethodPut, "/config/root", []byte("{"), match, result.ConfigInvalid)
+	r.refused(operatorToken, http.MethodPut, "/config/root", bytes.Repeat([]byte(" "), config.MaxObjectBytes+1), match, result.BodyTooLarge)
+	r.refused(operatorToken, http.MethodPost, "/teams", []byte(`{"nam": "x"}`), nil, result.BadRequest)
+	r.refused(operatorToken, http.MethodGet, "/config/other", nil, nil, result.NotFound)
+	r.refused(operatorToken, http.MethodPost, "/upstreams/none/drain", nil, nil, result.NotFound)
+	r.refused(operatorToken, http.MethodPatch, "/config/root", nil, nil, result.NotFound)
+	require.Equal(t, version, r.store.version)
+}
+
+// One router of three is cut off. The status shows the other two at once with
+// their versions, and the third with the reason, not a failure as a whole.
+func TestFleetStatusInAPartition(t *testing.T) {
+	r := newReadyRouter(t)
+	second := newRouter(t, "router-2", r.store)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	r.peers = []admin.Peer{{Router: "router-3", URL: gone.URL}, {Router: "router-2", URL: second.url}}
+	var fleet admin.FleetStatus
+	r.do(operatorToken, http.MethodGet, "/fleet", nil, nil, http.StatusOK, &fleet)
+	require.Len(t, fleet.Routers, 3)
+	for i, report := range fleet.Routers {
+		require.Equal(t, state.Router(fmt.Sprintf("router-%d", i+1)), report.Router)
+	}
+	require.Len(t, fleet.Routers[0].Status.Config, 2)
+	require.Empty(t, fleet.Routers[1].Status.Config, "it has not followed the platform yet")
+	require.NotEmpty(t, fleet.Routers[2].Error)
+	r.do(operatorToken, http.MethodPost, "/drain", nil, nil, http.StatusAccepted, nil)
+	require.Equal(t, int32(1), r.drains.Load())
+}
--- /dev/null
+++ b/transport/admin/handler.go
@@ -0,0 +1,171 @@
+package admin
+
+import (
+	"crypto/rand"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+// Drainer begins a planned stop.
+type Drainer interface {
+	// Drain returns at once; the stop goes on until the last request in
+	// progress has ended. A second call does nothing.
+	Drain()
+}
+
+// Options are what a Handler needs.
+type Options struct {
+	Source *settings.Source
+	Writer *settings.Writer
+	Status StatusSource
+	Drain  Drainer
+	// Peers may be nil for a router that stands alone.
+	Peers PeerSource
+	// Client asks other routers for their status; nil means the default one.
+	Client *http.Client
+	// FleetToken is what routers show each other to read status.
+	FleetToken string
+	// Bootstrap holds digests of operators' tokens that count until the
+	// first root is in force.
+	Bootstrap []config.Digest
+	Log       zerolog.Logger
+	// Now is the time of changes; nil means the machine's clock.
+	Now func() time.Time
+	// NewID returns a new change id; nil means a random one.
+	NewID func() string
+}
+
+// Handler serves the administration API.
+type Handler struct {
+	options Options
+	mux     *http.ServeMux
+}
+
+// New returns a Handler.
+func New(options Options) *Handler {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.NewID == nil {
+		options.NewID = rand.Text
+	}
+	if options.Client == nil {
+		options.Client = http.DefaultClient
+	}
+	h := &Handler{options: options, mux: http.NewServeMux()}
+	h.routes()
+	return h
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+// call is one authenticated request.
+type call struct {
+	w http.ResponseWriter
+	r *http.Request
+	actor
+}
+
+// route answers a call or returns why it does not.
+type route func(c *call) error
+
+func (h *Handler) routes() {
+	h.handle("GET /config", h.listObjects)
+	h.handle("GET /config/{key...}", h.getObject)
+	h.handle("PUT /config/{key...}", h.putObject)
+	h.handle("GET /history/{key...}", h.getHistory)
+
+	h.handle("GET /teams", h.listTeams)
+	h.handle("POST /teams", operators(h.createTeam))
+	h.handle("PUT /teams/{team}/share", operators(h.setShare))
+	h.handle("POST /teams/{team}/tokens", operators(h.addTeamToken))
+	h.handle("DELETE /teams/{team}/tokens/{digest}", operators(h.removeTeamToken))
+	h.handle("DELETE /teams/{team}", operators(h.deleteTeam))
+
+	h.handle("GET /workspaces", h.listWorkspaces)
+	h.handle("POST /teams/{team}/workspaces", ownTeam(h.createWorkspace))
+	h.handle("PUT /teams/{team}/workspaces/{workspace}/weight", ownTeam(h.setWeight))
+	h.handle("POST /teams/{team}/workspaces/{workspace}/tokens", ownTeam(h.addToken))
+	h.handle("DELETE /teams/{team}/workspaces/{workspace}/tokens/{digest}", ownTeam(h.removeToken))
+	h.handle("DELETE /teams/{team}/workspaces/{workspace}", ownTeam(h.deleteWorkspace))
+
+	h.handle("GET /upstreams", operators(h.listUpstreams))
+	h.handle("POST /upstreams/{upstream}/drain", operators(h.setDraining(true)))
+	h.handle("POST /upstreams/{upstream}/resume", operators(h.setDraining(false)))
+
+	h.mux.HandleFunc("GET "+Prefix+"/status", h.serveStatus)
+	h.handle("GET /fleet", operators(h.getFleet))
+	h.handle("POST /drain", operators(h.drain))
+	h.mux.HandleFunc(Prefix+"/", func(w http.ResponseWriter, r *http.Request) {
+		writeProblem(w, result.New(result.NotFound, "no "+r.Method+" "+r.URL.Path+" in this API"))
+	})
+}
+
+// handle registers a route for administrators. The pattern is a method and a
+// path below Prefix.
+func (h *Handler) handle(pattern string, serve route) {
+	method, path, _ := strings.Cut(pattern, " ")
+	h.mux.HandleFunc(method+" "+Prefix+path, func(w http.ResponseWriter, r *http.Request) {
+		c := &call{w: w, r: r}
+		err := h.serve(c, serve)
+		if err != nil {
+			h.refuse(c, err)
+		}
+	})
+}
+
+func (h *Handler) serve(c *call, serve route) error {
+	a, err := h.authenticate(c.r)
+	if err != nil {
+		return err
+	}
+	c.actor = a
+	return serve(c)
+}
+
+func (h *Handler) refuse(c *call, err error) {
+	res := writeProblem(c.w, err)
+	line := h.options.Log.Info()
+	if res.Code == result.Internal {
+		line = h.options.Log.Error()
+	}
+	line.Str("event", "admin_refused").Str("method", c.r.Method).Str("path", c.r.URL.Path).
+		Str("by", c.name).Uint16("code", uint16(res.Code)).Err(err).Send()
+}
+
+// operators keeps teams out of a route.
+func operators(serve route) route {
+	return func(c *call) error {
+		if !c.isOperator() {
+			return outside("what only operators change")
+		}
+		return serve(c)
+	}
+}
+
+// ownTeam keeps other teams out of a route below /teams/{team}.
+func ownTeam(serve route) route {
+	return func(c *call) error {
+		if !c.mayTeam(c.team()) {
+			return outside("team " + string(c.team()))
+		}
+		return serve(c)
+	}
+}
+
+func (h *Handler) drain(c *call) error {
+	h.options.Log.Info().Str("event", "drain_requested").Str("by", c.name).Send()
+	h.options.Drain.Drain()
+	writeJSON(c.w, http.StatusAccepted, DrainResult{Router: h.options.Status.Status().Router, Draining: true})
+	return nil
+}
--- /dev/null
+++ b/transport/admin/status.go
@@ -0,0 +1,133 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figstile/figstile/state"
+)
+
+// StatusSource tells what this router does.
+type StatusSource interface {
+	// Status returns a snapshot. Config and Refused are filled in later.
+	Status() RouterStatus
+}
+
+// Peer is another router of the fleet.
+type Peer struct {
+	Router state.Router
+	// URL is the base of its administration API, without Prefix.
+	URL string
+}
+
+// PeerSource knows the other routers.
+type PeerSource interface {
+	AdminPeers() []Peer
+}
+
+// Bounds on asking the fleet.
+const (
+	// peerTimeout keeps one router behind a network partition from delaying
+	// the answer of all others.
+	peerTimeout = 2 * time.Second
+	// peersAtOnce lets a fleet of hundreds of routers answer within a few
+	// timeouts without as many connections at once.
+	peersAtOnce = 64
+	// statusBytes is above the status of 120 workspaces on ten services.
+	statusBytes = 4 << 20
+)
+
+// serveStatus answers operators and other routers.
+func (h *Handler) serveStatus(w http.ResponseWriter, r *http.Request) {
+	c := &call{w: w, r: r}
+	if h.fromRouter(r) {
+		_ = h.getStatus(c)
+		return
+	}
+	if err := h.serve(c, operators(h.getStatus)); err != nil {
+		h.refuse(c, err)
+	}
+}
+
+func (h *Handler) getStatus(c *call) error {
+	writeJSON(c.w, http.StatusOK, h.status())
+	return nil
+}
+
+func (h *Handler) status() RouterStatus {
+	everything := func(string) bool { return true }
+	s := h.options.Status.Status()
+	s.Config = h.versions(everything)
+	s.Refused = h.refused(everything)
+	return s
+}
+
+// getFleet gathers the status of every router. A router that does not answer
+// is listed with the reason, so that the list is complete in a partition.
+func (h *Handler) getFleet(c *call) error {
+	own := h.status()
+	reports := []RouterReport{{Router: own.Router, Status: &own}}
+	if h.options.Peers != nil {
+		reports = append(reports, h.askPeers(c.r.Context(), h.options.Peers.AdminPeers())...)
+	}
+	slices.SortFunc(reports, func(a, b RouterReport) int { return cmp.Compare(a.Router, b.Router) })
+	writeJSON(c.w, http.StatusOK, FleetStatus{Routers: reports})
+	return nil
+}
+
+func (h *Handler) askPeers(ctx context.Context, peers []Peer) []RouterReport {
+	reports := make([]RouterReport, len(peers))
+	var group errgroup.Group
+	group.SetLimit(peersAtOnce)
+	for i, p := range peers {
+		group.Go(func() error {
+			reports[i] = h.askPeer(ctx, p)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reports
+}
+
+func (h *Handler) askPeer(ctx context.Context, p Peer) RouterReport {
+	report := RouterReport{Router: p.Router, URL: p.URL}
+	status, err := h.fetchStatus(ctx, p)
+	if err != nil {
+		report.Error = err.Error()
+		return report
+	}
+	report.Status = status
+	return report
+}
+
+// fetchStatus shows the fleet token, never the operator's: an address that a
+// peer spread is not proof enough to hand over the right to change settings.
+func (h *Handler) fetchStatus(ctx context.Context, p Peer) (*RouterStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(p.URL, "/")+Prefix+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+h.options.FleetToken)
+	response, err := h.options.Client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the router answered %s", response.Status)
+	}
+	var status RouterStatus
+	err = json.NewDecoder(io.LimitReader(response.Body, statusBytes)).Decode(&status)
+	return &status, err
+}
--- a/transport/settings/source.go
+++ b/transport/settings/source.go
@@ -159,6 +159,17 @@
 	return err
 }
 
+// takeWritten takes an object that this router has just written. A root makes
+// the tree whole: the writer has listed the rest, and the first root of a
+// fleet has none beside it.
+func (s *Source) takeWritten(o config.Object) {
+	_ = s.apply(originWrite, []config.Object{o})
+	s.mu.Lock()
+	s.complete = s.complete || o.Key == config.RootKey && s.tree.View() != nil
+	s.mu.Unlock()
+	s.publish()
+}
+
 func (s *Source) apply(from origin, objects []config.Object) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/settings/writer.go
+++ b/transport/settings/writer.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_ = w.options.Source.take(originWrite, config.Object{Key: key, Version: version, Value: value})
+	w.options.Source.takeWritten(config.Object{Key: key, Version: version, Value: value})
 	return version, nil
 }
 
