Follow the platform by the common watcher

Routers that had listed a platform without a root stayed not ready when the first root arrived by their watch. And a router that had seen a damaged version did not ask a peer for the valid one before it, although the platform shows only the damaged one.

Ruled out: holding a tree whole as soon as a root is there. While a peer's announcement is outstanding its objects arrive one by one.

--- a/transport/settings/fake_test.go
+++ b/transport/settings/fake_test.go
@@ -32,7 +32,6 @@
 	// beforePut runs once, before the next Put takes effect.
 	beforePut func()
 	puts      int
-	watches   chan []objectstore.Object
 }
 
 type putFault int
@@ -43,7 +42,7 @@
 )
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: make(map[string]objectstore.Object), watches: make(chan []objectstore.Object)}
+	return &fakeStore{objects: make(map[string]objectstore.Object)}
 }
 
 func (f *fakeStore) Get(_ context.Context, key string) (objectstore.Object, error) {
@@ -102,18 +101,6 @@
 	return f.version, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, error) {
-	select {
-	case objects := <-f.watches:
-		if objects == nil {
-			return nil, 0, objectstore.ErrTooOld
-		}
-		return objects, after + 1, nil
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
-	}
-}
-
 // root and subtree return values whose newest change has the id.
 func root(t *testing.T, id string, base uint64) []byte {
 	t.Helper()
--- a/transport/settings/source.go
+++ b/transport/settings/source.go
@@ -33,6 +33,8 @@
 	// complete is set once the tree holds all that the platform or a ready
 	// peer had. Until then nothing is published.
 	complete bool
+	// listed is set once the platform has been listed.
+	listed bool
 	// awaited is the last peer's announcement while the tree is incomplete.
 	awaited map[string]uint64
 }
@@ -86,23 +88,28 @@
 	if !s.complete && len(peer) > 0 {
 		s.awaited = maps.Clone(peer)
 	}
-	s.settleAwaited()
+	s.settle()
 	slices.Sort(missing)
 	return missing
 }
 
 // seen tells whether this version of an object, or a later one, was already
-// taken or refused. A version that was refused is not requested again.
+// taken, or this very one refused: it is not requested again. A peer's valid
+// version below a refused one is wanted, as the platform shows only the
+// refused one.
 func (s *Source) seen(key string, version uint64) bool {
 	if held, ok := s.tree.Object(key); ok && held.Version >= version {
 		return true
 	}
-	return s.tree.Refused(key) >= version
+	return s.tree.Refused(key) == version
 }
 
-// settleAwaited completes the tree once it holds a whole announcement.
-func (s *Source) settleAwaited() {
-	if s.complete || s.awaited == nil || s.tree.View() == nil {
+// settle finds out whether the tree is whole: it has a root, and all that the
+// last peer announced. Without any announcement it is enough to follow the
+// platform from a list on, as the routers do that start before the fleet has
+// its first root.
+func (s *Source) settle() {
+	if s.complete || s.tree.View() == nil {
 		return
 	}
 	for key, version := range s.awaited {
@@ -110,8 +117,7 @@
 			return
 		}
 	}
-	s.complete = true
-	s.awaited = nil
+	s.complete = s.listed || s.awaited != nil
 }
 
 // Object returns the version held of an object, to answer a peer's request.
@@ -184,17 +190,18 @@
 			s.options.Log.Info().Str("event", "config_taken").Str("key", o.Key).Uint64("version", o.Version).Str("from", string(from)).Send()
 		}
 	}
-	s.settleAwaited()
+	s.settle()
 	return refused
 }
 
 // takeList takes everything the platform holds, which makes the tree whole.
 // An object that the list lacks stays: the platform's copy may lag, and a
 // deleted team is a tombstone, never a missing object. A list without a root
-// proves nothing: it comes from a copy older than the tree.
+// comes from before the first one, or from a copy that old.
 func (s *Source) takeList(objects []config.Object) {
 	_ = s.apply(originPlatform, objects)
 	s.mu.Lock()
+	s.listed = true
 	s.complete = s.complete || s.tree.View() != nil
 	s.mu.Unlock()
 	s.publish()
--- a/transport/settings/source_test.go
+++ b/transport/settings/source_test.go
@@ -71,9 +71,29 @@
 	require.Equal(t, uint64(3), rejoined.Versions()[teamKey])
 }
 
-// follow runs a follower whose pauses end when the test takes them.
-func follow(t *testing.T, store objectstore.Store, source *settings.Source) (pauses chan time.Duration) {
+// scriptedStore answers watches with what the test sends.
+type scriptedStore struct {
+	*fakeStore
+	watches chan []objectstore.Object
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after objectstore.Version) ([]objectstore.Object, objectstore.Version, error) {
+	select {
+	case objects := <-s.watches:
+		if objects == nil {
+			return nil, 0, objectstore.ErrTooOld
+		}
+		return objects, after + 1, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// follow runs a follower without pauses until the test ends. Each failed call
+// is told on the channel it returns.
+func follow(t *testing.T, store objectstore.Store, onChange func(*config.View)) (source *settings.Source, pauses chan time.Duration) {
 	t.Helper()
+	source = settings.NewSource(settings.SourceOptions{Log: zerolog.Nop(), OnChange: onChange})
 	pauses = make(chan time.Duration)
 	follower := settings.NewFollower(settings.FollowerOptions{
 		Store: store, Source: source, Log: zerolog.Nop(),
@@ -94,7 +114,18 @@
 		cancel()
 		<-done
 	})
-	return pauses
+	return source, pauses
+}
+
+// await takes pauses until a view is in force.
+func await(pauses chan time.Duration, changes chan *config.View) {
+	for {
+		select {
+		case <-pauses:
+		case <-changes:
+			return
+		}
+	}
 }
 
 // The platform is away when a router starts, and returns. Then a watch says
@@ -104,29 +135,50 @@
 	f := newFleet(t)
 	_, err := f.write(t, "base", 0, 1)
 	require.NoError(t, err)
-	changes := make(chan *config.View, 8)
-	source := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop(), OnChange: func(v *config.View) { changes <- v }})
 	f.store.away = true
-	pauses := follow(t, f.store, source)
+	store := &scriptedStore{fakeStore: f.store, watches: make(chan []objectstore.Object, 4)}
+	changes := make(chan *config.View, 8)
+	source, pauses := follow(t, store, func(v *config.View) { changes <- v })
 	<-pauses
 	require.False(t, source.Ready())
 	f.store.mu.Lock()
 	f.store.away = false
 	f.store.mu.Unlock()
-	for inForce := false; !inForce; {
-		select {
-		case <-pauses:
-		case <-changes:
-			inForce = true
-		}
-	}
+	await(pauses, changes)
 
-	f.store.watches <- []objectstore.Object{{Key: teamKey}}
-	f.store.watches <- []objectstore.Object{{Key: teamKey, Version: 8}}
-	f.store.watches <- nil // too old: lists again
-	f.store.watches <- []objectstore.Object{{Key: teamKey, Version: 9, Value: subtree(t, "later", 2, 3)}}
-	<-changes
+	store.watches <- []objectstore.Object{{Key: teamKey}}
+	store.watches <- []objectstore.Object{{Key: teamKey, Version: 8}}
+	store.watches <- nil // too old: lists again
+	store.watches <- []objectstore.Object{{Key: teamKey, Version: 9, Value: subtree(t, "later", 2, 3)}}
+	await(pauses, changes)
 	require.Equal(t, uint64(9), source.Versions()[teamKey])
 	require.Equal(t, []state.Workspace{"guides"}, workspaces(source))
 	require.Empty(t, source.Invalid())
 }
+
+// Routers start before the fleet has its first root, which is then written
+// through one of them. The others must become ready by their watches.
+func TestFirstRootReachesEveryRouter(t *testing.T) {
+	store := &scriptedStore{fakeStore: newFakeStore(), watches: make(chan []objectstore.Object, 1)}
+	changes := make(chan *config.View, 1)
+	source, pauses := follow(t, store, func(v *config.View) { changes <- v })
+	<-pauses
+	require.False(t, source.Ready())
+	store.watches <- []objectstore.Object{{Key: config.RootKey, Version: 1, Value: root(t, "first", 0)}}
+	await(pauses, changes)
+	require.True(t, source.Ready())
+}
+
+// The newest version of a team on the platform is damaged, and a router that
+// starts now can read nothing else there. A peer still holds the valid one
+// before it, which must be asked for.
+func TestPeerBringsTheVersionBeforeADamagedOne(t *testing.T) {
+	f := newFleet(t)
+	_, err := f.write(t, "base", 0, 1)
+	require.NoError(t, err)
+	cold := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
+	require.Error(t, cold.ObjectFrom(teamKey, 7, []byte("{")))
+	bring(t, f.source, cold)
+	require.Equal(t, []state.Workspace{"guides"}, workspaces(cold))
+	require.Equal(t, uint64(7), cold.Invalid()[teamKey].Version)
+}
--- a/transport/settings/writer.go
+++ b/transport/settings/writer.go
@@ -241,3 +241,13 @@
 	}
 	return conflict
 }
+
+// sleep waits by the machine's clock.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
