Test the command line against a router

Cause: exit codes, the settling of lost answers and the notice of old copies had not been run.

The HTTP client repeats reads on a broken connection by itself; a lost read therefore shows as unavailable only when answers go on being lost.

Conclusion: administration and command line run against the stand-in's object API in place of a fake of their own.

--- /dev/null
+++ b/cmd/figstile/internal/cli/cli_test.go
@@ -0,0 +1,232 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/cmd/figstile/internal/cli"
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/admin"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+const operatorToken = "operator-token"
+
+// fleet is one router behind a connection that tests can break.
+type fleet struct {
+	t     *testing.T
+	url   string
+	store *platform.Store
+	// loseAnswers drops so many answers after the router has worked.
+	loseAnswers atomic.Int32
+	ids         int
+}
+
+func (f *fleet) Drain() {}
+
+func (f *fleet) AdminPeers() []admin.Peer {
+	return []admin.Peer{{Router: "router-2", URL: "http://127.0.0.1:0"}}
+}
+
+func (f *fleet) Status() admin.RouterStatus {
+	return admin.RouterStatus{
+		Router: "router-1", DataCentre: "sala-laredo", Ready: true, Started: time.Unix(1_700_000_000, 0).UTC(),
+		Upstreams:  []admin.UpstreamStatus{{Upstream: "engine-1", Service: "drafts", DataCentre: "sala-laredo", Owner: "router-1", Running: 3, Slots: 8, Usable: true}},
+		Workspaces: []admin.WorkspaceStatus{{Service: "drafts", Workspace: "guides", Waiting: 2, Running: 3, Served: 1500}},
+		Services:   []admin.ServiceStatus{{Service: "drafts", Gap: 250}},
+	}
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: platform.NewStore(platform.StoreOptions{})}
+	source := settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
+	writer := settings.NewWriter(settings.WriterOptions{Store: f.store, Source: source, Log: zerolog.Nop()})
+	handler := admin.New(admin.Options{
+		Source: source, Writer: writer, Status: f, Drain: f, Peers: f, Log: zerolog.Nop(),
+		Client: &http.Client{Transport: cutOff{}},
+		Now:    func() time.Time { return time.Unix(1_700_000_000, 0) },
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.loseAnswers.Add(-1) >= 0 {
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	root := config.Root{
+		OperatorTokens: []string{config.DigestOf(operatorToken).String()},
+		Teams:          []config.TeamShare{{Name: "turismo", Share: 1}},
+		Services: []config.Service{{Name: "drafts", Kind: config.KindEngine, Upstreams: []config.Upstream{
+			{Name: "engine-1", URL: "http://127.0.0.1:1", DataCentre: "sala-laredo"},
+		}}},
+	}
+	data, err := json.Marshal(root.WithChange(config.Change{ID: "first"}))
+	require.NoError(t, err)
+	_, err = writer.Write(t.Context(), config.RootKey, data, 0)
+	require.NoError(t, err)
+	f.run(0, "workspace", "create", "guides", "--team=turismo", "--weight=2")
+	return f
+}
+
+// cutOff is the way to routers on the other side of a network partition.
+type cutOff struct{}
+
+func (cutOff) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no route")
+}
+
+// run executes a command line, which must exit with the code.
+func (f *fleet) run(code int, args ...string) (stdout, stderr string) {
+	f.t.Helper()
+	return f.runWith(operatorToken, code, args...)
+}
+
+func (f *fleet) runWith(token string, code int, args ...string) (stdout, stderr string) {
+	f.t.Helper()
+	var out, errs bytes.Buffer
+	got := cli.Main(context.Background(), cli.Environment{
+		Args:   append(args, "--server="+f.url),
+		Getenv: func(string) string { return token },
+		Stdout: &out, Stderr: &errs, Version: "test",
+		Random: func() string {
+			f.ids++
+			return fmt.Sprintf("id-%013d", f.ids)
+		},
+		Sleep: func(context.Context, time.Duration) {},
+	})
+	require.Equal(f.t, code, got, "%v\n%s%s", args, out.String(), errs.String())
+	return out.String(), errs.String()
+}
+
+func (f *fleet) weight() float64 {
+	f.t.Helper()
+	stdout, _ := f.run(0, "workspace", "list", "--output=json")
+	var list admin.WorkspaceList
+	require.NoError(f.t, json.Unmarshal([]byte(stdout), &list))
+	return list.Workspaces[0].Weight
+}
+
+func (f *fleet) file(content string) string {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "object.json")
+	require.NoError(f.t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+func TestTables(t *testing.T) {
+	f := newFleet(t)
+	golden := goldie.New(t)
+	f.run(0, "team", "create", "reservas", "--share=3", "--service=drafts")
+	f.run(0, "workspace", "create", "escorts", "--team=reservas")
+	f.run(0, "upstream", "drain", "engine-1")
+	for name, args := range map[string][]string{
+		"status":     {"status"},
+		"teams":      {"team", "list"},
+		"workspaces": {"workspace", "list"},
+		"upstreams":  {"upstream", "list"},
+		"history":    {"config", "history", "root"},
+		"versions":   {"config", "get"},
+	} {
+		stdout, _ := f.run(0, args...)
+		golden.Assert(t, name, []byte(stdout))
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	f := newFleet(t)
+	f.run(0, "--version")
+	f.run(2, "nonsense")
+	f.run(2, "config", "apply", "root", "/nonexistent")
+	f.runWith("", 2, "team", "list")
+	f.runWith("wrong", 3, "team", "list")
+	f.run(3, "workspace", "set-weight", "none", "1")
+	_, stderr := f.run(3, "workspace", "set-weight", "guides", "0")
+	require.Contains(t, stderr, "workspaces[0].weight")
+	f.run(0, "workspace", "set-weight", "guides", "5", "--expect=2")
+	_, stderr = f.run(4, "workspace", "set-weight", "guides", "6", "--expect=2")
+	require.Contains(t, stderr, "in force: config/teams/turismo version 3 (expected 2)")
+	require.Contains(t, stderr, "set weight of workspace guides to 5")
+	f.url = "http://127.0.0.1:0"
+	_, stderr = f.run(5, "drain")
+	require.Contains(t, stderr, "nothing was changed")
+}
+
+// The connection to the router breaks after it has made a change. The command
+// finds that out by itself; if the answers go on being lost it says so, and
+// how to repeat it safely.
+func TestLostAnswers(t *testing.T) {
+	f := newFleet(t)
+	f.loseAnswers.Store(2)
+	stdout, _ := f.run(0, "workspace", "set-weight", "guides", "3", "--team=turismo")
+	require.Contains(t, stdout, "version 3")
+	f.loseAnswers.Store(3)
+	_, stderr := f.run(6, "workspace", "set-weight", "guides", "4", "--team=turismo", "--change-id=0123456789abcdef")
+	require.Contains(t, stderr, "--change-id=0123456789abcdef")
+	f.run(0, "workspace", "set-weight", "guides", "4", "--team=turismo", "--change-id=0123456789abcdef")
+	require.InDelta(t, 4, f.weight(), 0)
+	require.Equal(t, objectstore.Version(4), f.store.Version())
+	f.loseAnswers.Store(100) // the HTTP client repeats reads by itself
+	_, stderr = f.run(5, "team", "list")
+	require.Contains(t, stderr, "nothing was changed")
+}
+
+// An operator saves an object, edits it over lunch and applies it. Another
+// has changed it meanwhile; applying must not undo that.
+func TestApplyNoticesAnOldCopy(t *testing.T) {
+	f := newFleet(t)
+	saved, _ := f.run(0, "config", "get", "teams/turismo")
+	edited := f.file(strings.Replace(saved, `"weight": 2`, `"weight": 7`, 1))
+	f.run(0, "config", "validate", "teams/turismo", edited)
+	stdout, _ := f.run(7, "config", "diff", "teams/turismo", edited)
+	require.Equal(t, "~ workspaces[guides].weight: 2 -> 7\n", stdout)
+	f.run(0, "workspace", "set-weight", "guides", "3")
+	_, stderr := f.run(4, "config", "apply", "teams/turismo", edited)
+	require.Contains(t, stderr, "set weight of workspace guides to 3")
+	require.InDelta(t, 3, f.weight(), 0)
+
+	f.run(2, "config", "apply", "teams/turismo", f.file(`{"team": "turismo", "workspaces": []}`))
+	f.run(4, "config", "apply", "teams/turismo", edited, "--create")
+	f.run(0, "config", "apply", "teams/turismo", edited, "--force")
+	f.run(0, "config", "diff", "teams/turismo", edited)
+	require.InDelta(t, 7, f.weight(), 0)
+}
+
+func TestTokensAreMadeHere(t *testing.T) {
+	f := newFleet(t)
+	stdout, _ := f.run(0, "workspace", "add-token", "guides", "--output=json")
+	var made struct{ Token, Digest string }
+	require.NoError(t, json.Unmarshal([]byte(stdout), &made))
+	require.Equal(t, config.DigestOf(made.Token).String(), made.Digest)
+	object, err := f.store.Get(t.Context(), config.TeamKey("turismo"))
+	require.NoError(t, err)
+	require.Contains(t, string(object.Value), made.Digest)
+	require.NotContains(t, string(object.Value), made.Token)
+	f.runWith(made.Token, 3, "team", "list")
+	f.run(0, "workspace", "remove-token", "guides", made.Digest)
+	f.run(0, "workspace", "delete", "guides")
+	f.run(0, "team", "add-token", "turismo")
+	f.run(0, "team", "set-share", "turismo", "2")
+	f.run(0, "upstream", "resume", "engine-1")
+	f.run(0, "team", "delete", "turismo")
+	f.run(0, "drain")
+}
--- a/transport/admin/admin_test.go
+++ b/transport/admin/admin_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/figstile/figstile/standin/platform"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
@@ -24,51 +24,24 @@
 	"github.com/figstile/figstile/transport/settings"
 )
 
-// memoryStore is the platform's object API in memory.
-type memoryStore struct {
-	objectstore.Store
-
-	mu      sync.Mutex
-	version objectstore.Version
-	objects map[string]objectstore.Object
-	away    atomic.Bool
+// fakeStore is the stand-in's object API, which tests can take away.
+type fakeStore struct {
+	*platform.Store
+	away atomic.Bool
 }
 
-func (m *memoryStore) Get(_ context.Context, key string) (objectstore.Object, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	o, ok := m.objects[key]
-	if m.away.Load() {
-		return o, objectstore.ErrUnavailable
-	}
-	if !ok {
-		return o, objectstore.ErrNotFound
+func (f *fakeStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if f.away.Load() {
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
-	return o, nil
+	return f.Store.Get(ctx, key)
 }
 
-func (m *memoryStore) List(context.Context, string) ([]objectstore.Object, objectstore.Version, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var all []objectstore.Object
-	for _, o := range m.objects {
-		all = append(all, o)
-	}
-	if m.away.Load() {
+func (f *fakeStore) List(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Version, error) {
+	if f.away.Load() {
 		return nil, 0, objectstore.ErrUnavailable
 	}
-	return all, m.version, nil
-}
-
-func (m *memoryStore) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if current := m.objects[key].Version; current != expected {
-		return 0, &objectstore.ConflictError{Key: key, Current: current}
-	}
-	m.version++
-	m.objects[key] = objectstore.Object{Key: key, Version: m.version, Value: value}
-	return m.version, nil
+	return f.Store.List(ctx, prefix)
 }
 
 // router serves the API on a loopback address.
@@ -76,7 +49,7 @@
 	t      *testing.T
 	name   state.Router
 	url    string
-	store  *memoryStore
+	store  *fakeStore
 	source *settings.Source
 	peers  []admin.Peer
 	drains atomic.Int32
@@ -93,7 +66,7 @@
 	fleetToken    = "fleet-token"
 )
 
-func newRouter(t *testing.T, name state.Router, store *memoryStore) *router {
+func newRouter(t *testing.T, name state.Router, store *fakeStore) *router {
 	t.Helper()
 	r := &router{t: t, name: name, store: store}
 	r.source = settings.NewSource(settings.SourceOptions{Log: zerolog.Nop()})
@@ -109,8 +82,8 @@
 	return r
 }
 
-func newStore() *memoryStore {
-	return &memoryStore{objects: make(map[string]objectstore.Object)}
+func newStore() *fakeStore {
+	return &fakeStore{Store: platform.NewStore(platform.StoreOptions{})}
 }
 
 // do sends a request and decodes the answer, which must have the status.
@@ -303,7 +276,7 @@
 
 func TestDryRunAndBadRequests(t *testing.T) {
 	r := newReadyRouter(t)
-	version := r.store.version
+	version := r.store.Version()
 	match := map[string]string{"If-Match": `"1"`}
 	var done admin.WriteResult
 	changed := testRoot()
@@ -320,7 +293,7 @@
 	r.refused(operatorToken, http.MethodGet, "/config/other", nil, nil, result.NotFound)
 	r.refused(operatorToken, http.MethodPost, "/upstreams/none/drain", nil, nil, result.NotFound)
 	r.refused(operatorToken, http.MethodPatch, "/config/root", nil, nil, result.NotFound)
-	require.Equal(t, version, r.store.version)
+	require.Equal(t, version, r.store.Version())
 }
 
 // One router of three is cut off. The status shows the other two at once with
