Refuse edits of an object that the platform has lost

Routers keep a vanished object in force, but an edit through one read the platform, found nothing and began from an empty object. Its higher version would have taken every other workspace of the team away.

Whole objects may still be written, which restores it; reads show the router's copy meanwhile.

--- a/transport/admin/admin_test.go
+++ b/transport/admin/admin_test.go
@@ -28,12 +28,17 @@
 type fakeStore struct {
 	*platform.Store
 	away atomic.Bool
+	// lost makes objects look as if they had never been written.
+	lost atomic.Bool
 }
 
 func (f *fakeStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if f.away.Load() {
 		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
+	if f.lost.Load() {
+		return objectstore.Object{}, objectstore.ErrNotFound
+	}
 	return f.Store.Get(ctx, key)
 }
 
@@ -242,6 +247,21 @@
 	require.Equal(t, "no", p.Ran)
 }
 
+// The platform loses a team's object; the routers go on with their copy. An
+// operator adds a workspace: begun from nothing, the write would take all
+// other workspaces of the team away from their callers.
+func TestNoEditOfALostObject(t *testing.T) {
+	r := newReadyRouter(t)
+	r.store.lost.Store(true)
+	extra := config.Workspace{Name: "extra", Weight: 1}
+	p := r.refused(teamToken, http.MethodPost, "/teams/turismo/workspaces", extra, nil, result.ConfigInvalid)
+	require.Contains(t, p.Detail, "in force at version 2")
+	var doc admin.ObjectDocument
+	r.do(teamToken, http.MethodGet, "/config/teams/turismo", nil, nil, http.StatusOK, &doc)
+	require.Equal(t, admin.FromRouter, doc.Source)
+	require.Contains(t, string(doc.Value), "guides")
+}
+
 func TestEditsLeaveHistory(t *testing.T) {
 	r := newReadyRouter(t)
 	digest := config.DigestOf("another").String()
--- a/transport/admin/edit.go
+++ b/transport/admin/edit.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"reflect"
 
@@ -25,6 +26,8 @@
 	load func([]byte) (T, error)
 	// change makes the object what is wanted.
 	change func(*T) error
+	// whole says that the change does not build on what the object holds.
+	whole bool
 }
 
 func editRoot(summary string, change func(*config.Root) error) edit[config.Root] {
@@ -64,6 +67,9 @@
 	if err != nil {
 		return WriteResult{}, err
 	}
+	if err := h.checkNotLost(present, e.whole); err != nil {
+		return WriteResult{}, err
+	}
 	changes, _ := config.HistoryOf(e.key, present.Value)
 	if done, ok := config.Find(changes, id); ok {
 		return alreadyDone(e, done, changes, present)
@@ -121,6 +127,19 @@
 	return o, err
 }
 
+// checkNotLost stops an edit of an object that the platform has lost while
+// routers go on with their copy. The edit would begin from nothing, and its
+// higher version would take away everything else the object holds: all other
+// workspaces of a team at once. Only a whole object may be written then.
+func (h *Handler) checkNotLost(present config.Object, whole bool) error {
+	held, ok := h.options.Source.Object(present.Key)
+	if !ok || whole || present.Version > 0 {
+		return nil
+	}
+	reason := fmt.Sprintf("the platform has lost this object, which is in force at version %d: restore it as a whole first", held.Version)
+	return invalid(present.Key, reason)
+}
+
 func (h *Handler) write(c *call, key, id string, expected uint64, stamped any) (WriteResult, error) {
 	data, err := json.Marshal(stamped)
 	if err != nil {
--- a/transport/admin/objects.go
+++ b/transport/admin/objects.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"errors"
 	"maps"
 	"net/http"
 	"slices"
 
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
-	"github.com/figstile/figstile/transport/settings"
 )
 
 // listObjects shows the versions in force on this router.
@@ -52,13 +50,12 @@
 }
 
 // read returns the platform's version of an object or, while the platform is
-// away, the one in force here: operators need to see settings most during an
-// outage.
+// away or has lost it, the one in force here: operators need to see settings
+// most during an outage.
 func (h *Handler) read(c *call, key string) (config.Object, string, error) {
 	o, err := h.options.Writer.Read(c.r.Context(), key)
-	var away *settings.UnavailableError
-	if !errors.As(err, &away) {
-		return o, FromPlatform, err
+	if err == nil {
+		return o, FromPlatform, nil
 	}
 	held, ok := h.options.Source.Object(key)
 	if !ok {
@@ -150,6 +147,7 @@
 		}
 		return root, nil
 	}
+	e.whole = true
 	return e
 }
 
@@ -180,5 +178,6 @@
 		}
 		return subtree, nil
 	}
+	e.whole = true
 	return e
 }
