Bound what a faulty object writes into logs

Cause: an object of a megabyte can hold a hundred thousand faults, and a fault repeated values of any length; every router would have logged them.

All faults are still listed in the error's fields; its text shows twenty, and values are cut at 100 bytes.

--- a/state/config/fault.go
+++ b/state/config/fault.go
@@ -27,13 +27,22 @@
 	Faults []Fault
 }
 
-// Error joins all faults into one line.
+// shownFaults bounds the faults in one log line: an object of a megabyte can
+// have a hundred thousand.
+const shownFaults = 20
+
+// Error joins the first faults into one line.
 func (e *Error) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
+	shown := e.Faults[:min(len(e.Faults), shownFaults)]
+	lines := make([]string, len(shown))
+	for i, f := range shown {
 		lines[i] = f.String()
 	}
-	return fmt.Sprintf("config: %d faults: %s", len(e.Faults), strings.Join(lines, "; "))
+	text := fmt.Sprintf("config: %d faults: %s", len(e.Faults), strings.Join(lines, "; "))
+	if len(shown) < len(e.Faults) {
+		text += "; ..."
+	}
+	return text
 }
 
 // faults collects what a check finds.
@@ -65,6 +74,17 @@
 	return &Error{Faults: fs}
 }
 
+// quotedBytes bounds what a fault repeats of the object.
+const quotedBytes = 100
+
+// clip shortens a value of any length for a fault.
+func clip(s string) string {
+	if len(s) <= quotedBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:quotedBytes], "") + "..."
+}
+
 func at(path string, i int) string {
 	return fmt.Sprintf("%s[%d]", path, i)
 }
--- a/state/config/parse.go
+++ b/state/config/parse.go
@@ -155,19 +155,19 @@
 	}
 	request, err := http.NewRequest(http.MethodPost, raw, nil)
 	if err != nil {
-		fs.add(path, "%q is not a URL", raw)
+		fs.add(path, "%q is not a URL", clip(raw))
 		return
 	}
 	u := request.URL
 	switch {
 	case u.Scheme != "http" && u.Scheme != "https":
-		fs.add(path, "%q must begin with http:// or https://", raw)
+		fs.add(path, "%q must begin with http:// or https://", clip(raw))
 	case u.Hostname() == "":
-		fs.add(path, "%q has no host", raw)
+		fs.add(path, "%q has no host", clip(raw))
 	case u.User != nil:
 		fs.add(path, "must not hold a user or password")
 	case u.RawQuery != "" || u.Fragment != "":
-		fs.add(path, "%q must not have a query or fragment", raw)
+		fs.add(path, "%q must not have a query or fragment", clip(raw))
 	}
 }
 
@@ -175,7 +175,7 @@
 	var fs faults
 	fs.checkName("team", string(s.Team))
 	if s.Team != "" && s.Team != team {
-		fs.add("team", "%q must be %q, as the object's key says", s.Team, team)
+		fs.add("team", "%q must be %q, as the object's key says", clip(string(s.Team)), team)
 	}
 	if s.Deleted && len(s.Workspaces) > 0 {
 		fs.add("workspaces", "a deleted team has none")
--- a/state/config/parse_test.go
+++ b/state/config/parse_test.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// A damaged object must not fill the logs of every router.
+func TestFaultsStayShort(t *testing.T) {
+	long := strings.Repeat("x", 1000)
+	data := strings.Repeat(`{"`+long+`": 1, "url": "`+long+`"},`, 100)
+	_, err := config.ParseRoot([]byte(`{"services": [{"upstreams": [` + strings.TrimSuffix(data, ",") + `]}]}`))
+	require.Greater(t, len(paths(t, err)), 100)
+	require.Less(t, len(err.Error()), 10_000)
+}
+
 func TestParseSubtreeListsEveryFault(t *testing.T) {
 	_, err := config.ParseSubtree("turismo", []byte(`{"team": "reservas", "deleted": true, "workspaces": [
 		{"name": "a", "weight": -1, "tokens": ["`+digestA+`"], "services": ["s", "s"]},
--- a/state/config/strict.go
+++ b/state/config/strict.go
@@ -73,9 +73,9 @@
 		field, ok := fieldNamed(t, name)
 		switch {
 		case !ok:
-			fs.add(join(path, name), "unknown field")
+			fs.add(join(path, clip(name)), "unknown field")
 		case seen[name]:
-			fs.add(join(path, name), "field given twice")
+			fs.add(join(path, clip(name)), "field given twice")
 		default:
 			fs.compare(join(path, name), value, field)
 		}
@@ -104,7 +104,7 @@
 	case errors.As(err, &mismatch):
 		fs.add(path, "must be %s, not %s", typeName(t), mismatch.Value)
 	case err != nil:
-		fs.add(path, "%v", err)
+		fs.add(path, "%s", clip(err.Error()))
 	}
 }
 
