--- a/transport/settings/writer.go
+++ b/transport/settings/writer.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return 0, err
 	}
-	_ = w.options.Source.take(originWrite, config.Object{Key: key, Version: version, Value: value})
+	w.options.Source.takeWritten(config.Object{Key: key, Version: version, Value: value})
 	return version, nil
 }
 
@@ -241,3 +241,13 @@
 	}
 	return conflict
 }
+
+// sleep waits by the machine's clock.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
