peer: full mesh of routers over yamux

Routers need each other's demand, grants and counters, and must know who is live. One yamux session per pair carries a control stream and a bulk stream, so that a configuration object of a megabyte delays no grant.

Send never blocks: a bounded queue per stream, and its overflow drops the session, after which OnSession asks the host for full state on both sides. A reconnect within the grace changes no set of peers, so without that callback what was lost with the old session would stay lost.

yamux writes header and body of a frame apart; they are joined before the connection, which halves the segments of small messages.

Ruled out: yamux's keepalive (it measures no round trip and spreads no members), waiting for room in the queue (one frozen peer would stop the scheduler), and closing TLS in order (it waits for a peer that does not read).

The tests fail links on loopback: cut, route lost without reset, restart with a lingering session, frozen peer, frozen process, garbage. They move an injected clock only once every heartbeat that can arrive has arrived.

--- /dev/null
+++ b/transport/peer/conn.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts what went over TCP connections, framing and TLS included.
+type Traffic struct {
+	BytesIn, BytesOut       uint64
+	MessagesIn, MessagesOut uint64
+}
+
+// counters are a Traffic that is being counted.
+type counters struct {
+	bytesIn, bytesOut       atomic.Uint64
+	messagesIn, messagesOut atomic.Uint64
+}
+
+func (c *counters) load() Traffic {
+	return Traffic{
+		BytesIn:     c.bytesIn.Load(),
+		BytesOut:    c.bytesOut.Load(),
+		MessagesIn:  c.messagesIn.Load(),
+		MessagesOut: c.messagesOut.Load(),
+	}
+}
+
+// countedConn counts the bytes of one connection, for the whole mesh at once
+// and for the peer once its hello has told who it is.
+type countedConn struct {
+	net.Conn
+	total *counters
+	own   counters
+	peer  atomic.Pointer[counters]
+}
+
+// attribute counts the connection for a peer, the bytes so far included.
+func (c *countedConn) attribute(peer *counters) {
+	peer.bytesIn.Add(c.own.bytesIn.Load())
+	peer.bytesOut.Add(c.own.bytesOut.Load())
+	c.peer.Store(peer)
+}
+
+// Read reads from the connection and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.total.bytesIn.Add(uint64(n))
+	c.perPeer().bytesIn.Add(uint64(n))
+	return n, err
+}
+
+// Write writes to the connection and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.total.bytesOut.Add(uint64(n))
+	c.perPeer().bytesOut.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) perPeer() *counters {
+	if peer := c.peer.Load(); peer != nil {
+		return peer
+	}
+	return &c.own
+}
+
+// yamux's frame header: version, type, flags (2), stream (4), length (4).
+const (
+	yamuxHeader     = 12
+	yamuxTypeOffset = 1
+	yamuxLenOffset  = 8
+	yamuxTypeData   = 0
+)
+
+// joinedConn holds back the header of a data frame until its body follows.
+// yamux writes the two apart, and without the Nagle algorithm each would leave
+// in a segment (and a TLS record) of its own. Its sender is one goroutine, so
+// nothing comes between the two.
+type joinedConn struct {
+	net.Conn
+	held []byte
+}
+
+// Write writes a whole frame, or holds back a header that announces a body.
+func (c *joinedConn) Write(p []byte) (int, error) {
+	if len(c.held) == 0 && announcesBody(p) {
+		c.held = append(c.held, p...)
+		return len(p), nil
+	}
+	if len(c.held) == 0 {
+		return c.Conn.Write(p)
+	}
+	frame := append(c.held, p...)
+	c.held = c.held[:0]
+	if cap(frame) <= maxBatch {
+		c.held = frame[:0]
+	}
+	n, err := c.Conn.Write(frame)
+	return max(n-yamuxHeader, 0), err
+}
+
+func announcesBody(p []byte) bool {
+	return len(p) == yamuxHeader && p[yamuxTypeOffset] == yamuxTypeData &&
+		binary.BigEndian.Uint32(p[yamuxLenOffset:]) > 0
+}
--- /dev/null
+++ b/transport/peer/connect.go
@@ -0,0 +1,250 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/protocol/peerpb"
+)
+
+// acceptRetry is the pause after a failed accept, such as for want of file
+// descriptors.
+const acceptRetry = 100 * time.Millisecond
+
+// accept takes connections until the listener closes.
+func (m *Mesh) accept() {
+	for {
+		conn, err := m.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			m.opts.Log.Warn().Err(err).Msg("peer accept failed")
+			time.Sleep(acceptRetry)
+			continue
+		}
+		m.mu.Lock()
+		m.connect(conn, "")
+		m.mu.Unlock()
+	}
+}
+
+// startDial dials in the background. Membership hears DialFailed or Greeted.
+func (m *Mesh) startDial(address string) {
+	if m.ctx == nil || m.ctx.Err() != nil {
+		return
+	}
+	m.running.Go(func() { m.dial(m.ctx, address) })
+}
+
+func connectTo(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func (m *Mesh) dial(ctx context.Context, address string) {
+	conn, err := m.connectTo(ctx, address)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.opts.Log.Debug().Str("address", address).Err(err).Msg("peer dial failed")
+		m.step(membership.DialFailed{Address: address})
+		return
+	}
+	m.connect(conn, address)
+}
+
+// connect starts a session on a new connection. The caller holds the lock.
+func (m *Mesh) connect(conn net.Conn, dialled string) {
+	if m.ctx.Err() != nil || len(m.sessions)-len(m.routes) >= maxPending {
+		_ = conn.Close()
+		if dialled != "" {
+			m.step(membership.DialFailed{Address: dialled})
+		}
+		return
+	}
+	m.lastID++
+	s := newSession(m.lastID, conn, dialled, m.opts.Clock.Now(), &m.total)
+	m.sessions[s.id] = s
+	m.running.Go(func() { m.serve(s) })
+}
+
+// serve runs a session from its handshake to its end.
+func (m *Mesh) serve(s *session) {
+	if failed := m.shakeHands(s); failed != nil {
+		s.end(failed.cause)
+		m.ended(s, failed.event)
+		return
+	}
+	m.running.Go(func() { s.write(s.control) })
+	m.running.Go(func() { m.serveBulk(s) })
+	s.read(s.control, func(env *peerpb.Envelope) error { return m.handleControl(s, env) })
+	m.ended(s, membership.Closed{Session: s.id})
+}
+
+// failure is a session that was not accepted, with what membership must hear.
+type failure struct {
+	cause error
+	event membership.Event
+}
+
+// refusedError is a refusal by either side.
+type refusedError membership.Refusal
+
+// Error returns the reason.
+func (e refusedError) Error() string { return "refused: " + membership.Refusal(e).String() }
+
+func (m *Mesh) shakeHands(s *session) *failure {
+	if err := s.start(m.opts.TLS); err != nil {
+		return dialFailure(s, err)
+	}
+	if s.dialled != "" {
+		if err := s.writeHello(m.hello(membership.RefusalNone)); err != nil {
+			return dialFailure(s, err)
+		}
+	}
+	raw, err := s.readHello()
+	if err != nil {
+		return dialFailure(s, err)
+	}
+	hello := helloFrom(raw)
+	if raw.GetRefusal() != peerpb.Refusal_REFUSAL_NONE {
+		return m.refusedByPeer(s, hello, membership.Refusal(raw.GetRefusal()))
+	}
+	return m.greet(s, hello)
+}
+
+// dialFailure is a session that never came to a verdict. Membership only
+// waits for those it dialled.
+func dialFailure(s *session, cause error) *failure {
+	f := &failure{cause: cause}
+	if s.dialled != "" {
+		f.event = membership.DialFailed{Address: s.dialled}
+	}
+	return f
+}
+
+func (m *Mesh) refusedByPeer(s *session, hello membership.Hello, refusal membership.Refusal) *failure {
+	m.opts.Log.Warn().Str("address", s.dialled).Str("router", string(hello.Router)).
+		Stringer("reason", refusal).Msg("peer refused the session")
+	f := &failure{cause: refusedError(refusal)}
+	if s.dialled != "" {
+		f.event = membership.DialFailed{
+			Address:     s.dialled,
+			Refusal:     refusal,
+			Router:      hello.Router,
+			Incarnation: hello.Incarnation,
+		}
+	}
+	return f
+}
+
+// greet asks membership for its verdict. The acceptor of a refused session
+// tells the dialler why.
+func (m *Mesh) greet(s *session, hello membership.Hello) *failure {
+	m.mu.Lock()
+	s.peer = Peer{Router: hello.Router, DataCentre: hello.DataCentre, Incarnation: hello.Incarnation}
+	m.step(membership.Greeted{Session: s.id, Dialled: s.dialled, Hello: hello})
+	accepted, refusal := s.accepted, s.refusal
+	m.mu.Unlock()
+	if accepted {
+		return nil
+	}
+	if s.dialled == "" {
+		// The dialler closes first, or the limit on pending sessions does:
+		// closing here could destroy the reason on its way.
+		_ = s.writeHello(m.hello(refusal))
+		_, _ = s.control.in.Next()
+	}
+	return &failure{cause: refusedError(refusal)}
+}
+
+// attribute counts the session for its peer.
+func (m *Mesh) attribute(s *session) {
+	counted, ok := m.traffic[s.peer.Router]
+	if !ok {
+		counted = &counters{}
+		m.traffic[s.peer.Router] = counted
+	}
+	s.traffic = counted
+	s.conn.attribute(counted)
+}
+
+func (m *Mesh) hello(refusal membership.Refusal) *peerpb.Envelope {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return helloEnvelope(m.self, refusal)
+}
+
+// serveBulk runs the second stream.
+func (m *Mesh) serveBulk(s *session) {
+	if err := s.openLane(s.bulk); err != nil {
+		s.end(err)
+		return
+	}
+	m.running.Go(func() { s.write(s.bulk) })
+	s.read(s.bulk, func(env *peerpb.Envelope) error {
+		m.opts.Handler(s.peer, env)
+		return nil
+	})
+}
+
+func (m *Mesh) handleControl(s *session, env *peerpb.Envelope) error {
+	switch body := env.GetBody().(type) {
+	case *peerpb.Envelope_Heartbeat:
+		m.handleHeartbeat(s, body.Heartbeat)
+	case *peerpb.Envelope_Hello:
+		return errTwoHellos
+	case nil:
+		// A body of a later version.
+	default:
+		m.opts.Handler(s.peer, env)
+	}
+	return nil
+}
+
+func (m *Mesh) handleHeartbeat(s *session, beat *peerpb.Heartbeat) {
+	held := time.Duration(beat.GetEchoHeldUs()) * time.Microsecond
+	s.trip.hear(m.opts.Clock.Now(), beat.GetSequence(), beat.GetEcho(), held)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(membership.HeartbeatHeard{
+		Session:  s.id,
+		Draining: beat.GetDraining(),
+		Members:  membersFrom(beat.GetMembers()),
+	})
+}
+
+// ended frees a session and tells membership.
+func (m *Mesh) ended(s *session, event membership.Event) {
+	if s.mux != nil {
+		_ = s.mux.Close()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.sessions, s.id)
+	if m.routes[s.peer.Router] == s {
+		delete(m.routes, s.peer.Router)
+	}
+	m.countEnd(s)
+	if event != nil {
+		m.step(event)
+	}
+}
+
+func (m *Mesh) countEnd(s *session) {
+	switch {
+	case !s.accepted && s.refusal == membership.RefusalNone:
+		m.events.Failed++
+		m.opts.Log.Debug().Str("address", s.conn.RemoteAddr().String()).Err(s.err).Msg("peer handshake failed")
+		return
+	case !s.accepted:
+		return
+	case errors.Is(s.err, errOverflow):
+		m.events.Overflows++
+	}
+	m.opts.Log.Info().Str("router", string(s.peer.Router)).Err(s.err).Msg("peer session closed")
+}
--- /dev/null
+++ b/transport/peer/failure_test.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+)
+
+// Eight routers start at once, as after a planned replacement of all VMs. Seven
+// know the address of the first alone, and many pairs dial each other at the
+// same moment. All must end up with one session per pair.
+func TestGossipFromOneSeedConverges(t *testing.T) {
+	f := newFleet(t)
+	var names []state.Router
+	seed := f.start("r0", 1)
+	for i := 1; i < 8; i++ {
+		f.start(fmt.Sprintf("r%d", i), 1, seed.Addr())
+	}
+	for _, n := range f.nodes {
+		names = append(names, n.name)
+	}
+	f.until(func() bool {
+		for _, n := range f.nodes {
+			if !n.sees(names...) || n.busy() || len(n.accepted()) != len(names)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// One link between two data centres breaks; both keep a third router. The two
+// lose sight of each other alone, so their upstreams change owner nowhere
+// else. When the link heals they meet again, though nobody tells them to.
+func TestCutOfOneLinkHeals(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	c := f.start("ramales-1", 1, a.Addr())
+	all := []state.Router{"castro-1", "laredo-1", "ramales-1"}
+	f.until(func() bool { return a.sees(all...) && b.sees(all...) && c.sees(all...) })
+	f.links.set("castro-1", "laredo-1", linkCut)
+	f.until(func() bool { return a.sees("castro-1", "ramales-1") && b.sees("laredo-1", "ramales-1") })
+	require.True(t, c.sees(all...))
+	f.links.set("castro-1", "laredo-1", linkUp)
+	f.until(func() bool { return a.sees(all...) && b.sees(all...) && c.sees(all...) })
+}
+
+// A route is lost without a reset: bytes go out, nothing comes back, and TCP
+// would wait for minutes. Meanwhile owners would grant to a router that cannot
+// hear them. Missed heartbeats must end it on both sides, and the pair must
+// meet again over a new connection once the route is back.
+func TestHalfOpenConnectionIsGivenUp(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	f.links.set("castro-1", "laredo-1", linkDead)
+	f.until(func() bool { return a.sees("castro-1") && b.sees("laredo-1") })
+	f.links.set("castro-1", "laredo-1", linkUp)
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+}
+
+// A connection breaks and the pair reconnects within the grace. Nobody is
+// declared gone, but what was on its way is lost; the host must hear of the
+// new session on both sides, or a demand that was dropped is never sent again.
+func TestReconnectWithinGraceAsksForFullState(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.openedFrom("laredo-1") == 1 && b.openedFrom("castro-1") == 1 })
+	a.route("laredo-1").end(net.ErrClosed)
+	f.until(func() bool { return a.openedFrom("laredo-1") >= 2 && b.openedFrom("castro-1") >= 2 })
+	require.True(t, a.sees("castro-1", "laredo-1"))
+}
+
+// A VM vanishes without closing its connections and its successor comes up
+// under the same name. The old session lingers for seconds. The successor must
+// be taken at once, or its grants would go to a dead connection.
+func TestRestartedPeerReplacesLingeringSession(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	old := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && old.sees("castro-1", "laredo-1") })
+	f.links.set("castro-1", "laredo-1", linkDead)
+	// The pumps decide at their next byte, and this one is lost for both.
+	require.True(t, a.Send("laredo-1", grant(1)))
+	f.stop(old)
+	f.links.set("castro-1", "laredo-1", linkUp)
+	lingering := a.route("laredo-1")
+	next := f.start("laredo-1", 2, a.Addr())
+	f.wait(func() bool {
+		p, ok := a.find("laredo-1")
+		return ok && p.Incarnation == 2 && next.sees("castro-1", "laredo-1")
+	})
+	require.NotSame(t, lingering, a.route("laredo-1"))
+}
+
+// A peer stops reading, as a frozen VM does, while a burst of messages is due
+// to it. Send must return at once every time, or the scheduler of this router
+// stops with it. The overflow drops the session, the other peer notices
+// nothing, and the frozen one gets a new session when it is back.
+func TestFrozenPeerBlocksNobody(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	c := f.start("ramales-1", 1, a.Addr())
+	all := []state.Router{"castro-1", "laredo-1", "ramales-1"}
+	f.until(func() bool { return a.sees(all...) && b.sees(all...) && c.sees(all...) })
+	b.hold.Lock()
+	for a.Send("laredo-1", grant(1)) {
+	}
+	require.True(t, a.Send("ramales-1", grant(2)))
+	f.wait(func() bool { return c.receivedFrom("castro-1") == 1 && a.Stats().Overflows == 1 })
+	b.hold.Unlock()
+	f.until(func() bool { return a.openedFrom("laredo-1") >= 2 && a.sees(all...) && b.sees(all...) })
+}
+
+// This process stands still for a minute and its timers run before its sockets
+// are read. No peer is dead; none may be declared so.
+func TestFrozenProcessKeepsItsPeers(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	f.tick(60 * membership.HeartbeatInterval)
+	f.wait(f.settled)
+	f.tick(membership.TickInterval)
+	f.wait(f.settled)
+	require.EqualValues(t, 1, a.Stats().Resumed)
+	require.True(t, a.sees("castro-1", "laredo-1"))
+	require.Equal(t, 1, a.openedFrom("laredo-1"))
+}
+
+// A router drains: its peers must hear at once, not with the next heartbeat,
+// and drop it without the grace when it goes.
+func TestDrainingIsAnnounced(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	b.SetDraining(true)
+	f.wait(func() bool {
+		p, ok := a.find("laredo-1")
+		return ok && p.Draining
+	})
+	require.True(t, b.Send("castro-1", grant(1)))
+	f.stop(b)
+	f.wait(func() bool { return a.sees("castro-1") })
+	require.Equal(t, 1, a.receivedFrom("laredo-1"), "what was queued at the stop arrives")
+}
+
+// A router of another fleet, or of another protocol, is given our address by
+// mistake. It gets no session, and both sides count the refusal.
+func TestForeignFleetIsRefused(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	f.tweak = func(o *Options) { o.Self.Fleet = "aravena" }
+	b := f.start("pudahuel-1", 1, a.Addr())
+	f.until(func() bool { return a.Stats().Refused > 0 })
+	require.True(t, a.sees("castro-1"))
+	require.True(t, b.sees("pudahuel-1"))
+}
+
+// Somebody opens the peer port and sends noise, a frame beyond the limit, or
+// nothing. Each connection ends and the mesh goes on.
+func TestGarbageEndsTheConnectionAlone(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("castro-1", 1)
+	noise := make([]byte, 64<<10)
+	_, _ = rand.Read(noise)
+	noise[0] = 0xff
+	for i, sent := range [][]byte{noise, []byte("GET / HTTP/1.1\r\nHost: castro-1\r\n\r\n"), nil} {
+		conn, err := net.Dial("tcp", a.Addr())
+		require.NoError(t, err)
+		_, _ = conn.Write(sent)
+		f.wait(func() bool {
+			f.tick(membership.TickInterval)
+			return a.Stats().Failed == uint64(i+1)
+		})
+		require.NoError(t, conn.Close())
+	}
+	b := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	s := b.route("castro-1")
+	oversized := make([]byte, wire.MaxControlFrame+1)
+	frame, err := wire.AppendFrame(nil, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{Value: oversized}}})
+	require.NoError(t, err)
+	require.True(t, s.enqueue(s.control, frame))
+	f.until(func() bool { return a.openedFrom("laredo-1") >= 2 && b.openedFrom("castro-1") >= 2 })
+}
--- /dev/null
+++ b/transport/peer/notices.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+)
+
+// notices passes changes to the callbacks of the options in order, outside the
+// mesh's lock. Sets of peers that nobody has taken yet are replaced by newer
+// ones, so a slow receiver sees fewer changes but always the last.
+type notices struct {
+	ready chan struct{}
+
+	mu       sync.Mutex
+	live     []scheduler.Peer
+	sessions []*session
+}
+
+func newNotices() notices {
+	return notices{ready: make(chan struct{}, 1)}
+}
+
+// add takes the new set of live routers, if it changed, together with the
+// sessions that it came with: they are announced after it.
+func (n *notices) add(live []scheduler.Peer, opened []*session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if live != nil {
+		n.live = live
+	}
+	n.sessions = append(n.sessions, opened...)
+	select {
+	case n.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (n *notices) take() ([]scheduler.Peer, []*session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live, sessions := n.live, n.sessions
+	n.live, n.sessions = nil, nil
+	return live, sessions
+}
+
+func (n *notices) deliver(ctx context.Context, opts Options) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.ready:
+		}
+		live, sessions := n.take()
+		if live != nil {
+			opts.OnPeers(live)
+		}
+		for _, s := range sessions {
+			opts.OnSession(s.peer)
+			close(s.announced)
+		}
+	}
+}
--- /dev/null
+++ b/transport/peer/session.go
@@ -0,0 +1,289 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+)
+
+const (
+	// streamsPerSession is the control stream and the bulk stream.
+	streamsPerSession = 2
+	// writeTimeout ends a session whose TCP connection takes no bytes at
+	// all. Heartbeats find a dead peer earlier; this frees the goroutine.
+	writeTimeout = 10 * time.Second
+	// readBuffer of a stream: most messages are under a hundred bytes.
+	readBuffer = 512
+)
+
+// Errors that end a session.
+var (
+	errOverflow  = errors.New("send queue overflow")
+	errHandshake = errors.New("no hello in time")
+	errNoHello   = errors.New("first message is no hello")
+	errTwoHellos = errors.New("second hello")
+	errStopped   = errors.New("stopped")
+)
+
+// session is one yamux session, from the TCP connection on.
+type session struct {
+	id      membership.SessionID
+	dialled string
+	began   time.Time
+	conn    *countedConn
+	mux     *yamux.Session
+	control *lane
+	bulk    *lane
+	trip    roundTrip
+
+	// peer and traffic are set before the session is accepted.
+	peer    Peer
+	traffic *counters
+
+	// verdict is written by the mesh under its lock while it greets.
+	accepted bool
+	refusal  membership.Refusal
+
+	// heard is set by every message and cleared by the mesh's tick.
+	heard atomic.Bool
+	// announced is closed once OnPeers knows the peer.
+	announced chan struct{}
+
+	once sync.Once
+	done chan struct{}
+	// err is the cause of the end; read it after done.
+	err error
+}
+
+// lane is one stream of a session with its send queue.
+type lane struct {
+	queue    *queue
+	maxFrame int64
+	stream   *yamux.Stream
+	in       *wire.FrameReader
+}
+
+func newLane(maxFrame int64) *lane {
+	return &lane{queue: newQueue(), maxFrame: maxFrame}
+}
+
+func (l *lane) attach(stream *yamux.Stream) {
+	l.stream = stream
+	l.in = wire.NewFrameReader(bufio.NewReaderSize(stream, readBuffer), l.maxFrame)
+}
+
+// newSession wraps a connection; nothing is sent yet.
+func newSession(id membership.SessionID, conn net.Conn, dialled string, now time.Time, total *counters) *session {
+	return &session{
+		id:        id,
+		dialled:   dialled,
+		began:     now,
+		conn:      &countedConn{Conn: conn, total: total},
+		control:   newLane(wire.MaxControlFrame),
+		bulk:      newLane(wire.MaxBulkFrame),
+		announced: make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+}
+
+// start runs TLS, if any, and yamux on the connection and opens the control
+// stream.
+func (s *session) start(secure *tls.Config) error {
+	inner := net.Conn(s.conn)
+	if secure != nil {
+		inner = s.secured(secure)
+	}
+	joined := &joinedConn{Conn: inner}
+	mux, err := s.multiplex(joined)
+	if err != nil {
+		return err
+	}
+	s.mux = mux
+	return s.openLane(s.control)
+}
+
+func (s *session) secured(cfg *tls.Config) net.Conn {
+	if s.dialled == "" {
+		return tls.Server(s.conn, cfg)
+	}
+	cfg = cfg.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(s.dialled)
+	}
+	return tls.Client(s.conn, cfg)
+}
+
+func (s *session) multiplex(conn net.Conn) (*yamux.Session, error) {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = streamsPerSession
+	// Membership sends heartbeats of its own, which carry more.
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = writeTimeout
+	// The handshake has its own limit; this would cost a goroutine.
+	cfg.StreamOpenTimeout = 0
+	cfg.LogOutput = io.Discard
+	if s.dialled == "" {
+		return yamux.Server(conn, cfg)
+	}
+	return yamux.Client(conn, cfg)
+}
+
+// openLane opens the next stream if this router dialled, and awaits it
+// otherwise. Both sides open the control stream first.
+func (s *session) openLane(l *lane) error {
+	open := s.mux.OpenStream
+	if s.dialled == "" {
+		open = s.mux.AcceptStream
+	}
+	stream, err := open()
+	if err != nil {
+		return err
+	}
+	l.attach(stream)
+	return nil
+}
+
+// writeHello sends a hello past the queue; only the handshake does.
+func (s *session) writeHello(env *peerpb.Envelope) error {
+	frame, err := wire.AppendFrame(nil, env)
+	if err != nil {
+		return err
+	}
+	_, err = s.control.stream.Write(frame)
+	return err
+}
+
+func (s *session) readHello() (*peerpb.Hello, error) {
+	env, err := s.control.in.Next()
+	if err != nil {
+		return nil, err
+	}
+	hello := env.GetHello()
+	if hello == nil {
+		return nil, errNoHello
+	}
+	return hello, nil
+}
+
+// laneFor picks the stream of a message.
+func (s *session) laneFor(env *peerpb.Envelope) *lane {
+	if env.GetConfigObject() != nil {
+		return s.bulk
+	}
+	return s.control
+}
+
+// enqueue queues a frame, or ends the session if its queue is full.
+func (s *session) enqueue(l *lane, frame []byte) bool {
+	if !l.queue.push(item{frame: frame}) {
+		s.end(errOverflow)
+		return false
+	}
+	return true
+}
+
+// write sends what is queued until the session ends.
+func (s *session) write(l *lane) {
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-l.queue.ready:
+		}
+		if err := s.writeWaiting(l); err != nil {
+			s.end(err)
+			return
+		}
+	}
+}
+
+func (s *session) writeWaiting(l *lane) error {
+	for more := true; more; {
+		var batch []item
+		batch, more = l.queue.take()
+		if err := s.writeBatch(l, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) writeBatch(l *lane, batch []item) error {
+	var out []byte
+	for _, it := range batch {
+		out = append(out, it.frame...)
+	}
+	if len(out) > 0 {
+		if _, err := l.stream.Write(out); err != nil {
+			return err
+		}
+	}
+	for _, it := range batch {
+		if it.mark != nil {
+			close(it.mark)
+			continue
+		}
+		s.traffic.messagesOut.Add(1)
+	}
+	return nil
+}
+
+// read passes on messages until the session ends.
+func (s *session) read(l *lane, handle func(*peerpb.Envelope) error) {
+	select {
+	case <-s.announced:
+	case <-s.done:
+	}
+	for {
+		env, err := l.in.Next()
+		if err == nil {
+			s.heard.Store(true)
+			s.traffic.messagesIn.Add(1)
+			err = handle(env)
+		}
+		if err != nil {
+			s.end(err)
+			return
+		}
+	}
+}
+
+// flush returns once what is queued was written, the session has ended or the
+// limit has passed.
+func (s *session) flush(limit <-chan time.Time) {
+	for _, l := range []*lane{s.control, s.bulk} {
+		mark := make(chan struct{})
+		if !l.queue.push(item{mark: mark}) {
+			continue
+		}
+		select {
+		case <-mark:
+		case <-s.done:
+		case <-limit:
+			return
+		}
+	}
+}
+
+// end marks the session as over. It does not block; the goroutine of the
+// session cleans up.
+func (s *session) end(err error) {
+	s.once.Do(func() {
+		s.err = err
+		close(s.done)
+		// The bare connection: closing TLS could wait for a peer that
+		// does not read.
+		_ = s.conn.Conn.Close()
+	})
+}
