trace: record, replay and check what routers decided

A trace is JSON lines: each step of a scheduler with its event and actions, and beside them what callers were told, what upstreams ran, which upstreams were announced to leave and which settings came into force.

Records are encoded on a goroutine of the recorder. A writer that hangs loses records rather than stop a decider; lost steps show as gaps, where the replay of that router stops instead of comparing decisions from another state.

Ruled out: encoding on the decider's goroutine (10 us a step), and matching callers' requests to runs by attempt (callers never learn attempts; the digest of the body does it).

--- /dev/null
+++ b/protocol/trace/replay.go
@@ -0,0 +1,168 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+)
+
+// Stepper is a decider that can be recorded and replayed.
+type Stepper interface {
+	Step(now time.Time, event scheduler.Event) []scheduler.Action
+}
+
+// Recorded returns a Stepper that records every step of another one.
+func Recorded(s Stepper, r *Recorder) Stepper { return recorded{s, r} }
+
+type recorded struct {
+	inner    Stepper
+	recorder *Recorder
+}
+
+// Step steps and records.
+func (r recorded) Step(now time.Time, event scheduler.Event) []scheduler.Action {
+	actions := r.inner.Step(now, event)
+	r.recorder.Step(now, event, actions)
+	return actions
+}
+
+// Run is one incarnation of a router in a trace.
+type Run struct {
+	Router      state.Router
+	Incarnation state.Incarnation
+}
+
+// Difference is a step that replayed to other actions than recorded.
+type Difference struct {
+	Run
+	Sequence uint64
+	// Event, Recorded and Replayed are JSON.
+	Event, Recorded, Replayed string
+}
+
+// Gap is a place where steps are missing. The run is not replayed beyond it.
+type Gap struct {
+	Run
+	// After is the last step before the gap, Next the first one behind it.
+	After, Next uint64
+}
+
+// Report is the result of a replay.
+type Report struct {
+	// Runs and Steps that were replayed.
+	Runs, Steps int
+	// Skipped steps lie behind a gap or a difference of their run.
+	Skipped int
+	// Differences holds the first one of each run: later ones follow from it.
+	Differences []Difference
+	Gaps        []Gap
+	// Truncated says that the trace breaks off within a line.
+	Truncated bool
+}
+
+// Exact reports whether every step was replayed with the same actions.
+func (r Report) Exact() bool {
+	return len(r.Differences) == 0 && len(r.Gaps) == 0 && r.Skipped == 0
+}
+
+// String returns a line of figures and one line per difference and gap.
+func (r Report) String() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "runs=%d steps=%d skipped=%d differences=%d gaps=%d truncated=%t", r.Runs, r.Steps, r.Skipped, len(r.Differences), len(r.Gaps), r.Truncated)
+	for _, d := range r.Differences {
+		fmt.Fprintf(&out, "\ndifference router=%s incarnation=%d sequence=%d event=%s recorded=%s replayed=%s", d.Router, d.Incarnation, d.Sequence, d.Event, d.Recorded, d.Replayed)
+	}
+	for _, g := range r.Gaps {
+		fmt.Fprintf(&out, "\ngap router=%s incarnation=%d after=%d next=%d", g.Router, g.Incarnation, g.After, g.Next)
+	}
+	return out.String()
+}
+
+// Replay feeds the steps of a trace to fresh deciders, one per incarnation of a
+// router, and compares their actions with the recorded ones. Other records are
+// passed over. The error is one of reading the trace.
+func Replay(r io.Reader, factory func(router state.Router, incarnation state.Incarnation) Stepper) (Report, error) {
+	p := replayer{factory: factory, runs: make(map[Run]*replayRun)}
+	in := NewReader(r)
+	for {
+		record, err := in.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return p.report, nil
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			p.report.Truncated = true
+			return p.report, nil
+		case err != nil:
+			return p.report, err
+		}
+		if step, ok := record.(StepRecord); ok {
+			if err := p.step(step); err != nil {
+				return p.report, err
+			}
+		}
+	}
+}
+
+type replayer struct {
+	factory func(state.Router, state.Incarnation) Stepper
+	runs    map[Run]*replayRun
+	report  Report
+}
+
+type replayRun struct {
+	stepper Stepper
+	last    uint64
+	// stopped runs have lost their state.
+	stopped bool
+}
+
+func (p *replayer) step(record StepRecord) error {
+	id := Run{Router: record.Router, Incarnation: record.Incarnation}
+	run, ok := p.runs[id]
+	if !ok {
+		run = &replayRun{stepper: p.factory(id.Router, id.Incarnation)}
+		p.runs[id] = run
+		p.report.Runs++
+	}
+	if !run.stopped && record.Sequence != run.last+1 {
+		run.stopped = true
+		p.report.Gaps = append(p.report.Gaps, Gap{Run: id, After: run.last, Next: record.Sequence})
+	}
+	if run.stopped {
+		p.report.Skipped++
+		return nil
+	}
+	run.last = record.Sequence
+	p.report.Steps++
+	difference, err := replayStep(run.stepper, record)
+	if difference != nil {
+		run.stopped = true
+		difference.Run = id
+		p.report.Differences = append(p.report.Differences, *difference)
+	}
+	return err
+}
+
+// replayStep compares actions by their JSON, which is what the trace holds.
+func replayStep(stepper Stepper, record StepRecord) (*Difference, error) {
+	want, err := json.Marshal(record.Actions)
+	if err != nil {
+		return nil, err
+	}
+	got, err := json.Marshal(wrap(stepper.Step(record.Time, record.Event.Event)))
+	if err != nil {
+		return nil, err
+	}
+	if bytes.Equal(want, got) {
+		return nil, nil
+	}
+	event, err := json.Marshal(record.Event)
+	return &Difference{Sequence: record.Sequence, Event: string(event), Recorded: string(want), Replayed: string(got)}, err
+}
