--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,51 @@
 	}
 }
 
+// A field that is added to a message and forgotten here would arrive as zero,
+// and only the fairness figures would show it.
+func TestEveryFieldTravels(t *testing.T) {
+	for _, p := range pairs {
+		filled := reflect.New(reflect.TypeOf(p.action)).Elem()
+		fill(filled)
+		env, _, _ := ToEnvelope(filled.Interface().(scheduler.Action))
+		event, err := ToEvent(sender, 1, env)
+		require.NoError(t, err)
+		requireFilled(t, reflect.TypeOf(event).Name(), reflect.ValueOf(event))
+	}
+}
+
+func fill(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0))
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int64, reflect.Int:
+		v.SetInt(int64(time.Second))
+	default:
+		v.SetUint(1)
+	}
+}
+
+func requireFilled(t *testing.T, name string, v reflect.Value) {
+	require.False(t, v.IsZero(), name)
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			requireFilled(t, name+"."+v.Type().Field(i).Name, v.Field(i))
+		}
+	case reflect.Slice:
+		requireFilled(t, name, v.Index(0))
+	}
+}
+
 func TestShortGrantDoesNotArriveExpired(t *testing.T) {
 	env, _, _ := ToEnvelope(scheduler.SendGrant{Grant: scheduler.Grant{Lifetime: time.Microsecond}})
 	require.EqualValues(t, 1, env.GetGrant().GetExpiresInMs())
