peer: finish what is queued before a stop

A stop passed a spent timer from session to session, so one peer that does not read could have held it for good, and it closed connections on which a heartbeat may just arrive, which resets them and destroys the last counters on their way. The limit is a context now, and the sending side closes first.

Trials on a scratch copy with guards taken out showed three tests too weak: a half-open connection was also ended by an overflow, a frozen process was heard by what came before the pause, and one message at a stop needs no flush. They are stricter now, and fail without the guards.

New: sessions under mutual TLS, and a process with a foreign certificate.

--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -59,6 +59,13 @@
 	return n, err
 }
 
+// closeWrite tells the peer that nothing more comes.
+func (c *countedConn) closeWrite() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
 func (c *countedConn) perPeer() *counters {
 	if peer := c.peer.Load(); peer != nil {
 		return peer
--- a/transport/peer/failure_test.go
+++ b/transport/peer/failure_test.go
@@ -65,6 +65,7 @@
 	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
 	f.links.set("castro-1", "laredo-1", linkDead)
 	f.until(func() bool { return a.sees("castro-1") && b.sees("laredo-1") })
+	require.Zero(t, a.Stats().Overflows+b.Stats().Overflows, "silence ends it, not a full queue")
 	f.links.set("castro-1", "laredo-1", linkUp)
 	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
 }
@@ -131,6 +132,8 @@
 	a := f.start("castro-1", 1)
 	b := f.start("laredo-1", 1, a.Addr())
 	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	// What was heard before the pause must not count as heard after it.
+	f.until(func() bool { return !a.route("laredo-1").heard.Load() && !b.route("castro-1").heard.Load() })
 	f.tick(60 * membership.HeartbeatInterval)
 	f.wait(f.settled)
 	f.tick(membership.TickInterval)
@@ -152,10 +155,13 @@
 		p, ok := a.find("laredo-1")
 		return ok && p.Draining
 	})
-	require.True(t, b.Send("castro-1", grant(1)))
+	const last = maxQueued / 2
+	for i := range last {
+		require.True(t, b.Send("castro-1", grant(uint64(i))))
+	}
 	f.stop(b)
 	f.wait(func() bool { return a.sees("castro-1") })
-	require.Equal(t, 1, a.receivedFrom("laredo-1"), "what was queued at the stop arrives")
+	require.Equal(t, last, a.receivedFrom("laredo-1"), "what was queued at the stop arrives")
 }
 
 // A router of another fleet, or of another protocol, is given our address by
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -127,10 +127,22 @@
 	}
 }
 
+// flush sends what is queued and closes the sending side, so that the peers
+// close after they have read everything. Closing at once would reset a
+// connection on which a heartbeat arrives meanwhile, and the reset would
+// destroy the last counters on their way.
 func (m *Mesh) flush() {
-	limit := time.After(flushTimeout)
-	for _, s := range m.accepted() {
-		s.flush(limit)
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	sessions := m.accepted()
+	for _, s := range sessions {
+		s.flush(ctx)
+	}
+	for _, s := range sessions {
+		s.conn.closeWrite()
+	}
+	for _, s := range sessions {
+		s.await(ctx)
 	}
 }
 
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -259,9 +260,17 @@
 	}
 }
 
-// flush returns once what is queued was written, the session has ended or the
-// limit has passed.
-func (s *session) flush(limit <-chan time.Time) {
+// await returns once the session or the context has ended.
+func (s *session) await(ctx context.Context) {
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+	}
+}
+
+// flush returns once what is queued was written or the session or the context
+// has ended.
+func (s *session) flush(ctx context.Context) {
 	for _, l := range []*lane{s.control, s.bulk} {
 		mark := make(chan struct{})
 		if !l.queue.push(item{mark: mark}) {
@@ -270,7 +279,7 @@
 		select {
 		case <-mark:
 		case <-s.done:
-		case <-limit:
+		case <-ctx.Done():
 			return
 		}
 	}
--- /dev/null
+++ b/transport/peer/tls_test.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// authority signs itself; it stands for a fleet's own certificate authority.
+func authority(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC),
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IsCA:         true, BasicConstraintsValid: true,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+}
+
+// A process without the fleet's certificate reaches the peer port. It gets no
+// session in either direction, while routers with one talk as before.
+func TestOnlyVerifiedPeersTalk(t *testing.T) {
+	f := newFleet(t)
+	ours, theirs := authority(t), authority(t)
+	f.tweak = func(o *Options) { o.TLS = ours }
+	a := f.start("castro-1", 1)
+	b := f.start("laredo-1", 1, a.Addr())
+	f.tweak = func(o *Options) { o.TLS = theirs }
+	c := f.start("ramales-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && b.sees("castro-1", "laredo-1") })
+	f.until(func() bool { return a.Stats().Failed >= 2 && c.Stats().Failed >= 2 })
+	require.True(t, c.sees("ramales-1"))
+	require.True(t, a.sees("castro-1", "laredo-1"))
+
+	_, err := New(Options{Self: a.opts.Self, Handler: a.opts.Handler, OnPeers: a.opts.OnPeers, TLS: &tls.Config{}})
+	var option *OptionError
+	require.ErrorAs(t, err, &option, "one-sided TLS is no option")
+}
