Send a retry to another upstream than the one that failed it

A retry now passes over that upstream for a second. A grant for it is declined with no demand, since with the true figure it would come back after each round trip; the next batch of demand names the true figure again. Ruled out: waiting without end for another upstream, as the others may be gone.

--- a/coordination/queue/queue.go
+++ b/coordination/queue/queue.go
@@ -33,6 +33,11 @@
 	DefaultTotalBytes    = 256 << 20
 )
 
+// avoidLast is how long a retry waits for another upstream than the one that
+// failed it: several grants' round trips, and no longer, because the others
+// may be gone.
+const avoidLast = time.Second
+
 func (l Limits) orDefault(requests int, bytes int64) Limits {
 	if l.Requests <= 0 {
 		l.Requests = requests
@@ -66,7 +71,9 @@
 	Last       state.Upstream
 	Sent       bool
 
-	element *list.Element
+	// avoidUntil is how long a retry keeps away from Last.
+	avoidUntil time.Time
+	element    *list.Element
 }
 
 type tenantKey struct {
@@ -146,6 +153,7 @@
 // bounds do not apply: it was counted before, and there are no more of these
 // than there were slots.
 func (s *Set) Requeue(now time.Time, it *Item) {
+	it.avoidUntil = now.Add(avoidLast)
 	s.insert(now, it, true)
 }
 
@@ -213,25 +221,29 @@
 }
 
 // Take removes the request to run next on an upstream, or returns nil. A
-// request that just failed on this upstream lets the next one pass; if there
-// is none it runs here after all, because a declined grant would come back at
-// once and go round without end.
+// request that just failed on this upstream lets the next one pass.
 func (s *Set) Take(now time.Time, k Key, upstream state.Upstream) *Item {
 	it := s.Head(k)
+	for it != nil && it.avoids(now, upstream) {
+		next := it.element.Next()
+		if next == nil {
+			return nil
+		}
+		it = next.Value.(*Item)
+	}
 	if it == nil {
 		return nil
 	}
-	if it.Last == upstream {
-		if next := it.element.Next(); next != nil {
-			it = next.Value.(*Item)
-		}
-	}
 	s.remove(it)
 	t := s.tenants[tenantKey{k.Service, k.Workspace}]
 	t.pace.served(now)
 	return it
 }
 
+func (it *Item) avoids(now time.Time, upstream state.Upstream) bool {
+	return it.Last == upstream && now.Before(it.avoidUntil)
+}
+
 // Remove takes a request out, or returns nil if it does not wait.
 func (s *Set) Remove(id state.RequestID) *Item {
 	it := s.items[id]
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -37,8 +37,9 @@
 		if u.tracker.Free(s.now) == 0 && s.now.Sub(e.Head) < lookAheadWait {
 			continue
 		}
-		s.give(svc, u, k, e)
-		return true
+		if s.give(svc, u, k, e) {
+			return true
+		}
 	}
 	return false
 }
@@ -97,10 +98,10 @@
 	return models
 }
 
-func (s *Scheduler) give(svc *service, u *upstream, k demand.Key, e demand.Entry) {
+// give reports whether it changed anything.
+func (s *Scheduler) give(svc *service, u *upstream, k demand.Key, e demand.Entry) bool {
 	if e.Router == s.self.Router {
-		s.giveOwn(svc, u, k, e)
-		return
+		return s.giveOwn(svc, u, k, e)
 	}
 	g := s.reserve(svc, u, k, e)
 	backlogged := svc.demand.Take(s.now, k, e.Router)
@@ -115,16 +116,19 @@
 		Lifetime:  grants.Lifetime,
 		Reserved:  g.Reserved,
 	}})
+	return true
 }
 
-func (s *Scheduler) giveOwn(svc *service, u *upstream, k demand.Key, e demand.Entry) {
+func (s *Scheduler) giveOwn(svc *service, u *upstream, k demand.Key, e demand.Entry) bool {
+	waiting := s.queues.Total()
 	it := s.take(svc, k, u.name)
 	if it == nil {
-		return
+		return s.queues.Total() < waiting
 	}
 	g := s.reserve(svc, u, k, e)
 	s.given.Start(g)
 	s.dispatch(it, g.Sequence, s.self, u.name)
+	return true
 }
 
 // reserve enters a grant and counts its estimated cost at once. Counted only
@@ -182,6 +186,11 @@
 	if svc != nil {
 		k := demand.Key{Workspace: g.Workspace, Model: g.Model}
 		d = s.entry(svc, k)
+		if s.queues.Len(svc.queueKey(k)) > 0 && !s.justWoke() {
+			// Only a retry that avoids this upstream waits. With the true
+			// figure the same grant would come back at once, again and again.
+			d.Waiting = 0
+		}
 		if believed := svc.believed[g.Owner]; believed != nil {
 			believe(believed, k, d.Waiting)
 		}
@@ -191,10 +200,13 @@
 
 // take removes the next request of a line that may run on an upstream.
 func (s *Scheduler) take(svc *service, k demand.Key, u state.Upstream) *queue.Item {
-	defer s.syncOwn(svc, k)
 	for {
 		it := s.queues.Take(s.now, svc.queueKey(k), u)
-		if it == nil || !s.quarantine.Blocked(s.now, it.Fingerprint) {
+		if it == nil {
+			return nil
+		}
+		s.syncOwn(svc, k)
+		if !s.quarantine.Blocked(s.now, it.Fingerprint) {
 			return it
 		}
 		s.refuse(it, quarantined())
