Let a workspace behind a partition keep its claim

After ten minutes of partition, with six workspaces on one half and two on the other, nobody made up for anything: each half had seen the other's workspaces go idle and lifted them on return. The clamp, meant to bound the catching up, never came to act. Demand that goes out of sight with a router no longer counts as idleness.

--- a/coordination/fairness/choice.go
+++ b/coordination/fairness/choice.go
@@ -96,17 +96,35 @@
 	l.modelIndex(m).ReplaceOrInsert(a.node())
 }
 
-// wake lifts an account that was idle for longer than idleGrace.
+// Lost says that demand of a workspace went out of sight with a router, and
+// not because its work was done. If none is left, the workspace does not count
+// as idle: behind a partition it may have work waiting all the time, and lifted
+// on return it would never make up for what it missed.
+func (l *Ledger) Lost(w state.Workspace) {
+	a := l.account(w)
+	a.lost = len(a.models) == 0
+}
+
+// wake lifts an account that was idle for longer than idleGrace, up to one
+// usual request below the least virtual time of the others. Without that one,
+// a workspace that asks rarely would wait after each request for the others
+// to catch up with it. It cannot add up: the floor counts all past service.
 func (l *Ledger) wake(now time.Time, a *account) {
 	a.key = l.virtual(a)
-	if now.Sub(a.idleSince) <= idleGrace {
+	lost := a.lost
+	a.lost = false
+	if lost || now.Sub(a.idleSince) <= idleGrace {
 		return
 	}
 	least, ok := l.all.Min()
-	if !ok || least.key <= a.key {
+	if !ok {
+		return
+	}
+	floor := least.key - float64(a.usual)/a.share
+	if floor <= a.key {
 		return
 	}
-	l.raise(a, a.lift+state.Cost(least.key-a.key))
+	l.raise(a, a.lift+state.Cost(floor-a.key))
 	a.key = l.virtual(a)
 }
 
--- a/coordination/fairness/ledger.go
+++ b/coordination/fairness/ledger.go
@@ -57,6 +57,10 @@
 	// models counts as backlog index; idleSince is set while it is empty.
 	models    map[state.Model]struct{}
 	idleSince time.Time
+	// lost is set while all demand known of was that of lost routers.
+	lost bool
+	// usual is the estimate of the last own grant.
+	usual state.Cost
 	// key is the virtual time under which the index holds the account.
 	key float64
 }
@@ -134,6 +138,7 @@
 func (l *Ledger) Reserve(w state.Workspace, estimate state.Cost) {
 	a := l.account(w)
 	a.granted += float64(estimate)
+	a.usual = estimate
 	l.moved[a] = struct{}{}
 	l.adjust(a, 0, estimate)
 }
--- a/coordination/scheduler/fleet_test.go
+++ b/coordination/scheduler/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/figstile/figstile/state"
@@ -37,19 +38,19 @@
 }
 
 type job struct {
-	id       state.RequestID
-	home     *router
-	ws       state.Workspace
-	cost     time.Duration
-	arrived  time.Time
-	started  time.Time
-	reported time.Time
-	refused  int
+	id                         state.RequestID
+	home                       *router
+	ws                         state.Workspace
+	cost                       time.Duration
+	arrived, started, reported time.Time
+	running                    bool
+	refused, finals            int
 }
 
 type router struct {
 	name  state.Router
 	step  stepper
+	run   state.Incarnation
 	side  int
 	owned []state.Upstream
 	jobs  map[state.RequestID]*job
@@ -57,18 +58,17 @@
 }
 
 type engine struct {
-	name    state.Upstream
-	slots   int
-	slow    float64
-	running map[*job]struct{}
-	waiting []*job
+	name        state.Upstream
+	side, slots int
+	slow        float64
+	running     map[*job]struct{}
+	waiting     []*job
 }
 
 // fleet is an in-memory network of routers and engines with a clock of its
 // own. Costs are slot-seconds. Only the seed decides what happens.
 type fleet struct {
 	now      time.Time
-	start    time.Time
 	seq      int
 	pending  timeline
 	rng      *rand.Rand
@@ -79,9 +79,12 @@
 	waits    map[state.Workspace][]time.Duration
 	busy     time.Duration
 	messages int
-	// cost draws a request's cost; onFinal follows each request's end.
+	// cost draws a request's cost; onFinal follows each request's end; onStep
+	// sees every step; broken says how a dispatch fails, if it does.
 	cost    func(ws state.Workspace) time.Duration
 	onFinal func(j *job)
+	onStep  func(r *router, ev Event, actions []Action)
+	broken  func() Outcome
 }
 
 const (
@@ -94,9 +97,8 @@
 	f := &fleet{
 		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byName: map[state.Upstream]*engine{},
 		served: map[state.Workspace]time.Duration{}, waits: map[state.Workspace][]time.Duration{},
-		onFinal: func(*job) {},
+		onFinal: func(*job) {}, onStep: func(*router, Event, []Action) {}, broken: func() Outcome { return 0 },
 	}
-	f.start = f.now
 	f.cost = func(state.Workspace) time.Duration { return f.lognormal(4*time.Second, 1) }
 	for i := range engines {
 		e := &engine{name: state.Upstream(fmt.Sprintf("engine-%02d", i)), slots: slots / engines, slow: 1, running: map[*job]struct{}{}}
@@ -108,7 +110,7 @@
 	}
 	for i := range routers {
 		self := Peer{Router: state.Router(fmt.Sprintf("router-%d", i)), DataCentre: centre(i), Incarnation: 1}
-		f.routers = append(f.routers, &router{name: self.Router, step: build(self, seed), jobs: map[state.RequestID]*job{}})
+		f.routers = append(f.routers, &router{name: self.Router, run: 1, step: build(self, seed), jobs: map[state.RequestID]*job{}})
 	}
 	return f
 }
@@ -147,7 +149,7 @@
 		var peers []Peer
 		for i, p := range f.routers {
 			if p.side == r.side {
-				peers = append(peers, Peer{Router: p.name, DataCentre: centre(i), Incarnation: 1})
+				peers = append(peers, Peer{Router: p.name, DataCentre: centre(i), Incarnation: p.run})
 			}
 		}
 		f.deliver(r, PeersChanged{Peers: peers})
@@ -158,10 +160,12 @@
 	report := Reported{Report: state.LoadReport{Upstream: e.name, Boot: "1", Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}}
 	f.after(reportDelay, func() {
 		for _, r := range f.routers {
-			for _, name := range r.owned {
-				if name == e.name {
-					f.deliver(r, report)
-				}
+			switch {
+			case !slices.Contains(r.owned, e.name):
+			case r.side == e.side:
+				f.deliver(r, report)
+			default:
+				f.deliver(r, Unreachable{Upstream: e.name})
 			}
 		}
 	})
@@ -218,7 +222,9 @@
 }
 
 func (f *fleet) deliver(r *router, ev Event) {
-	for _, a := range r.step.Step(f.now, ev) {
+	actions := r.step.Step(f.now, ev)
+	f.onStep(r, ev, actions)
+	for _, a := range actions {
 		f.perform(r, a)
 	}
 }
@@ -227,8 +233,9 @@
 	switch a := action.(type) {
 	case Dispatch:
 		j := r.jobs[a.ID]
+		j.running = true
 		f.waits[j.ws] = append(f.waits[j.ws], f.now.Sub(j.arrived))
-		f.after(netDelay, func() { f.admit(f.byName[a.Upstream], j) })
+		f.after(netDelay, func() { f.connect(f.byName[a.Upstream], j) })
 	case Refuse:
 		r.jobs[a.ID].refused++
 		f.finish(r.jobs[a.ID])
@@ -237,6 +244,9 @@
 		f.send(r, a.To, DemandHeard{From: r.name, Demand: a.Demand})
 	case SendGrant:
 		f.send(r, a.To, GrantHeard{Grant: a.Grant})
+		if f.rng.IntN(100) == 0 {
+			f.send(r, a.To, GrantHeard{Grant: a.Grant})
+		}
 	case SendDecline:
 		f.send(r, a.To, DeclineHeard{From: r.name, Sequence: a.Sequence, Service: a.Service, Demand: a.Demand})
 	case SendProgress:
@@ -250,6 +260,19 @@
 	}
 }
 
+func (f *fleet) connect(e *engine, j *job) {
+	outcome := f.broken()
+	if e.side != j.home.side {
+		outcome = OutcomeNotSent
+	}
+	if outcome == 0 {
+		f.admit(e, j)
+		return
+	}
+	j.running = false
+	f.deliver(j.home, Ended{ID: j.id, Outcome: outcome})
+}
+
 func (f *fleet) admit(e *engine, j *job) {
 	if len(e.running) >= e.slots {
 		e.waiting = append(e.waiting, j)
@@ -279,6 +302,7 @@
 			f.admit(e, next)
 		}
 		f.after(netDelay, func() {
+			j.running = false
 			f.deliver(j.home, Ended{ID: j.id, Cost: state.Cost(spent.Milliseconds()), Outcome: OutcomeServed})
 			f.finish(j)
 		})
@@ -286,5 +310,6 @@
 }
 
 func (f *fleet) finish(j *job) {
+	j.finals++
 	f.onFinal(j)
 }
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -64,6 +64,7 @@
 		delete(svc.believed, r)
 		for _, k := range svc.demand.Keys(r) {
 			s.setDemand(svc, k, demand.Entry{Router: r})
+			svc.ledger.Lost(k.Workspace)
 		}
 	}
 }
