--- a/standin/platform/bench_test.go
+++ b/standin/platform/bench_test.go
@@ -28,10 +28,15 @@
 	defer transport.CloseIdleConnections()
 	client := objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL, HTTPClient: &http.Client{Transport: transport}})
 	ctx, cancel := context.WithCancel(b.Context())
-	seen := make(chan objectstore.Version, watchers)
+	seen := make(chan struct{}, watchers)
 	var running sync.WaitGroup
 	for range watchers {
-		running.Go(func() { follow(ctx, client, seen) })
+		w := objectstore.NewWatcher(objectstore.WatcherOptions{
+			Store: client, Prefix: "settings/", Pause: 1,
+			Deliver: func([]objectstore.Object) { seen <- struct{}{} },
+		})
+		running.Go(func() { _ = w.Run(ctx) })
+		<-seen
 	}
 	value := make([]byte, 1024)
 	version := objectstore.Version(0)
@@ -50,18 +55,3 @@
 	cancel()
 	running.Wait()
 }
-
-// follow watches without pause and tells each version it sees.
-func follow(ctx context.Context, store objectstore.Store, seen chan<- objectstore.Version) {
-	after := objectstore.Version(0)
-	for ctx.Err() == nil {
-		objects, version, err := store.Watch(ctx, "settings/", after)
-		if err != nil {
-			continue
-		}
-		after = version
-		for range objects {
-			seen <- version
-		}
-	}
-}
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/figstile/figstile/standin/upstream"
 	"github.com/figstile/figstile/transport/objectstore"
 	"github.com/figstile/figstile/transport/objectstore/objectstoretest"
 )
@@ -27,3 +29,26 @@
 	require.NoError(t, err)
 	require.Len(t, objects, 1)
 }
+
+// The development fleet steers the platform from another process.
+func TestControlOverHTTP(t *testing.T) {
+	p := New(Options{})
+	url, stop, err := p.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	defer stop()
+	control := func(method, path, body string) int {
+		status, _, err := upstream.Control(t.Context(), http.DefaultClient, method, url+path, body)
+		require.NoError(t, err)
+		return status
+	}
+	require.Equal(t, http.StatusOK, control(http.MethodPut, "/v1/vms/vm1", `{"role":"router"}`))
+	require.Equal(t, http.StatusOK, control(http.MethodPost, "/v1/faults", `{"outage":"refuse"}`))
+	require.Equal(t, http.StatusServiceUnavailable, control(http.MethodGet, "/v1/vms", ""))
+	require.Equal(t, http.StatusOK, control(http.MethodPost, "/v1/faults", `{}`))
+	vms, err := p.Store().VMs(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []objectstore.VM{{Name: "vm1", Role: "router"}}, vms)
+	require.Equal(t, http.StatusNoContent, control(http.MethodDelete, "/v1/vms/vm1", ""))
+	require.Equal(t, http.StatusBadRequest, control(http.MethodGet, "/v1/watch?after=x", ""))
+	require.EqualValues(t, 2, p.Calls().Total())
+}
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -153,6 +153,16 @@
 	require.Equal(t, b.Load().Boot, r.answer.Boot)
 }
 
+// A request with an idempotency key goes out on a kept connection and crashes
+// the worker. The transport would send such a request again on its own.
+func TestCallIsSentOnce(t *testing.T) {
+	b := start(t, worker.Options{Options: upstream.Options{Faults: upstream.Faults{CrashMarker: "poison"}}})
+	close(b.gate)
+	require.NoError(t, (<-b.send(t.Context(), "a", `{}`)).err)
+	require.Error(t, (<-b.send(t.Context(), "b", `{"note":"poison"}`)).err)
+	require.Equal(t, 1, b.Ledger().Started("key-b"))
+}
+
 func TestCrashedWorkerStaysDownUntilRestarted(t *testing.T) {
 	b := start(t, worker.Options{Options: upstream.Options{Faults: upstream.Faults{StayDown: true}}})
 	close(b.gate)
@@ -186,6 +196,27 @@
 	require.Equal(t, upstream.Refused, b.outcome(1))
 }
 
+// The development fleet steers a worker from another process.
+func TestControlOverHTTP(t *testing.T) {
+	b := start(t, worker.Options{Options: upstream.Options{Faults: upstream.Faults{StayDown: true}}})
+	control := func(method, path, body string) (int, string) {
+		status, text, err := upstream.Control(t.Context(), http.DefaultClient, method, b.url+path, body)
+		require.NoError(t, err)
+		return status, text
+	}
+	for _, change := range [][2]string{{"/drain", `{"draining":true}`}, {"/faults", `{"refuse":1}`}} {
+		status, _ := control(http.MethodPut, change[0], change[1])
+		require.Equal(t, http.StatusNoContent, status)
+	}
+	status, _ := control(http.MethodPut, "/faults", `{`)
+	require.Equal(t, http.StatusBadRequest, status)
+	require.Error(t, (<-b.send(t.Context(), "a", `{}`)).err)
+	for path, want := range map[string]string{"/load": `"draining":true`, "/ledger": `"outcome":"refused"`, "/faults": `{}`} {
+		_, text := control(http.MethodGet, path, "")
+		require.Contains(t, text, want)
+	}
+}
+
 // Load reports come with a lag, so a worker that asks for no new work is
 // believed to be in service a little longer.
 func TestLoadReportLags(t *testing.T) {
--- a/transport/objectstore/faults_test.go
+++ b/transport/objectstore/faults_test.go
@@ -69,20 +69,11 @@
 	require.NotErrorIs(t, err, objectstore.ErrUnknownOutcome)
 }
 
-// A write goes out on a connection kept from an earlier call, and the platform
-// cuts it. Having a connection is enough for the outcome to be unknown.
-func TestCutOfAKeptConnectionLeavesTheOutcomeUnknown(t *testing.T) {
-	p, client := serve(t, platform.Options{})
-	_, err := client.VMs(t.Context())
-	require.NoError(t, err)
-	p.SetFaults(platform.Faults{Outage: platform.Drop})
-	_, err = client.Put(t.Context(), "a", nil, 0)
-	require.ErrorIs(t, err, objectstore.ErrUnknownOutcome)
-}
-
-// The platform cuts a watch that waits on a kept connection. The transport must
-// not repeat the watch by itself, for every router would do so at that moment.
-func TestCutWatchIsNotRepeatedAtOnce(t *testing.T) {
+// A watch waits on one kept connection and a write is about to go out on
+// another when the platform cuts both. The write's outcome is unknown, for it
+// had a connection. The watch must not be repeated by the transport, for every
+// router would do so at that moment.
+func TestCutOfKeptConnections(t *testing.T) {
 	p, client := serve(t, platform.Options{})
 	_, err := client.VMs(t.Context())
 	require.NoError(t, err)
@@ -92,7 +83,11 @@
 		ended <- err
 	}()
 	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, patience, time.Millisecond)
+	_, err = client.VMs(t.Context())
+	require.NoError(t, err)
 	p.SetFaults(platform.Faults{Outage: platform.Drop})
+	_, err = client.Put(t.Context(), "a", nil, 0)
+	require.ErrorIs(t, err, objectstore.ErrUnknownOutcome)
 	require.ErrorIs(t, <-ended, objectstore.ErrUnavailable)
 	require.EqualValues(t, 1, p.Calls().Watch)
 }
@@ -106,7 +101,6 @@
 		Faults: platform.Faults{WritesPerSecond: 2, ReadsPerSecond: 2},
 		Now:    func() time.Time { return time.Unix(now.Load(), 0) },
 	})
-
 	for _, key := range []string{"a", "b"} {
 		_, err := client.Put(t.Context(), key, nil, 0)
 		require.NoError(t, err)
--- a/transport/objectstore/watcher_test.go
+++ b/transport/objectstore/watcher_test.go
@@ -78,7 +78,8 @@
 
 // A setting is changed at version 10. Then a lagging replica answers a watch
 // and, after the history was cut, a list with the setting of version 7. The
-// reader must never see it, and must not watch from the past again.
+// reader must never see it, and must not watch from the past again. A fresh list
+// after the next cut brings just what changed meanwhile.
 func TestWatcherNeverGoesBack(t *testing.T) {
 	s := &script{answers: []answer{
 		{objects: []objectstore.Object{object("a", 10)}, version: 10},
@@ -86,25 +87,14 @@
 		{err: objectstore.ErrTooOld},
 		{objects: []objectstore.Object{object("a", 7)}, version: 7},
 		{objects: []objectstore.Object{object("b", 11)}, version: 11},
-	}}
-	w, delivered, _ := follow(t, s, half)
-	require.Equal(t, [][]objectstore.Object{{object("a", 10)}, {object("b", 11)}}, delivered)
-	require.Equal(t, []objectstore.Version{10, 10, 10, 11}, s.after)
-	require.Equal(t, 2, s.lists)
-	require.EqualValues(t, 11, w.Health().Version)
-}
-
-// A router has been cut off for longer than the platform's history reaches.
-// It lists again and passes on just what changed meanwhile.
-func TestWatcherListsAgainWhenTooOld(t *testing.T) {
-	s := &script{answers: []answer{
-		{objects: []objectstore.Object{object("a", 1), object("b", 2)}, version: 2},
 		{err: objectstore.ErrTooOld},
-		{objects: []objectstore.Object{object("a", 900), object("b", 2)}, version: 950},
+		{objects: []objectstore.Object{object("a", 900), object("b", 11)}, version: 950},
 	}}
-	_, delivered, _ := follow(t, s, half)
-	require.Equal(t, [][]objectstore.Object{{object("a", 1), object("b", 2)}, {object("a", 900)}}, delivered)
-	require.Equal(t, []objectstore.Version{2, 950}, s.after)
+	w, delivered, _ := follow(t, s, half)
+	require.Equal(t, [][]objectstore.Object{{object("a", 10)}, {object("b", 11)}, {object("a", 900)}}, delivered)
+	require.Equal(t, []objectstore.Version{10, 10, 10, 11, 950}, s.after)
+	require.Equal(t, 3, s.lists)
+	require.EqualValues(t, 950, w.Health().Version)
 }
 
 func TestWatcherReportsAnEmptyListOnce(t *testing.T) {
--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestRunFulfilsAWish(t *testing.T) {
-	e := engine.New(engine.Options{Options: upstream.Options{Models: []state.Model{"surplus"}}})
+	e := engine.New(engine.Options{Options: upstream.Options{Name: "engine", Models: []state.Model{"surplus"}}})
 	url, stop, err := e.Start("127.0.0.1:0")
 	require.NoError(t, err)
 	defer stop()
@@ -176,7 +176,9 @@
 	go func() { ended <- c.Run(ctx) }()
 	c.Want(&fencing.Wish{Models: []state.Model{"m"}})
 	require.Eventually(t, func() bool {
-		c.Report(e.Load())
+		report, err := FetchReport(ctx, http.DefaultClient, url, "engine")
+		require.NoError(t, err)
+		c.Report(report)
 		models := e.Models()
 		return len(models) == 1 && models[0] == "m"
 	}, patience, time.Millisecond)
