Record, replay and check real runs; serve minted keys

Cause: the stated outcomes were checked by each test for itself. Routers now record what their scheduler saw and decided (--trace-dir), callers and upstreams are recorded by the test harness, and figstile replay feeds every trace to today's scheduler and checks the outcomes over all of them. Every end-to-end test ends with that check.

Found: a trace replays exactly only if the scheduler's clock has no monotonic part and never runs backwards, so the host has a clock of its own. The scheduler's options (seed, data centre, limits) decide too and are recorded beside the steps.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -1,11 +1,13 @@
 package e2e
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -53,18 +55,20 @@
 	routers     map[string]*router
 	seed        string
 	root        config.Root
+	record      *recording
 }
 
 // router is a figstiled process with its addresses.
 type router struct {
 	*process
+	fleet   *fleet
 	callers string
 	admin   string
 	peers   string
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, routers: make(map[string]*router)}
+	f := &fleet{t: t, routers: make(map[string]*router), record: newRecording(t)}
 	f.platform, f.platformURL = f.standIn("platform", "platform", nil)
 	f.root.OperatorTokens = []string{config.DigestOf(operatorToken).String()}
 	return f
@@ -118,16 +122,18 @@
 func (f *fleet) startRouter(name, dc string, extra ...string) *router {
 	args := []string{
 		"--router", name, "--data-centre", dc, "--platform", f.platformURL,
+		"--trace-dir", f.record.dir,
 		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
 	}
 	if f.seed != "" {
 		args = append(args, "--peers", f.seed)
 	}
 	cmd := exec.Command(daemonBinary, append(args, extra...)...)
-	cmd.Env = append(os.Environ(), "FIGSTILE_FLEET_TOKEN=fleet-token")
+	cmd.Env = append(os.Environ(), "FIGSTILE_FLEET_TOKEN=fleet-token", "FIGSTILE_PEERS=")
 	p := start(f.t, name, cmd)
 	r := &router{
 		process: p,
+		fleet:   f,
 		callers: p.find(f.t, "callers"),
 		admin:   p.find(f.t, "admin"),
 		peers:   p.find(f.t, "peers"),
@@ -150,24 +156,59 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
-// call sends a request of a workspace to a router.
-func call(t *testing.T, r *router, workspace, path, body string, header ...string) (*http.Response, string) {
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// err is set if the answer did not end cleanly.
+	err error
+	ran string
+	// code is the numbered result, from the header or the trailer.
+	code int
+}
+
+// call sends a request of a workspace to a router, waits for the end of the
+// answer and records both.
+func call(t *testing.T, r *router, workspace, path, body string, header ...string) answer {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.callers+path, strings.NewReader(body))
+	got, err := tryCall(t.Context(), r, workspace, path, body, header...)
 	require.NoError(t, err)
+	return got
+}
+
+// tryCall is call for goroutines and for routers that may be gone.
+func tryCall(ctx context.Context, r *router, workspace, path, body string, header ...string) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+path, struct{ io.Reader }{strings.NewReader(body)})
+	if err != nil {
+		return answer{}, err
+	}
+	req.ContentLength = int64(len(body))
 	req.Header.Set("Authorization", "Bearer "+workspace+"-token")
 	req.Header.Set("Content-Type", "application/json")
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
+	sent := time.Now()
 	resp, err := http.DefaultClient.Do(req)
-	require.NoError(t, err)
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return resp, ""
+		return answer{err: err}, err
+	}
+	defer resp.Body.Close()
+	got := answer{status: resp.StatusCode, header: resp.Header}
+	raw, err := io.ReadAll(resp.Body)
+	got.body, got.err = string(raw), err
+	got.ran = first(resp.Header.Get("Figstile-Ran"), resp.Trailer.Get("Figstile-Ran"))
+	got.code, _ = strconv.Atoi(first(resp.Header.Get("Figstile-Result"), resp.Trailer.Get("Figstile-Result")))
+	r.fleet.record.caller(r, workspace, path, body, sent, req.Header.Get("Idempotency-Key"), got)
+	return got, nil
+}
+
+func first(a, b string) string {
+	if a != "" {
+		return a
 	}
-	return resp, string(answer)
+	return b
 }
 
 func do(t *testing.T, req *http.Request) (int, string) {
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/transport/daemon"
 	"github.com/stretchr/testify/require"
 )
@@ -48,9 +49,19 @@
 	for _, r := range f.all {
 		f.awaitReady(r)
 	}
+	t.Cleanup(func() { f.record.check(t, f) })
 	return f
 }
 
+// drafts is the path of the drafting engines.
+const drafts = "/redaccion-figstile/v1/chat/completions"
+
+// guide is the body of a draft of some tokens; the number makes it unlike any
+// other.
+func guide(number, tokens int) string {
+	return fmt.Sprintf(`{"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"guide %d"}]}`, tokens, number)
+}
+
 // awaitReady waits until a router has settings and sees the whole fleet.
 func (f *standardFleet) awaitReady(r *router) {
 	eventually(f.t, r.name+" is ready", func() bool {
@@ -91,18 +102,19 @@
 	f := startStandardFleet(t)
 
 	for i, r := range f.all {
-		body := fmt.Sprintf(`{"model":"","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"guide %d"}]}`, 6, i)
-		resp, answer := call(t, r, "laredo", "/redaccion-figstile/v1/chat/completions", body)
-		require.Equal(t, http.StatusOK, resp.StatusCode, answer)
-		require.True(t, strings.HasSuffix(strings.TrimSpace(answer), "data: [DONE]"), answer)
-		require.Contains(t, answer, `"usage"`)
-		require.Equal(t, "0", resp.Trailer.Get("Figstile-Result"))
+		got := call(t, r, "laredo", drafts, guide(i, 6))
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		require.NoError(t, got.err)
+		require.True(t, strings.HasSuffix(strings.TrimSpace(got.body), "data: [DONE]"), got.body)
+		require.Contains(t, got.body, `"usage"`)
+		require.Equal(t, int(result.OK), got.code)
+		require.Equal(t, "yes", got.ran)
 	}
 	served := len(ledger(t, f.engines[0])) + len(ledger(t, f.engines[1]))
 	require.Equal(t, len(f.all), served, "each request ran once")
 
-	resp, answer := call(t, f.all[2], "ramales", "/kiosco-web/pages/map", `{"busy_ms":1}`)
-	require.Equal(t, http.StatusOK, resp.StatusCode, answer)
+	got := call(t, f.all[2], "ramales", "/kiosco-web/pages/map", `{"busy_ms":1}`)
+	require.Equal(t, http.StatusOK, got.status, got.body)
 	require.Len(t, ledger(t, f.worker), 1)
 
 	for _, r := range f.all {
@@ -113,10 +125,10 @@
 		})
 	}
 
-	resp, answer = call(t, f.all[0], "nobody", "/redaccion-figstile/v1/chat/completions", `{}`)
-	require.Equal(t, http.StatusUnauthorized, resp.StatusCode, answer)
-	require.Equal(t, "no", resp.Header.Get("Figstile-Ran"))
-	require.Equal(t, "1002", resp.Header.Get("Figstile-Result"))
+	got = call(t, f.all[0], "nobody", drafts, `{}`)
+	require.Equal(t, http.StatusUnauthorized, got.status, got.body)
+	require.Equal(t, "no", got.ran)
+	require.Equal(t, int(result.Unauthorized), got.code)
 }
 
 // TestOperatorChangesShare changes a team's share on one router and sees the
--- /dev/null
+++ b/e2e/record_test.go
@@ -0,0 +1,180 @@
+package e2e
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/figstile/figstile/protocol/trace"
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/standin/worker"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/stretchr/testify/require"
+)
+
+// recording keeps what callers sent and were told, beside the routers' own
+// traces. At the end of every test all of it is replayed and checked.
+type recording struct {
+	dir     string
+	file    *os.File
+	callers *trace.Recorder
+}
+
+func newRecording(t *testing.T) *recording {
+	dir := t.TempDir()
+	if kept := os.Getenv("FIGSTILE_TEST_KEEP"); kept != "" {
+		dir = filepath.Join(kept, t.Name())
+		require.NoError(t, os.MkdirAll(dir, 0o755))
+	}
+	file, err := os.Create(filepath.Join(dir, "callers.jsonl"))
+	require.NoError(t, err)
+	return &recording{dir: dir, file: file, callers: trace.NewRecorder(file, "", 0)}
+}
+
+func (rec *recording) caller(r *router, workspace, path, body string, sent time.Time, key string, got answer) {
+	service, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	rec.callers.Note(trace.CallerRecord{
+		Router:       state.Router(r.name),
+		Workspace:    state.Workspace(workspace),
+		Service:      state.Service(service),
+		Key:          key,
+		Repeatable:   key == "" && service == "redaccion-figstile",
+		Sent:         sent,
+		Result:       result.Code(got.code),
+		Ran:          ranOf(got.ran),
+		BodyDigest:   upstream.Digest([]byte(body)),
+		AnswerDigest: answerDigest(service, got),
+		AnswerWhole:  got.err == nil && got.status == http.StatusOK,
+	})
+}
+
+func ranOf(header string) result.Ran {
+	switch header {
+	case "no":
+		return result.RanNo
+	case "yes":
+		return result.RanYes
+	default:
+		return result.RanUnknown
+	}
+}
+
+// answerDigest is that of what the answer says, without the parts that differ
+// from run to run.
+func answerDigest(service string, got answer) string {
+	if got.err != nil || got.status != http.StatusOK {
+		return ""
+	}
+	resp := &http.Response{StatusCode: got.status, Header: got.header, Body: io.NopCloser(strings.NewReader(got.body))}
+	if service == "kiosco-web" {
+		read, err := worker.Read(resp)
+		return digestOf(read.Digest, err)
+	}
+	read, err := engine.Read(resp)
+	return digestOf(read.Text, err)
+}
+
+func digestOf(content string, err error) string {
+	if err != nil {
+		return "unreadable: " + err.Error()
+	}
+	sum := sha256.Sum256([]byte(content))
+	return hex.EncodeToString(sum[:])
+}
+
+// check ends the routers, adds the upstreams' ledgers and runs the operators'
+// replay over the whole directory.
+func (rec *recording) check(t *testing.T, f *standardFleet) {
+	for _, r := range f.routers {
+		r.thaw()
+		r.terminate()
+	}
+	for _, r := range f.routers {
+		<-r.done
+	}
+	for i, url := range f.engines {
+		rec.ledger(t, state.Upstream("engine-"+strconv.Itoa(i+1)), url, "redaccion-figstile")
+	}
+	rec.ledger(t, "worker-1", f.worker, "kiosco-web")
+	require.NoError(t, rec.callers.Close())
+	require.NoError(t, rec.file.Close())
+	out, err := exec.Command(cliBinary, "replay", rec.dir).CombinedOutput()
+	require.NoError(t, err, string(out))
+	t.Logf("%s", out)
+}
+
+func (rec *recording) ledger(t *testing.T, name state.Upstream, url string, service state.Service) {
+	for _, e := range ledger(t, url) {
+		if e.Started.IsZero() {
+			continue
+		}
+		rec.callers.Note(trace.UpstreamRecord{
+			Upstream:     name,
+			Boot:         e.Boot,
+			Attempt:      attemptID(t, e.Attempt),
+			Service:      service,
+			Key:          e.IdempotencyKey,
+			BodyDigest:   e.Digest,
+			AnswerDigest: ledgerDigest(service, e),
+			Received:     e.Received,
+			Started:      e.Started,
+			Finished:     finished(e),
+		})
+	}
+}
+
+func ledgerDigest(service state.Service, e upstream.Entry) string {
+	if service == "kiosco-web" {
+		return digestOf(e.Digest, nil)
+	}
+	return digestOf(engine.Answer(e.Digest, e.Units), nil)
+}
+
+func finished(e upstream.Entry) time.Time {
+	if e.Outcome != upstream.Finished {
+		return time.Time{}
+	}
+	return e.Ended
+}
+
+func attemptID(t *testing.T, text string) state.AttemptID {
+	parts := strings.Split(text, ".")
+	require.GreaterOrEqual(t, len(parts), 3, text)
+	n := len(parts)
+	incarnation, err := strconv.ParseUint(parts[n-2], 10, 64)
+	require.NoError(t, err)
+	sequence, err := strconv.ParseUint(parts[n-1], 10, 64)
+	require.NoError(t, err)
+	return state.AttemptID{
+		Router:      state.Router(strings.Join(parts[:n-2], ".")),
+		Incarnation: state.Incarnation(incarnation),
+		Sequence:    sequence,
+	}
+}
+
+// setFaults changes what a stand-in does wrong.
+func setFaults(t *testing.T, baseURL string, faults any) {
+	t.Helper()
+	send(t, http.MethodPut, baseURL+"/faults", faults)
+}
+
+func send(t *testing.T, method, url string, body any) {
+	t.Helper()
+	encoded, err := json.Marshal(body)
+	require.NoError(t, err)
+	req, err := http.NewRequest(method, url, strings.NewReader(string(encoded)))
+	require.NoError(t, err)
+	status, answer := do(t, req)
+	require.Less(t, status, http.StatusMultipleChoices, answer)
+}
--- a/transport/daemon/callers.go
+++ b/transport/daemon/callers.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"net/http"
+
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
@@ -9,6 +11,18 @@
 	"github.com/figstile/figstile/transport/settings"
 )
 
+// withKeys serves the issue of keys beside the services. A ServeMux would
+// redirect paths that it finds unclean, which only upstreams may judge.
+func withKeys(keys, services http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == caller.KeysPath {
+			keys.ServeHTTP(w, r)
+			return
+		}
+		services.ServeHTTP(w, r)
+	})
+}
+
 // callerSettings gives callers the view in force.
 type callerSettings struct {
 	source *settings.Source
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -45,6 +45,7 @@
 	claims    *claims.Ledger
 	writer    *settings.Writer
 	started   time.Time
+	trace     traceFile
 
 	callers listener
 	admin   listener
@@ -76,18 +77,24 @@
 	d.source = settings.NewSource(settings.SourceOptions{OnChange: d.onSettings, Log: d.log})
 	d.writer = settings.NewWriter(settings.WriterOptions{Store: d.store, Source: d.source, Log: d.log})
 	d.follower = settings.NewFollower(settings.FollowerOptions{Store: d.store, Source: d.source, Log: d.log})
-	d.scheduler = scheduler.New(scheduler.Options{
+	decisions := scheduler.Options{
 		Self:   d.self(),
 		Seed:   uint64(d.incarnation),
 		Queues: queue.Limits{Requests: options.MaxQueued, Bytes: options.MaxQueuedBytes},
-	})
+	}
+	d.scheduler = scheduler.New(decisions)
+	stepper, err := d.openTrace(decisions)
+	if err != nil {
+		d.close()
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
 	}
 	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.post)
 	d.host = host.New(host.Options{
-		Scheduler: d.scheduler,
+		Scheduler: stepper,
 		Peers:     d.mesh,
 		Poll:      d.pollUpstreams,
 		OnDrained: func() { close(d.drained) },
@@ -176,7 +183,13 @@
 		Requests:    d.options.MaxQueued,
 		BodyBudget:  d.options.MaxQueuedBytes,
 	})
-	d.callers.server = caller.NewServer(handler, limits)
+	keys := &caller.KeysHandler{
+		Router:     d.options.router(),
+		DataCentre: d.options.dataCentre(),
+		Settings:   callerSettings{source: d.source},
+		Issuer:     d.claims,
+	}
+	d.callers.server = caller.NewServer(withKeys(keys, handler), limits)
 	d.callers.Listener = caller.Limit(d.callers.Listener, limits)
 	d.admin.server = caller.NewServer(d.adminHandler(), caller.ServerOptions{})
 }
@@ -317,6 +330,7 @@
 func (d *Daemon) post(ev scheduler.Event) { d.host.Post(ev) }
 
 func (d *Daemon) onSettings(view *config.View) {
+	d.trace.noteVersions(d.self(), d.source.Versions())
 	d.post(scheduler.Configured{Settings: view.Settings()})
 	d.announceSettings()
 }
@@ -369,4 +383,7 @@
 		}
 	}
 	_ = d.metrics.Close()
+	if err := d.trace.close(); err != nil {
+		d.log.Warn().Err(err).Msg("trace not whole")
+	}
 }
--- /dev/null
+++ b/transport/daemon/trace.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/trace"
+	"github.com/figstile/figstile/transport/host"
+)
+
+// Suffixes of the files of one recorded run.
+const (
+	// TraceSuffix is that of the recorded steps.
+	TraceSuffix = ".jsonl"
+	// TraceOptionsSuffix is that of the scheduler's options, without which
+	// the same events may give other actions.
+	TraceOptionsSuffix = ".options.json"
+)
+
+// traceFile is the recording of one run; the zero value records nothing. It
+// is for tests and investigations: an entry VM has no disk to keep one.
+type traceFile struct {
+	file     *os.File
+	recorder *trace.Recorder
+}
+
+// openTrace returns the scheduler, recorded if the options ask for it.
+func (d *Daemon) openTrace(options scheduler.Options) (host.Stepper, error) {
+	if d.options.TraceDir == "" {
+		return d.scheduler, nil
+	}
+	base := filepath.Join(d.options.TraceDir, fmt.Sprintf("%s.%d", d.options.Router, d.incarnation))
+	encoded, err := json.Marshal(options)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(base+TraceOptionsSuffix, encoded, 0o600); err != nil {
+		return nil, err
+	}
+	d.trace.file, err = os.OpenFile(base+TraceSuffix, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	d.trace.recorder = trace.NewRecorder(d.trace.file, d.options.router(), d.incarnation)
+	return trace.Recorded(d.scheduler, d.trace.recorder), nil
+}
+
+// noteVersions records which settings came into force.
+func (t *traceFile) noteVersions(self scheduler.Peer, versions map[string]uint64) {
+	if t.recorder == nil {
+		return
+	}
+	at := time.Now().Round(0)
+	for key, version := range versions {
+		t.recorder.Note(trace.ConfigRecord{
+			Router:      self.Router,
+			Incarnation: self.Incarnation,
+			Key:         key,
+			Version:     version,
+			At:          at,
+		})
+	}
+}
+
+func (t *traceFile) close() error {
+	if t.recorder == nil {
+		return nil
+	}
+	return errors.Join(t.recorder.Close(), t.file.Close())
+}
--- a/transport/host/host.go
+++ b/transport/host/host.go
@@ -24,20 +24,13 @@
 	Broadcast(env *peerpb.Envelope)
 }
 
-// Recorder keeps what the scheduler saw and decided.
-type Recorder interface {
-	Record(now time.Time, ev scheduler.Event, actions []scheduler.Action)
-}
-
 // Options configure a Host. Scheduler, Peers and Poll are required.
 type Options struct {
 	Scheduler Stepper
 	Peers     PeerLink
 	// Poll replaces the set of upstreams whose load reports are fetched.
 	Poll func(upstreams []state.Upstream)
-	// Recorder is nil unless a trace is wanted.
-	Recorder Recorder
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means SteadyClock.
 	Now func() time.Time
 	// OnDrained is called once when a draining router has finished.
 	OnDrained func()
@@ -67,10 +60,21 @@
 	}
 )
 
+// SteadyClock returns a clock that never runs backwards and whose times have
+// no monotonic part. The scheduler needs the first: a wall clock that is set
+// back would let every time-out wait for the time that it lost. A trace needs
+// the second, because the monotonic part does not survive a recording and the
+// replay would compare other times than the run did.
+func SteadyClock() func() time.Time {
+	start := time.Now()
+	wall := start.Round(0)
+	return func() time.Time { return wall.Add(time.Since(start)) }
+}
+
 // New starts the actor. Stop ends it.
 func New(options Options) *Host {
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = SteadyClock()
 	}
 	h := &Host{options: options, system: actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))}
 	props := actor.PropsFromProducer(func() actor.Actor { return newRunner(h) })
@@ -188,9 +192,6 @@
 func (r *runner) step(ev scheduler.Event) {
 	now := r.host.options.Now()
 	actions := r.host.options.Scheduler.Step(now, ev)
-	if r.host.options.Recorder != nil {
-		r.host.options.Recorder.Record(now, ev, actions)
-	}
 	r.settle(ev)
 	for _, a := range actions {
 		r.perform(a)
