--- /dev/null
+++ b/coordination/quarantine/losses.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/state"
+)
+
+const (
+	// SettleWithin is how long a lost connection counts as a possible crash.
+	// The owner's polls tell a crash within five of their periods of 250 ms;
+	// what is not confirmed after that was a broken connection.
+	SettleWithin = 2 * time.Second
+	// maxLosses bounds the fingerprints on hold.
+	maxLosses = 1024
+)
+
+// Losses holds back requests between the loss of their upstream and the
+// verdict on it. A caller that sends a crashing request again at once is
+// faster than any load report: without the hold the same request took down six
+// runs of two engines before the second crash was confirmed. The guard holds
+// because every loss, confirmed or not, counts until it is settled.
+type Losses struct {
+	recent map[state.Fingerprint][]time.Time
+}
+
+// NewLosses returns an empty record.
+func NewLosses() *Losses {
+	return &Losses{recent: make(map[state.Fingerprint][]time.Time)}
+}
+
+// Add notes that a request lost its upstream. Beyond the bound, losses that
+// are settled are dropped first; if there are none, the new one is not kept.
+func (l *Losses) Add(now time.Time, f state.Fingerprint) {
+	if f == 0 {
+		return
+	}
+	if _, known := l.recent[f]; !known && len(l.recent) >= maxLosses {
+		l.trim(now)
+	}
+	if _, known := l.recent[f]; !known && len(l.recent) >= maxLosses {
+		return
+	}
+	l.recent[f] = append(unsettled(now, l.recent[f]), now)
+}
+
+// Count returns the unsettled losses of a request.
+func (l *Losses) Count(now time.Time, f state.Fingerprint) int {
+	times, ok := l.recent[f]
+	if !ok {
+		return 0
+	}
+	times = unsettled(now, times)
+	if len(times) == 0 {
+		delete(l.recent, f)
+		return 0
+	}
+	l.recent[f] = times
+	return len(times)
+}
+
+// Settle drops the oldest loss of a request: it has been confirmed, and the
+// list counts it from now on.
+func (l *Losses) Settle(f state.Fingerprint) {
+	times := l.recent[f]
+	if len(times) <= 1 {
+		delete(l.recent, f)
+		return
+	}
+	l.recent[f] = times[1:]
+}
+
+// Forget drops all losses of a request that was served whole.
+func (l *Losses) Forget(f state.Fingerprint) { delete(l.recent, f) }
+
+func (l *Losses) trim(now time.Time) {
+	for f := range l.recent {
+		l.Count(now, f)
+	}
+}
+
+func unsettled(now time.Time, times []time.Time) []time.Time {
+	for len(times) > 0 && now.Sub(times[0]) > SettleWithin {
+		times = times[1:]
+	}
+	return times
+}
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -102,6 +102,15 @@
 	return len(r.runs) >= Threshold
 }
 
+// Fallen counts the runs that a fingerprint is known to have taken down.
+func (l *List) Fallen(f state.Fingerprint) int {
+	el, ok := l.records[f]
+	if !ok {
+		return 0
+	}
+	return len(el.Value.(*record).runs)
+}
+
 // Absolve forgets a fingerprint that was served whole before it reached the
 // threshold: it happened to run beside the one that took the upstream down.
 func (l *List) Absolve(f state.Fingerprint) {
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -206,10 +206,14 @@
 			return nil
 		}
 		s.syncOwn(svc, k)
-		if !s.quarantine.Blocked(s.now, it.Fingerprint) {
+		switch {
+		case s.quarantine.Blocked(s.now, it.Fingerprint):
+			s.refuse(it, quarantined())
+		case s.onHold(it.Fingerprint):
+			s.refuse(it, suspected())
+		default:
 			return it
 		}
-		s.refuse(it, quarantined())
 	}
 }
 
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figstile/figstile/coordination/estimate"
+	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/queue"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
@@ -61,6 +62,8 @@
 		return result.New(result.UnknownModel, ""), true
 	case s.quarantine.Blocked(s.now, r.Fingerprint):
 		return quarantined(), true
+	case s.onHold(r.Fingerprint):
+		return suspected(), true
 	case s.outOfUpstreams(svc):
 		return result.New(result.NoUpstream, ""), true
 	}
@@ -85,6 +88,17 @@
 	return result.New(result.Quarantined, "")
 }
 
+func suspected() result.Result {
+	return result.New(result.Suspected, "")
+}
+
+// onHold reports whether a request may have taken down as many upstreams as
+// quarantine allows, some of it still unconfirmed.
+func (s *Scheduler) onHold(f state.Fingerprint) bool {
+	unsettled := s.losses.Count(s.now, f)
+	return unsettled > 0 && unsettled+s.quarantine.Fallen(f) >= quarantine.Threshold
+}
+
 // refuse gives a request its final answer, with the time to come back where
 // the table of results has one.
 func (s *Scheduler) refuse(it *queue.Item, r result.Result) {
@@ -190,6 +204,7 @@
 	switch e.Outcome {
 	case OutcomeServed:
 		s.quarantine.Absolve(it.Fingerprint)
+		s.losses.Forget(it.Fingerprint)
 	case OutcomeNotSent:
 		s.retry(it, result.UpstreamUnreachable)
 	case OutcomeLost:
@@ -221,6 +236,8 @@
 	switch {
 	case s.quarantine.Blocked(s.now, it.Fingerprint):
 		s.refuse(it, quarantined())
+	case s.onHold(it.Fingerprint):
+		s.refuse(it, result.New(code, ""))
 	case svc != nil && it.Deadline.After(s.now) && s.retries.Allow(s.now, it.Workspace, it.Repeatable, it.Dispatches):
 		s.queues.Requeue(s.now, it)
 		s.syncOwn(svc, demandKey(it.Key))
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -43,6 +43,7 @@
 	retries    *retry.Budget
 	quarantine *quarantine.List
 	suspicions quarantine.Suspicions
+	losses     *quarantine.Losses
 	given      *grants.Book
 	seen       *grants.Seen
 
@@ -84,6 +85,7 @@
 		estimates:  estimate.New(estimate.DefaultCapacity),
 		retries:    retry.NewBudget(),
 		quarantine: quarantine.New(quarantine.DefaultCapacity),
+		losses:     quarantine.NewLosses(),
 		given:      grants.NewBook(seed),
 		seen:       grants.NewSeen(),
 	}
--- a/coordination/scheduler/upstream.go
+++ b/coordination/scheduler/upstream.go
@@ -110,9 +110,10 @@
 	return len(owned) == 1 && len(u.service.upstreams) > 1
 }
 
-// suspect tells the owner of an upstream that the connection of a request was
-// lost. Only the owner sees load reports and can tell a crash from a broken
-// connection. A crash without a boot is a suspicion.
+// suspect tells all peers that the connection of a request was lost: they
+// hold the request back, and the owner of the upstream judges. Only the owner
+// sees load reports and can tell a crash from a broken connection. A crash
+// without a boot is a suspicion.
 func (s *Scheduler) suspect(r *run, outcome Outcome) {
 	if outcome != OutcomeLost && outcome != OutcomeTruncated || r.item.Fingerprint == 0 {
 		return
@@ -121,27 +122,35 @@
 	if u == nil {
 		return
 	}
+	s.losses.Add(s.now, r.item.Fingerprint)
+	s.do(SendCrash{Fingerprint: r.item.Fingerprint, Upstream: u.name})
 	if u.owner == s.self.Router {
 		s.judge(r.item.Fingerprint, u)
-		return
 	}
-	s.do(SendCrash{Fingerprint: r.item.Fingerprint, Upstream: u.name})
 }
 
 func (s *Scheduler) hearCrash(e CrashHeard) {
 	if e.Boot != "" {
 		s.quarantine.Record(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot})
+		s.losses.Settle(e.Fingerprint)
 		return
 	}
+	s.losses.Add(s.now, e.Fingerprint)
 	if u := s.upstreams[e.Upstream]; u != nil && u.owner == s.self.Router {
 		s.judge(e.Fingerprint, u)
 	}
 }
 
+// fellJustNow is how long after a fall was seen a lost connection still counts
+// as its consequence: the time in which a router notices a closed connection
+// and says so. A longer one charged the next run's crash to the run before,
+// which was counted already, so that the second crash did not count at all.
+const fellJustNow = 500 * time.Millisecond
+
 // judge confirms a suspicion if the upstream was just seen to fall, or keeps
 // it until that is known.
 func (s *Scheduler) judge(f state.Fingerprint, u *upstream) {
-	if !u.fell.IsZero() && s.now.Sub(u.fell) <= quarantine.ConfirmWithin {
+	if !u.fell.IsZero() && s.now.Sub(u.fell) <= fellJustNow {
 		s.confirm(f, u)
 		return
 	}
@@ -158,6 +167,7 @@
 }
 
 func (s *Scheduler) confirm(f state.Fingerprint, u *upstream) {
+	s.losses.Settle(f)
 	if s.quarantine.Record(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.fellBoot}) {
 		s.do(SendCrash{Fingerprint: f, Upstream: u.name, Boot: u.fellBoot})
 	}
--- a/state/result/result.go
+++ b/state/result/result.go
@@ -67,6 +67,7 @@
 	KeyCompleted  Code = 4002
 	KeyUnknown    Code = 4003
 	Quarantined   Code = 4004
+	Suspected     Code = 4005
 
 	Internal Code = 5001
 
@@ -122,6 +123,7 @@
 	{KeyCompleted, "key-completed", http.StatusConflict, RanYes, false, "A request with this idempotency key has already run."},
 	{KeyUnknown, "key-unknown", http.StatusConflict, RanUnknown, false, "Nobody can tell any more whether the request with this key ran; it is not run again."},
 	{Quarantined, "quarantined", http.StatusUnprocessableEntity, RanNo, false, "This request took down more than one upstream and is not run again."},
+	{Suspected, "suspected", http.StatusServiceUnavailable, RanNo, true, "This request may have taken down upstreams and is not run until that is known."},
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, false, "The router failed."},
 	{ConfigInvalid, "config-invalid", http.StatusUnprocessableEntity, RanNo, false, "The settings are not valid; nothing was changed."},
 	{ConfigConflict, "config-conflict", http.StatusConflict, RanNo, false, "Somebody else changed the settings first; nothing was changed."},
