--- /dev/null
+++ b/e2e/cut_test.go
@@ -0,0 +1,104 @@
+package e2e
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// forwarder passes TCP connections on until it is cut. A cut closes what is
+// open and refuses what comes, as a network partition with resets does.
+type forwarder struct {
+	net.Listener
+	target string
+
+	mu    sync.Mutex
+	isCut bool
+	open  map[net.Conn]struct{}
+}
+
+// newForwarder forwards to the address of an http URL.
+func newForwarder(t *testing.T, baseURL string) *forwarder {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &forwarder{
+		Listener: listener,
+		target:   strings.TrimPrefix(baseURL, "http://"),
+		open:     make(map[net.Conn]struct{}),
+	}
+	go f.run()
+	t.Cleanup(func() {
+		f.cut()
+		f.Close()
+	})
+	return f
+}
+
+func (f *forwarder) url() string { return "http://" + f.Addr().String() }
+
+func (f *forwarder) run() {
+	for {
+		conn, err := f.Accept()
+		if err != nil {
+			return
+		}
+		go f.forward(conn)
+	}
+}
+
+func (f *forwarder) forward(conn net.Conn) {
+	defer conn.Close()
+	out, err := net.Dial("tcp", f.target)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	if !f.keep(conn, out) {
+		return
+	}
+	defer f.forget(conn, out)
+	go func() {
+		_, _ = io.Copy(out, conn)
+		out.Close()
+	}()
+	_, _ = io.Copy(conn, out)
+}
+
+func (f *forwarder) keep(conns ...net.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range conns {
+		if !f.isCut {
+			f.open[c] = struct{}{}
+		}
+	}
+	return !f.isCut
+}
+
+func (f *forwarder) forget(conns ...net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range conns {
+		delete(f.open, c)
+	}
+}
+
+func (f *forwarder) cut() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isCut = true
+	for c := range f.open {
+		c.Close()
+	}
+}
+
+func (f *forwarder) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isCut = false
+}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -56,6 +56,8 @@
 	seed        string
 	root        config.Root
 	record      *recording
+	// links are the data centres' ways to the platform.
+	links map[string]*forwarder
 }
 
 // router is a figstiled process with its addresses.
@@ -68,7 +70,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, routers: make(map[string]*router), record: newRecording(t)}
+	f := &fleet{t: t, routers: make(map[string]*router), record: newRecording(t), links: make(map[string]*forwarder)}
 	f.platform, f.platformURL = f.standIn("platform", "platform", nil)
 	f.root.OperatorTokens = []string{config.DigestOf(operatorToken).String()}
 	return f
@@ -120,8 +122,11 @@
 
 // startRouter starts a router that joins through the first one.
 func (f *fleet) startRouter(name, dc string, extra ...string) *router {
+	if f.links[dc] == nil {
+		f.links[dc] = newForwarder(f.t, f.platformURL)
+	}
 	args := []string{
-		"--router", name, "--data-centre", dc, "--platform", f.platformURL,
+		"--router", name, "--data-centre", dc, "--platform", f.links[dc].url(),
 		"--trace-dir", f.record.dir,
 		"--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
 	}
--- /dev/null
+++ b/e2e/partition_test.go
@@ -0,0 +1,149 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/state/result"
+	"github.com/stretchr/testify/require"
+)
+
+// A data centre loses the platform but not its neighbours. An operator changes
+// a share elsewhere; the cut-off routers must have it in force all the same,
+// and work with issued keys goes on there. When the link is back, nothing
+// reverts: every test ends with that check over all routers.
+func TestDataCentreCutFromPlatform(t *testing.T) {
+	f := startStandardFleet(t)
+	f.links["sala-laredo"].cut()
+
+	before := status(t, f.all[0]).Versions["config/root"]
+	out, code := f.cli(f.all[2], operatorToken, "team", "set-share", "valle", "5")
+	require.Zero(t, code, out)
+	for _, r := range f.all {
+		eventually(t, r.name+" has the new share", func() bool {
+			return status(t, r).Versions["config/root"] > before
+		})
+	}
+	out, code = f.cli(f.all[0], operatorToken, "team", "set-share", "valle", "6")
+	require.Equal(t, 5, code, "the platform is away for this router: %s", out)
+
+	key := issueKey(t, f.all[0], "laredo")
+	got := call(t, f.all[0], "laredo", "/kiosco-web/book", `{"busy_ms":1,"seat":1}`, "Idempotency-Key", key)
+	require.Equal(t, http.StatusOK, got.status, got.body)
+
+	f.links["sala-laredo"].heal()
+	eventually(t, "the cut-off router writes again", func() bool {
+		_, code := f.cli(f.all[0], operatorToken, "team", "set-share", "valle", "6")
+		return code == 0
+	})
+}
+
+// The platform takes a booking's claim and its answer gets lost. The router
+// cannot tell whether the claim stands. Running without knowing could run the
+// booking twice; giving up on it would refuse work that may go ahead. It must
+// read its own claim back and run the booking exactly once.
+func TestLostAnswerToClaim(t *testing.T) {
+	f := startStandardFleet(t)
+	for i, faults := range []platform.Faults{{LoseAnswers: 1}, {LoseWrites: 1}} {
+		send(t, http.MethodPost, f.platformURL+"/v1/faults", faults)
+		key := fmt.Sprintf("lost-%d", i)
+		body := fmt.Sprintf(`{"busy_ms":1,"seat":%d}`, i)
+		var codes []int
+		for _, r := range f.all {
+			codes = append(codes, call(t, r, "laredo", "/kiosco-web/book", body, "Idempotency-Key", key).code)
+		}
+		require.Equal(t, 1, startedWithKey(t, f.worker, key), "codes %v", codes)
+		require.Contains(t, codes, int(result.OK))
+	}
+}
+
+// A replica of the platform that lags answers reads with old settings. A
+// router that took them would bring back a share that an operator has changed.
+func TestStalePlatformReads(t *testing.T) {
+	f := startStandardFleet(t)
+	send(t, http.MethodPost, f.platformURL+"/v1/faults", platform.Faults{StaleReads: true})
+	stale := status(t, f.all[0]).Versions["config/root"]
+	out, code := f.cli(f.all[0], operatorToken, "team", "set-share", "valle", "7")
+	require.Contains(t, []int{0, 6}, code, out)
+	eventually(t, "the writer has the new share", func() bool {
+		return status(t, f.all[0]).Versions["config/root"] > stale
+	})
+	f.links["sala-laredo"].cut()
+	f.links["sala-laredo"].heal()
+	for _, r := range f.all {
+		eventually(t, r.name+" has the new share", func() bool {
+			return status(t, r).Versions["config/root"] > stale
+		})
+	}
+}
+
+// One workspace sends as much as it can, more than its queue holds. The little
+// that another asks for must not wait behind it, and what is too much for the
+// queue is refused at once with a time to come back.
+func TestFloodStarvesNobody(t *testing.T) {
+	f := startStandardFleet(t)
+	var flood flight
+	for i := range 1200 {
+		flood.send(t.Context(), f.all[i%4], "laredo", drafts, guide(i, 10))
+	}
+	eventually(t, "the flood is queued", func() bool { return status(t, f.all[0]).Waiting > 100 })
+	for i := range 10 {
+		got := call(t, f.all[0], "ramales", drafts, guide(10_000+i, 10))
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	flooding := status(t, f.all[0]).Waiting
+	require.Positive(t, flooding, "ten small requests were served while the flood still waited")
+
+	var codes []int
+	for _, got := range flood.land() {
+		codes = append(codes, got.code)
+		if got.code == int(result.QueueFull) {
+			require.Equal(t, "no", got.ran)
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+	}
+	slices.Sort(codes)
+	require.Subset(t, []int{int(result.OK), int(result.QueueFull), int(result.DeadlineTooShort)}, slices.Compact(codes))
+}
+
+// An engine gives one caller the answer that belongs to another, and cuts
+// answers short. Nobody may take either for the own whole answer: a repeatable
+// request is tried once more, otherwise the caller hears that it failed.
+func TestCrossedAndTruncatedAnswers(t *testing.T) {
+	f := startStandardFleet(t)
+	for _, url := range f.engines {
+		setFaults(t, url, upstream.Faults{Cross: 4, Truncate: 2})
+	}
+	var guides flight
+	for i := range 24 {
+		guides.send(t.Context(), f.all[i%4], "laredo", drafts, guide(i, 10))
+	}
+	whole := 0
+	for _, got := range guides.land() {
+		if got.err == nil && got.status == http.StatusOK {
+			whole++
+		}
+	}
+	require.Positive(t, whole)
+	require.Less(t, whole, 24, "four answers were truncated after they had begun")
+}
+
+// Every slot is busy and one router has all the work. The upstreams that other
+// routers own must not idle: grants travel to where the work waits.
+func TestOneRouterHasAllTheWork(t *testing.T) {
+	f := startStandardFleet(t)
+	var guides flight
+	for i := range 40 {
+		guides.send(t.Context(), f.all[3], "laredo", drafts, guide(i, 400))
+	}
+	eventually(t, "all slots of both engines are busy", func() bool {
+		return running(t, f.engines[0]) == 4 && running(t, f.engines[1]) == 4
+	})
+	for _, got := range guides.land() {
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+}
