--- a/coordination/scheduler/fleet_test.go
+++ b/coordination/scheduler/fleet_test.go
@@ -63,6 +63,7 @@
 	slow        float64
 	running     map[*job]struct{}
 	waiting     []*job
+	models      []state.Model
 }
 
 // fleet is an in-memory network of routers and engines with a clock of its
@@ -82,6 +83,7 @@
 	// cost draws a request's cost; onFinal follows each request's end; onStep
 	// sees every step; broken says how a dispatch fails, if it does.
 	cost    func(ws state.Workspace) time.Duration
+	model   func(ws state.Workspace) state.Model
 	onFinal func(j *job)
 	onStep  func(r *router, ev Event, actions []Action)
 	broken  func() Outcome
@@ -97,7 +99,7 @@
 	f := &fleet{
 		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byName: map[state.Upstream]*engine{},
 		served: map[state.Workspace]time.Duration{}, waits: map[state.Workspace][]time.Duration{},
-		onFinal: func(*job) {}, onStep: func(*router, Event, []Action) {}, broken: func() Outcome { return 0 },
+		model: func(state.Workspace) state.Model { return "" }, onFinal: func(*job) {}, onStep: func(*router, Event, []Action) {}, broken: func() Outcome { return 0 },
 	}
 	f.cost = func(state.Workspace) time.Duration { return f.lognormal(4*time.Second, 1) }
 	for i := range engines {
@@ -157,7 +159,7 @@
 }
 
 func (f *fleet) sendReport(e *engine) {
-	report := Reported{Report: state.LoadReport{Upstream: e.name, Boot: "1", Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots}}
+	report := Reported{Report: state.LoadReport{Upstream: e.name, Boot: "1", Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots, Models: e.models}}
 	f.after(reportDelay, func() {
 		for _, r := range f.routers {
 			switch {
@@ -204,7 +206,7 @@
 	r.last++
 	j := &job{id: r.last, home: r, ws: ws, cost: f.cost(ws), arrived: f.now}
 	r.jobs[j.id] = j
-	f.deliver(r, Arrived{Request: Request{ID: j.id, Service: "draft", Workspace: ws, Repeatable: true}})
+	f.deliver(r, Arrived{Request: Request{ID: j.id, Service: "draft", Workspace: ws, Model: f.model(ws), Repeatable: true}})
 	return j
 }
 
--- a/coordination/scheduler/measure_test.go
+++ b/coordination/scheduler/measure_test.go
@@ -22,14 +22,23 @@
 	cost    func(f *fleet, i int) time.Duration
 	stale   time.Duration
 	slow    float64
-	// routers is 8 if zero; build makes a baseline in place of a Scheduler.
-	routers int
-	build   func(Peer, uint64) stepper
+	// scarce workspaces need a model that only the first data centre holds.
+	scarce int
+	// bursts makes odd workspaces come and go; the gap is that of the others.
+	bursts bool
+	// size of the fleet, if not the usual one; build makes a baseline in
+	// place of a Scheduler.
+	size  size
+	build func(Peer, uint64) stepper
 	// limit holds the worst gap, with room for another seed; baselines have
 	// none.
 	limit float64
 }
 
+type size struct{ routers, engines, slots, workspaces int }
+
+var usualSize = size{8, 24, 160, 16}
+
 func equalShares(int) float64                 { return 1.0 / 16 }
 func usualBacklog(int) int                    { return 60 }
 func twoRouters(f *fleet, _ int) []int        { return []int{f.rng.IntN(8), f.rng.IntN(8)} }
@@ -53,31 +62,50 @@
 // share, and the part of the slots that was busy, both of the second half: in the first, costs are
 // still being learned.
 func measure(l load, seed uint64, build func(Peer, uint64) stepper) figures {
-	f := newFleet(cmp.Or(l.routers, 8), 24, 160, seed, build)
+	f := newFleet(l.size.routers, l.size.engines, l.size.slots, seed, build)
 	shares := map[state.Workspace]float64{}
 	index := map[state.Workspace]int{}
-	for i := range 16 {
+	for i := range l.size.workspaces {
 		shares[tenant(i)] = l.shares(i)
 		index[tenant(i)] = i
 	}
 	f.cost = func(ws state.Workspace) time.Duration { return l.cost(f, index[ws]) }
 	f.engines[0].slow = cmp.Or(l.slow, 1)
+	if l.scarce > 0 {
+		for i, e := range f.engines {
+			e.models = [][]state.Model{{"common", "rare"}, {"common"}}[min(i%4, 1)]
+		}
+		f.model = func(ws state.Workspace) state.Model {
+			return []state.Model{"rare", "common"}[min(index[ws]/l.scarce, 1)]
+		}
+	}
 	f.boot(f.settings(shares))
 	f.run(time.Second)
-	f.onFinal = func(j *job) { f.after(time.Duration(j.refused)*time.Second, func() { f.submit(j.home, j.ws) }) }
+	f.onFinal = func(j *job) {
+		if !l.bursts || index[j.ws]%2 == 0 {
+			f.again(j)
+		}
+	}
 	homes := map[int][]int{}
 	most := 0
-	for i := range 16 {
+	for i := range l.size.workspaces {
 		homes[i] = l.homes(f, i)
 		most = max(most, l.backlog(i))
 	}
 	for n := range most {
-		for i := range 16 {
+		for i := range l.size.workspaces {
 			if n < l.backlog(i) {
 				f.submit(f.routers[homes[i][n%len(homes[i])]%len(f.routers)], tenant(i))
 			}
 		}
 	}
+	for i := 1; i < l.size.workspaces && l.bursts; i += 2 {
+		f.every(time.Duration(20+10*i)*time.Second, func() {
+			for n := range l.backlog(i) {
+				f.submit(f.routers[homes[i][n%len(homes[i])]], tenant(i))
+			}
+		})
+	}
 	f.run(5 * time.Minute)
 	base := f.weighted(shares)
 	busy, begun, messages := f.busy, f.now, f.messages
@@ -85,13 +113,13 @@
 	const samples = 300
 	for range samples {
 		f.run(time.Second)
-		gap := spreadOf(f.weighted(shares), base)
+		gap := spreadOf(l.lasting(f.weighted(shares)), l.lasting(base))
 		out.gap = max(out.gap, gap)
 		out.mean += gap / samples
 	}
 	seconds := f.now.Sub(begun).Seconds()
-	out.busy = (f.busy - busy).Seconds() / seconds / 160
-	out.messages = float64(f.messages-messages) / seconds / 8
+	out.busy = (f.busy - busy).Seconds() / seconds / float64(l.size.slots)
+	out.messages = float64(f.messages-messages) / seconds / float64(l.size.routers)
 	return out
 }
 
@@ -99,7 +127,19 @@
 	out := make([]float64, len(shares))
 	for i := range out {
 		w := tenant(i)
-		out[i] = f.served[w].Seconds() / shares[w] / 16
+		out[i] = f.served[w].Seconds() / shares[w] / float64(len(shares))
+	}
+	return out
+}
+
+// lasting leaves out workspaces that come and go.
+func (l load) lasting(served []float64) []float64 {
+	if !l.bursts {
+		return served
+	}
+	var out []float64
+	for i := 0; i < len(served); i += 2 {
+		out = append(out, served[i])
 	}
 	return out
 }
@@ -154,7 +194,7 @@
 }
 
 func loads() []load {
-	even := load{shares: equalShares, homes: twoRouters, backlog: usualBacklog, cost: usualCost, stale: time.Second}
+	even := load{size: usualSize, shares: equalShares, homes: twoRouters, backlog: usualBacklog, cost: usualCost, stale: time.Second}
 	var all []load
 	add := func(name string, limit float64, change func(l *load)) {
 		l := even
@@ -166,7 +206,7 @@
 	stale := func(d time.Duration) func(*load) { return func(l *load) { l.stale = d } }
 	weights := func(l *load) { l.shares = func(i int) float64 { return float64(i+1) / 136 } }
 	skew := func(l *load) { l.backlog = func(i int) int { return 60 + 900*max(0, 1-i) } }
-	add("one router", 150, func(l *load) { l.routers = 1 })
+	add("one router", 150, func(l *load) { l.size.routers = 1 })
 	add("even, 0.25 s", 150, stale(time.Second/4))
 	add("even, 1 s", 150, stale(time.Second))
 	add("even, 5 s", 200, stale(5*time.Second))
@@ -195,6 +235,9 @@
 		}
 	})
 	add("one slow engine", 250, func(l *load) { l.slow = 4 })
+	add("model at one centre", 200, func(l *load) { l.scarce = 4 })
+	add("model at one centre, 5 s", 200, func(l *load) { l.scarce = 4; l.stale = 5 * time.Second })
+	add("half come and go", 150, func(l *load) { l.bursts = true })
 	add("round robin, even", 0, func(l *load) { l.build = newRoundRobin })
 	add("round robin, skew 16:1", 0, func(l *load) { l.build = newRoundRobin; skew(l) })
 	add("fair per router, even", 0, func(l *load) { l.build = newAlone })
@@ -248,3 +291,22 @@
 		})
 	}
 }
+
+// BenchmarkLargeFleet measures 32 routers, 2,560 slots and 120 workspaces.
+func BenchmarkLargeFleet(b *testing.B) {
+	for _, stale := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
+		b.Run(stale.String(), func(b *testing.B) {
+			l := load{
+				size: size{32, 384, 2560, 120}, shares: func(int) float64 { return 1.0 / 120 }, cost: usualCost, stale: stale,
+				homes:   func(f *fleet, _ int) []int { return []int{f.rng.IntN(32), f.rng.IntN(32)} },
+				backlog: func(int) int { return 80 },
+			}
+			for range b.N {
+				m := measure(l, 1, realRouter(stale))
+				b.ReportMetric(m.gap, "slot-s/gap")
+				b.ReportMetric(1-m.busy, "idle")
+				b.ReportMetric(m.messages, "msg/s/router")
+			}
+		})
+	}
+}
