--- a/coordination/fairness/choice.go
+++ b/coordination/fairness/choice.go
@@ -173,36 +173,3 @@
 	})
 	return accounts
 }
-
-func (l *Ledger) measure(period time.Duration) {
-	perSecond := float64(l.paidOut) / period.Seconds() / l.share
-	l.paidOut = 0
-	if l.rate == 0 {
-		l.rate = perSecond
-		return
-	}
-	l.rate += rateSmoothing * (perSecond - l.rate)
-}
-
-// clamp forgives a backlogged workspace what puts it further ahead of the
-// least served one than clampWindow of the fleet's service.
-//
-// Made for the end of a partition and for cold starts: counters that were
-// apart for an hour differ by an hour's service, and the workspace that
-// happened to be served more would starve for as long. Work in progress is
-// not counted against it, because one long request of a small workspace is
-// far ahead without any harm done.
-func (l *Ledger) clamp() {
-	least, ok := l.all.Min()
-	if !ok || l.rate == 0 {
-		return
-	}
-	window := l.rate * clampWindow.Seconds()
-	for _, a := range l.backlogged() {
-		ahead := a.key - least.key - float64(a.own.Reserved)/l.share/a.share
-		if ahead > window {
-			a.forgiven += ahead - window
-			l.rekey(a)
-		}
-	}
-}
--- /dev/null
+++ b/coordination/fairness/fairness_test.go
@@ -0,0 +1,191 @@
+package fairness
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/figstile/figstile/state"
+)
+
+var start = time.Unix(1000, 0)
+
+func twoTenants(seed uint64) *Ledger {
+	l := New(seed)
+	for _, w := range []state.Workspace{"a", "b"} {
+		l.SetShare(w, 0.5)
+		l.SetBacklog(start, w, "", true)
+	}
+	return l
+}
+
+func next(t require.TestingT, l *Ledger, models ...state.Model) state.Workspace {
+	w, ok := l.Next(models)
+	require.True(t, ok)
+	return w
+}
+
+func TestGrantsAlternateBetweenEqualShares(t *testing.T) {
+	l := twoTenants(1)
+	for range 10 {
+		first := next(t, l)
+		l.Reserve(first, 100)
+		require.NotEqual(t, first, next(t, l))
+		l.Reserve(next(t, l), 100)
+	}
+	l.SetShare("a", 0.75)
+	l.SetShare("b", 0.25)
+	got := map[state.Workspace]int{}
+	for range 100 {
+		w := next(t, l)
+		got[w]++
+		l.Reserve(w, 100)
+	}
+	require.InDelta(t, 75, got["a"], 1, "a changed share counts from now on")
+}
+
+// A workspace is served twice over: every owner gives its next slots to the
+// one that was behind at the last exchange. Extrapolated, an owner's own
+// grants stand for those of its peers until they are heard.
+func TestOwnGrantsStandForThoseOfPeers(t *testing.T) {
+	l := twoTenants(1)
+	peer := Origin{Router: "p", Incarnation: 1}
+	l.SetPeers(0.25, []Peer{{Origin: peer, Share: 0.75}})
+	l.Hear(peer, []Entry{{Workspace: "b", Counter: Counter{Charged: 350}}})
+	l.Refold()
+	l.Reserve(next(t, l), 100)
+	require.Equal(t, state.Workspace("b"), next(t, l), "100 here stand for 400")
+	l.Hear(peer, nil)
+	l.Refold()
+	require.Equal(t, state.Workspace("a"), next(t, l), "the peer granted nothing")
+}
+
+func TestModelsNarrowTheChoice(t *testing.T) {
+	l := twoTenants(1)
+	l.SetBacklog(start, "b", "m", true)
+	l.Reserve("b", 1000)
+	require.Equal(t, state.Workspace("b"), next(t, l, "m"))
+	require.Equal(t, state.Workspace("a"), next(t, l, "", "m"))
+	l.SetBacklog(start, "b", "m", false)
+	_, ok := l.Next([]state.Model{"m"})
+	require.False(t, ok)
+}
+
+func TestIdlenessSavesUpNoClaim(t *testing.T) {
+	for _, c := range []struct {
+		idle time.Duration
+		lost bool
+		kept bool
+	}{{idleGrace, false, true}, {time.Minute, false, false}, {time.Minute, true, true}} {
+		l := twoTenants(1)
+		l.SetBacklog(start, "b", "", false)
+		if c.lost {
+			l.Lost("b")
+		}
+		for range 100 {
+			l.Reserve("a", 100)
+		}
+		l.SetBacklog(start.Add(c.idle), "b", "", true)
+		l.Reserve("b", 200)
+		require.Equal(t, c.kept, next(t, l) == "b", "%+v", c)
+	}
+}
+
+func TestClampBoundsTheWait(t *testing.T) {
+	l := twoTenants(1)
+	peer := Origin{Router: "p", Incarnation: 1}
+	l.Charge("b", 1000, 0)
+	l.Exchange(time.Second)
+	l.Hear(peer, []Entry{{Workspace: "a", Counter: Counter{Charged: 1e9}}})
+	l.Refold()
+	l.Exchange(time.Second)
+	served := state.Cost(0)
+	for next(t, l) == "b" {
+		l.Charge("b", 100, 0)
+		served += 100
+	}
+	require.LessOrEqual(t, served, state.Cost(1000*clampWindow.Seconds()/2+100), "half a minute's service is a minute of its share")
+}
+
+// A router that starts cold sums up all counters, but knows neither under
+// which shares they grew nor what was forgiven.
+func TestColdLedgerAdoptsVirtualTimes(t *testing.T) {
+	old, cold := twoTenants(1), twoTenants(1)
+	old.Charge("a", 1000, 0)
+	old.Charge("b", 400, 0)
+	old.SetShare("a", 0.9)
+	cold.SetShare("a", 0.9)
+	from := Origin{Router: "p", Incarnation: 1}
+	cold.Hear(from, old.Own())
+	cold.Adopt(old.Own())
+	require.InDelta(t, old.Figures()[0].Virtual, cold.Figures()[0].Virtual, 1)
+	require.Equal(t, []Relay{{Origin: from, Entries: withoutVirtual(old.Own())}}, cold.Dead())
+}
+
+func withoutVirtual(entries []Entry) []Entry {
+	for i := range entries {
+		entries[i].Virtual = 0
+	}
+	return entries
+}
+
+// TestLedgersAgree checks that counters only grow, that old messages do no
+// harm, and that two ledgers that heard the same agree on the fleet's total.
+func TestLedgersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, y := twoTenants(1), twoTenants(2)
+		ox, oy := Origin{Router: "x", Incarnation: 1}, Origin{Router: "y", Incarnation: 1}
+		x.SetPeers(0.5, []Peer{{Origin: oy, Share: 0.5}})
+		y.SetPeers(0.5, []Peer{{Origin: ox, Share: 0.5}})
+		var sent [][]Entry
+		charged := map[state.Workspace]state.Cost{}
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(t *rapid.T) { x.Reserve(next(t, x), state.Cost(rapid.IntRange(1, 100).Draw(t, "cost"))) },
+			"serve": func(t *rapid.T) {
+				cost := state.Cost(rapid.IntRange(1, 100).Draw(t, "cost"))
+				x.Charge(next(t, x), cost, -cost)
+			},
+			"exchange": func(t *rapid.T) {
+				sent = append(sent, x.Exchange(time.Second))
+				y.Hear(ox, sent[len(sent)-1])
+			},
+			"repeat": func(t *rapid.T) {
+				if len(sent) > 1 {
+					y.Hear(ox, sent[rapid.IntRange(0, len(sent)-1).Draw(t, "old")])
+					y.Hear(ox, x.Own())
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, f := range x.Figures() {
+					require.GreaterOrEqual(t, f.Charged, charged[f.Workspace])
+					require.GreaterOrEqual(t, f.Reserved, state.Cost(0))
+					charged[f.Workspace] = f.Charged
+				}
+			},
+		})
+		y.Hear(ox, x.Own())
+		for i, f := range x.Figures() {
+			require.Equal(t, f.Fleet, y.Figures()[i].Fleet)
+		}
+	})
+}
+
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{16, 1000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := New(1)
+			for i := range n {
+				w := state.Workspace(fmt.Sprint(i))
+				l.SetShare(w, 1/float64(n))
+				l.SetBacklog(start, w, "", true)
+			}
+			for b.Loop() {
+				w, _ := l.Next(nil)
+				l.Reserve(w, 1000)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/retry/retry_test.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+)
+
+func TestBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget()
+	require.False(t, b.Allow(now, "w", false, 1), "not repeatable")
+	require.False(t, b.Allow(now, "w", true, MaxDispatches))
+	for range burst {
+		require.True(t, b.Allow(now, "w", true, 1))
+	}
+	require.False(t, b.Allow(now, "w", true, 1))
+	require.True(t, b.Allow(now, "v", true, 1), "each workspace has its own")
+	require.True(t, b.Allow(now.Add(time.Second), "w", true, 1))
+	for i := range 2 * maxBudgets {
+		b.Allow(now, state.Workspace(fmt.Sprint(i)), true, 1)
+	}
+	require.LessOrEqual(t, len(b.limiters), maxBudgets)
+}
