Charge long JSON answers by the engine's own count, and close gaps in limits

Cause: a JSON answer above 32 KiB was charged by its length although its end names the usage; a write deadline outlived its request on a kept-alive connection and would have met the next handler; a held answer counted as served before it was flushed; a caller that left during its claim was answered with a refusal.

Ruled out: decoding the whole event for its usage. The last member named usage is enough, since quotes within generated text are escaped.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -71,8 +71,7 @@
 	}
 	attempt := x.h.nextAttempt()
 	if res, ok := x.mayRun(attempt); !ok {
-		x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeRefused)
-		return x.refuse(res), true
+		return x.forgo(res), true
 	}
 	x.record.Upstream = d.Upstream
 	x.record.Waited = x.since()
@@ -106,6 +105,16 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
+// forgo gives a dispatch back that must not run.
+func (x *exchange) forgo(res result.Result) result.Result {
+	if x.ctx.Err() != nil {
+		x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+		return x.abandoned()
+	}
+	x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeRefused)
+	return x.refuse(res)
+}
+
 // baseURL reads the view anew: an upstream's address may have changed while
 // the request waited.
 func (x *exchange) baseURL(name state.Upstream) (string, bool) {
@@ -207,6 +216,6 @@
 
 // end reports the last of an attempt's cost.
 func (x *exchange) end(m *meter, total state.Cost, outcome scheduler.Outcome) {
-	x.record.Cost = max(x.record.Cost, 0) + max(total, m.reported)
+	x.record.Cost += max(total, m.reported)
 	x.h.opts.Scheduler.Ended(x.id, m.final(total), outcome)
 }
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -107,6 +107,9 @@
 	}
 	res := x.run()
 	x.finish(res)
+	// The connection may serve another handler next, which knows nothing of
+	// this one's deadline.
+	_ = x.control.SetWriteDeadline(time.Time{})
 	if x.abort {
 		panic(http.ErrAbortHandler)
 	}
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -219,6 +219,21 @@
 	require.Greater(t, b.request.CostHint, 200*state.CostUnit)
 }
 
+// TestJSONAnswersAreCharged covers answers that are held and those too long.
+func TestJSONAnswersAreCharged(t *testing.T) {
+	for _, length := range []int{10, 3 * relayBytes} {
+		b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+			text := strings.Repeat(`\"usage\":{} `, length/13)
+			_, _ = fmt.Fprintf(w, `{"choices":[{"message":{"content":"%s"}}],"usage":{"prompt_tokens":7,"completion_tokens":90000}}`, text)
+		}, dispatch("one"))
+		_, _, err := b.call(t, "/drafts/v1/chat/completions", prompt)
+		require.NoError(t, err)
+		<-b.records
+		_, cost := b.heard()
+		require.Equal(t, 180_007*state.CostUnit, cost)
+	}
+}
+
 // TestTruncatedStreamIsSeen: a councillor prints half a guide. The engine
 // falls in mid-stream, and a clean end would make the half look whole.
 func TestTruncatedStreamIsSeen(t *testing.T) {
@@ -457,6 +472,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		told := make(chan error, 1)
 		b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+			// A server notices a closed connection once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			cancel()
 			<-r.Context().Done()
 			told <- r.Context().Err()
@@ -471,7 +488,7 @@
 
 func (b *bench) callWith(ctx context.Context, t *testing.T) error {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/bookings/x", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/bookings/x", strings.NewReader("4A"))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer secret")
 	resp, err := http.DefaultClient.Do(req)
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -23,6 +23,9 @@
 // would feel, and those are never held.
 const relayBytes = 32 << 10
 
+// tailBytes holds an engine's usage and what follows it in a JSON answer.
+const tailBytes = 1 << 10
+
 var buffers = sync.Pool{New: func() any { return new([relayBytes]byte) }}
 
 // errTooLong ends an answer above the service's limit.
@@ -42,6 +45,7 @@
 	events *eventScanner
 	stream bool
 	passed int64
+	tail   []byte
 	// begun is set once the head went out, trailers if it announced them.
 	begun    bool
 	trailers bool
@@ -101,6 +105,15 @@
 	y.events.tokens = int64(len(body)) / bytesPerToken
 }
 
+// keepTail keeps the end of a long JSON answer, where the usage stands.
+func (y *relay) keepTail(part []byte) {
+	part = part[max(len(part)-tailBytes, 0):]
+	y.tail = append(y.tail, part...)
+	if extra := len(y.tail) - tailBytes; extra > 0 {
+		y.tail = append(y.tail[:0], y.tail[extra:]...)
+	}
+}
+
 // deliver writes a whole answer at once.
 func (y *relay) deliver(body []byte) error {
 	if int64(len(body)) > y.x.job.answerLimit() {
@@ -116,6 +129,11 @@
 	if _, err := y.x.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return errCallerGone
 	}
+	// Flushed here and not by the server, so that a caller that does not take
+	// it is noticed and not counted as served.
+	if y.x.control.Flush() != nil {
+		return errCallerGone
+	}
 	return nil
 }
 
@@ -203,6 +221,7 @@
 		y.events.feed(part)
 	} else {
 		y.events.tokens = y.passed / bytesPerToken
+		y.keepTail(part)
 	}
 	total := y.meter.streamed(y.events.tokens)
 	if cost, due := y.meter.due(total, y.x.h.opts.Now()); due {
@@ -224,6 +243,9 @@
 
 // finish ends the dispatch and, where it can, tells the caller how.
 func (y *relay) finish(err error) result.Result {
+	if err == nil && len(y.tail) > 0 {
+		y.events.usage = usageOf(y.tail)
+	}
 	total := y.meter.used(y.events, y.answer.Header, y.x.h.opts.Now())
 	if err != nil && y.x.ctx.Err() != nil {
 		err = errCallerGone
--- a/transport/caller/sse.go
+++ b/transport/caller/sse.go
@@ -97,11 +97,11 @@
 	}
 }
 
-// usageOf decodes the usage of one event or answer, if it has one. Within
-// generated text the quotes of "usage" are escaped, so only a real member
-// costs the decoding.
+// usageOf decodes the last usage member in an event, an answer or the end of
+// one. Within generated text the quotes of "usage" are escaped, so text never
+// passes for the member.
 func usageOf(data []byte) *usage {
-	at := bytes.Index(data, usageMember)
+	at := bytes.LastIndex(data, usageMember)
 	if at < 0 {
 		return nil
 	}
@@ -109,17 +109,15 @@
 	if len(value) == 0 || value[0] != '{' {
 		return nil
 	}
-	var answer struct {
-		Usage *usage `json:"usage"`
-	}
-	if json.Unmarshal(data, &answer) != nil || !answer.Usage.valid() {
+	var u usage
+	if json.NewDecoder(bytes.NewReader(value)).Decode(&u) != nil || !u.valid() {
 		return nil
 	}
-	return answer.Usage
+	return &u
 }
 
 // valid refuses counts that would corrupt counters which only grow.
 func (u *usage) valid() bool {
-	return u != nil && u.PromptTokens >= 0 && u.CompletionTokens >= 0 &&
+	return u.PromptTokens >= 0 && u.CompletionTokens >= 0 &&
 		u.PromptTokens <= maxTokens && u.CompletionTokens <= maxTokens
 }
