Show operators who knocks on the peer port; test TLS end to end

Cause: TestStrangersAreNoPeers (new) waited in vain for a trace of two strangers in the logs: a failed handshake was logged at debug only, so an expired certificate would look like a silent partition. Now a warning, at most ten a minute, because a port scan would fill the log.

Ruled out: logging every one (a scan), and the hello's refusal, which comes after TLS and never sees these.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -56,6 +56,8 @@
 	seed        string
 	root        config.Root
 	record      *recording
+	// secrets are added to the environment of the next routers.
+	secrets []string
 	// links are the data centres' ways to the platform.
 	links map[string]*forwarder
 }
@@ -135,6 +137,7 @@
 	}
 	cmd := exec.Command(daemonBinary, append(args, extra...)...)
 	cmd.Env = append(os.Environ(), "FIGSTILE_FLEET_TOKEN=fleet-token", "FIGSTILE_PEERS=")
+	cmd.Env = append(cmd.Env, f.secrets...)
 	p := start(f.t, name, cmd)
 	r := &router{
 		process: p,
--- /dev/null
+++ b/e2e/tls_test.go
@@ -0,0 +1,122 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// authority signs the certificates of one test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := certificateTemplate("authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{cert: cert, key: key, pem: encodePEM("CERTIFICATE", der)}
+}
+
+func certificateTemplate(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(24 * time.Hour),
+	}
+}
+
+// issue returns a certificate and its key in PEM.
+func (a *authority) issue(t *testing.T, name string) (string, string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := certificateTemplate(name)
+	template.DNSNames = []string{name}
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, key.Public(), a.key)
+	require.NoError(t, err)
+	encoded, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	return encodePEM("CERTIFICATE", der), encodePEM("EC PRIVATE KEY", encoded)
+}
+
+func encodePEM(kind string, der []byte) string {
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+// peerSecrets is the environment of a router with certificates of an
+// authority.
+func peerSecrets(t *testing.T, a *authority) []string {
+	cert, key := a.issue(t, "figstile")
+	return []string{
+		"FIGSTILE_PEER_CERT=" + cert, "FIGSTILE_PEER_KEY=" + key, "FIGSTILE_PEER_CA=" + a.pem,
+		"FIGSTILE_TLS_CERT=" + cert, "FIGSTILE_TLS_KEY=" + key,
+	}
+}
+
+// A machine that is not of the fleet reaches the peer port and says hello. If
+// it were believed it could give away slots and rewrite settings; it must not
+// become a peer, while routers with certificates do. Callers are served over
+// TLS, and no secret stands in a log.
+func TestStrangersAreNoPeers(t *testing.T) {
+	f := newFleet(t)
+	f.team("costa", 1, "laredo")
+	f.configure()
+	fleetAuthority, strangerAuthority := newAuthority(t), newAuthority(t)
+	f.secrets = peerSecrets(t, fleetAuthority)
+	one := f.startRouter("router-1", "sala-laredo")
+	two := f.startRouter("router-2", "sala-castro")
+	f.secrets = peerSecrets(t, strangerAuthority)
+	stranger := f.startRouter("stranger", "sala-castro")
+	f.secrets = nil
+	plain := f.startRouter("plain", "sala-castro")
+
+	eventually(t, "the two routers see each other", func() bool {
+		return strings.Contains(one.lines.text(), "peer session opened") && strings.Contains(two.lines.text(), "peer session opened")
+	})
+	eventually(t, "the strangers were turned away", func() bool {
+		return strings.Count(one.lines.text()+two.lines.text(), "handshake") >= 2
+	})
+	for _, r := range []*router{stranger, plain} {
+		require.NotContains(t, r.lines.text(), "peer session opened")
+	}
+	for _, r := range []*router{one, two, stranger} {
+		require.NotContains(t, r.lines.text(), "PRIVATE KEY")
+	}
+
+	pool := x509.NewCertPool()
+	require.True(t, pool.AppendCertsFromPEM([]byte(fleetAuthority.pem)))
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	resp, err := client.Get("https://" + one.callers + "/kiosco-web/page")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusUnauthorized, resp.StatusCode, string(body))
+}
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -10,6 +10,14 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 )
 
+const (
+	// strangerLines in strangerPeriod show an operator that something knocks
+	// or that a certificate has run out, and keep a port scan from filling
+	// the log.
+	strangerLines  = 10
+	strangerPeriod = time.Minute
+)
+
 // acceptRetry is the pause after a failed accept, such as for want of file
 // descriptors.
 const acceptRetry = 100 * time.Millisecond
@@ -239,7 +247,7 @@
 	switch {
 	case !s.accepted && s.refusal == membership.RefusalNone:
 		m.events.Failed++
-		m.opts.Log.Debug().Str("address", s.conn.RemoteAddr().String()).Err(s.err).Msg("peer handshake failed")
+		m.strangers.Warn().Str("address", s.conn.RemoteAddr().String()).Err(s.err).Msg("peer handshake failed")
 		return
 	case !s.accepted:
 		return
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -38,6 +39,8 @@
 	connectTo func(ctx context.Context, address string) (net.Conn, error)
 	running   sync.WaitGroup
 	total     counters
+	// strangers logs connections that never became sessions.
+	strangers zerolog.Logger
 
 	mu sync.RWMutex
 	// ctx ends with Run; nil before.
@@ -83,6 +86,7 @@
 		listener:  listener,
 		connectTo: connectTo,
 		notices:   newNotices(),
+		strangers: opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
 		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
 		sessions:  make(map[membership.SessionID]*session),
 		routes:    make(map[state.Router]*session),
