figstile dev: a small fleet on one machine that checks its promises

Cause: a newcomer had no way to see a fleet serve, and the promises were checked only one by one in the end-to-end tests.

A check that the run gave no occasion to break counts as broken; each has a test with made-up evidence.

Ruled out: following virtual times with a lift for workspaces that come back from idle. A small workspace whose burst waits for one sample then shows a gap of thousands of units against large ones, though it is served next. The gap is now the usual one of fair queueing: the spread of the difference of two workspaces' weighted service while both wait all the time.

--- /dev/null
+++ b/cmd/figstile/internal/cli/dev.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"time"
+
+	"github.com/figstile/figstile/devfleet"
+	"github.com/figstile/figstile/transport/logging"
+)
+
+type devCommand struct {
+	Sample    string        `help:"Deployment to start: cantabria or aravena." default:"cantabria"`
+	Once      bool          `help:"Send a mixed load, print what came of it, check every promise and stop."`
+	Duration  time.Duration `help:"How long the load lasts with --once; without, how long to run." placeholder:"TIME"`
+	Skew      devfleet.Skew `help:"Where the load arrives with --once: ${enum}." enum:"spread,one-router,one-each" default:"spread"`
+	Describe  string        `help:"File to write the fleet's addresses to, for figstile load --fleet." type:"path" placeholder:"FILE"`
+	NoRouters bool          `help:"Start the stand-ins only."`
+	LogLevel  string        `help:"Least level of the routers' log." enum:"debug,info,warn,error" default:"warn"`
+}
+
+const (
+	// defaultTrial is the length of the load of dev --once: the engine that
+	// leaves is away for six seconds of it.
+	defaultTrial = 8 * time.Second
+	// startTimeout bounds the start of a fleet, which takes a second.
+	startTimeout = 30 * time.Second
+)
+
+// promiseError says that a promise was broken; which one is printed already.
+type promiseError struct{}
+
+func (promiseError) Error() string { return "a promise was broken" }
+
+func (promiseError) exitCode() int { return exitInternal }
+
+func (d devCommand) Run(a *app) error {
+	sample, err := devfleet.SampleByName(d.Sample)
+	if err != nil {
+		return usageError(err.Error())
+	}
+	fleet, err := d.start(a, sample)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	if err := d.describe(fleet); err != nil {
+		return err
+	}
+	if d.Once {
+		return d.once(a, sample, fleet)
+	}
+	if err := fleet.WriteAddresses(a.out.w); err != nil {
+		return err
+	}
+	d.wait(a.ctx)
+	return nil
+}
+
+func (d devCommand) start(a *app, sample devfleet.Sample) (*devfleet.Fleet, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, startTimeout)
+	defer cancel()
+	return devfleet.Start(ctx, devfleet.Options{
+		Sample:         sample,
+		WithoutRouters: d.NoRouters,
+		Log:            logging.New(os.Stderr, d.LogLevel),
+	})
+}
+
+func (d devCommand) describe(fleet *devfleet.Fleet) error {
+	if d.Describe == "" {
+		return nil
+	}
+	return writeFile(d.Describe, func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(fleet.Describe())
+	})
+}
+
+func (d devCommand) once(a *app, sample devfleet.Sample, fleet *devfleet.Fleet) error {
+	length := d.Duration
+	if length == 0 {
+		length = defaultTrial
+	}
+	trial, err := fleet.Try(a.ctx, sample.Workload(length, d.Skew))
+	if err != nil {
+		return err
+	}
+	if err := a.out.show(trial, func() { err = trial.WriteText(a.out.w) }); err != nil {
+		return err
+	}
+	if err == nil && !trial.Held() {
+		err = promiseError{}
+	}
+	return err
+}
+
+// wait ends with the command or after the given time.
+func (d devCommand) wait(ctx context.Context) {
+	if d.Duration > 0 {
+		limited, cancel := context.WithTimeout(ctx, d.Duration)
+		defer cancel()
+		ctx = limited
+	}
+	<-ctx.Done()
+}
+
+// writeFile creates a file and reports the error of closing it too: a full
+// disk shows only then.
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	err = write(file)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- /dev/null
+++ b/devfleet/promises_test.go
@@ -0,0 +1,102 @@
+package devfleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/loadgen"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/state"
+)
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sound returns evidence of a run in which every promise held.
+func sound() Evidence {
+	started := upstream.Entry{Received: began, Started: began}
+	page, booking := started, started
+	page.Digest = "page"
+	booking.Digest, booking.IdempotencyKey = "booking", "key"
+	return Evidence{
+		Records: []loadgen.Record{
+			{Digest: "page", Status: 200, Whole: true, Own: true, Ran: "yes"},
+			{Digest: "booking", Key: "key", Status: 200, Whole: true, Own: true, Ran: "yes"},
+			{Digest: "booking", Key: "key", Again: true, Status: 409, Whole: true, Ran: "yes"},
+			{Digest: "refused", Status: 503, Whole: true, Ran: "no"},
+		},
+		Ledgers:    map[state.Upstream][]upstream.Entry{"worker-1": {page, booking}, "engine-1": {{Received: began}}},
+		Services:   map[state.Upstream]state.Service{"worker-1": "kiosco-web", "engine-1": "redaccion-figstile"},
+		Repeatable: map[state.Service]bool{"redaccion-figstile": true},
+		Figures: []loadgen.Service{{
+			Name: "kiosco-web", Gap: 5, Bound: 10, Reach: 100, BusySamples: 9,
+			Least: loadgen.Portion{Workspace: "laredo", Part: 0.9, Seconds: 5},
+		}},
+		Leaving: Leaving{Upstream: "engine-1", From: began.Add(time.Second), To: began.Add(time.Minute)},
+		Change:  Change{Key: "config/root", Written: 7, After: map[state.Router]map[string]uint64{"router-1": {"config/root": 7}}},
+	}
+}
+
+func failures(e Evidence) []string {
+	var failed []string
+	for _, v := range e.Check() {
+		if !v.Held {
+			failed = append(failed, v.Promise)
+		}
+	}
+	return failed
+}
+
+func TestSoundEvidenceHolds(t *testing.T) {
+	require.Empty(t, failures(sound()))
+	require.False(t, Trial{}.Held(), "a trial without checks shows nothing")
+}
+
+// A broken promise must not pass unseen: each case breaks one thing in sound
+// evidence, and exactly the promise concerned must fail.
+func TestEachCheckFails(t *testing.T) {
+	cases := map[string]struct {
+		promise string
+		breaks  func(*Evidence)
+	}{
+		"crossed answer":   {"whole and its caller's own", func(e *Evidence) { e.Records[0].Own = false }},
+		"broken answer":    {"got an answer or a refusal", func(e *Evidence) { e.Records[3].Broken = "EOF" }},
+		"untold outcome":   {"got an answer or a refusal", func(e *Evidence) { e.Records[2].Ran = "" }},
+		"untrue not run":   {"did not run", func(e *Evidence) { e.start("engine-1", upstream.Entry{Digest: "refused"}) }},
+		"nothing refused":  {"did not run", func(e *Evidence) { e.Records = e.Records[:3] }},
+		"second booking":   {"at most once", func(e *Evidence) { e.start("worker-1", upstream.Entry{IdempotencyKey: "key"}) }},
+		"nothing resent":   {"at most once", func(e *Evidence) { e.Records[2].Again = false }},
+		"second page":      {"may not be repeated", func(e *Evidence) { e.start("worker-1", upstream.Entry{Digest: "page"}) }},
+		"change refused":   {"in force everywhere", func(e *Evidence) { e.Change.Written = 0 }},
+		"router behind":    {"in force everywhere", func(e *Evidence) { e.Change.After["router-1"]["config/root"] = 6 }},
+		"slow change":      {"in force everywhere", func(e *Evidence) { e.Change.Took = changeWithin + 1 }},
+		"reverted":         {"in force everywhere", func(e *Evidence) { e.Change.Reverted = "router-1 went back" }},
+		"work for leaver":  {"leaving upstream", func(e *Evidence) { e.receive("engine-1", began.Add(30*time.Second)) }},
+		"nothing left":     {"leaving upstream", func(e *Evidence) { e.Leaving = Leaving{} }},
+		"gap above bound":  {"stays within its bound", func(e *Evidence) { e.Figures[0].Gap = 10.1 }},
+		"gap of short run": {"stays within its bound", func(e *Evidence) { e.Figures[0].Reach = 9 }},
+		"nothing waited":   {"stays within its bound", func(e *Evidence) { e.Figures[0].BusySamples = 0 }},
+		"starved":          {"no workspace starves", func(e *Evidence) { e.Figures[0].Least.Part = 0.2 }},
+		"nobody to starve": {"no workspace starves", func(e *Evidence) { e.Figures[0].Least = loadgen.Portion{} }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := sound()
+			c.breaks(&e)
+			failed := failures(e)
+			require.Len(t, failed, 1)
+			require.Contains(t, failed[0], c.promise)
+		})
+	}
+}
+
+func (e *Evidence) start(name state.Upstream, entry upstream.Entry) {
+	entry.Received, entry.Started = began, began
+	e.Ledgers[name] = append(slices.Clone(e.Ledgers[name]), entry)
+}
+
+func (e *Evidence) receive(name state.Upstream, at time.Time) {
+	e.Ledgers[name] = append(slices.Clone(e.Ledgers[name]), upstream.Entry{Received: at})
+}
--- /dev/null
+++ b/loadgen/send.go
@@ -0,0 +1,238 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/standin/worker"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/caller"
+)
+
+// sender sends one call and reads its answer.
+type sender struct {
+	run    *runner
+	call   Call
+	class  Class
+	ws     Workspace
+	record Record
+	// credited is the cost already added to the counters.
+	credited float64
+}
+
+func (r *runner) send(ctx context.Context, call Call) {
+	class := r.workload.Classes[call.Class]
+	ws := r.workload.Workspaces[call.Workspace]
+	s := &sender{run: r, call: call, class: class, ws: ws}
+	s.record = Record{
+		Workspace: ws.Name,
+		Service:   class.Service,
+		Class:     class.Name,
+		Intended:  call.At,
+		Digest:    upstream.Digest([]byte(call.Body)),
+		Key:       call.Key,
+		Again:     call.Again,
+	}
+	if call.AbandonAfter > 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeout(ctx, call.AbandonAfter)
+		defer leave()
+	}
+	counter := r.counter(class.Service, call.Workspace)
+	counter.waiting.Add(1)
+	s.exchange(ctx)
+	if s.record.Head == 0 {
+		counter.waiting.Add(-1)
+	}
+	s.record.End = r.since()
+	s.record.Left = !s.record.Whole && ctx.Err() != nil
+	r.keep(s.record)
+}
+
+func (s *sender) exchange(ctx context.Context) {
+	request, err := s.request(ctx)
+	if err != nil {
+		s.record.Broken = err.Error()
+		return
+	}
+	s.record.Sent = s.run.since()
+	response, err := s.run.client.Do(request)
+	if err != nil {
+		s.record.Broken = err.Error()
+		return
+	}
+	s.record.Head = s.run.since()
+	s.run.counter(s.class.Service, s.call.Workspace).waiting.Add(-1)
+	s.record.Status = response.StatusCode
+	response.Body = &timedBody{ReadCloser: response.Body, sender: s}
+	if err := s.read(response); err != nil {
+		s.record.Broken = err.Error()
+		return
+	}
+	s.record.Whole = true
+	s.result(response)
+}
+
+// request builds the HTTP request. The body is of a type that the HTTP library
+// cannot repeat: it would send a keyed request again by itself, and a
+// repetition that nobody intended would be counted as the fleet's.
+func (s *sender) request(ctx context.Context) (*http.Request, error) {
+	url, name := s.run.target(s.call, s.class)
+	s.record.Router = name
+	body := struct{ io.Reader }{strings.NewReader(s.call.Body)}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+s.class.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(s.call.Body))
+	header := request.Header
+	header.Set("Content-Type", "application/json")
+	header.Set("Authorization", "Bearer "+s.ws.Token)
+	header.Set(caller.HeaderClass, s.class.Name)
+	if s.call.Key != "" {
+		header.Set(caller.HeaderIdempotencyKey, s.call.Key)
+	}
+	if s.class.DeadlineMS > 0 {
+		header.Set(caller.HeaderDeadline, strconv.FormatInt(s.class.DeadlineMS, 10))
+	}
+	return request, nil
+}
+
+// read reads the answer to its end and notes whose it is.
+func (s *sender) read(response *http.Response) error {
+	switch {
+	case response.StatusCode != http.StatusOK:
+		return s.readProblem(response)
+	case s.class.Kind == config.KindEngine:
+		return s.readCompletion(response)
+	default:
+		return s.readWorker(response)
+	}
+}
+
+func (s *sender) readProblem(response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	var problem caller.Problem
+	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil {
+		return err
+	}
+	s.record.Code = problem.Code
+	s.record.Ran = problem.Ran
+	return nil
+}
+
+func (s *sender) readCompletion(response *http.Response) error {
+	answer, err := engine.Read(response)
+	if err != nil {
+		return err
+	}
+	s.record.Own = answer.Belongs([]byte(s.call.Body))
+	weights := config.CostWeights{}.WithDefaults(config.KindEngine)
+	s.settle(weights.InputToken*float64(answer.Usage.PromptTokens) + weights.OutputToken*float64(answer.Usage.CompletionTokens))
+	return nil
+}
+
+func (s *sender) readWorker(response *http.Response) error {
+	answer, err := worker.Read(response)
+	if err != nil {
+		return err
+	}
+	s.record.Own = answer.Digest == s.record.Digest
+	s.settle((time.Duration(answer.BusyMs) * time.Millisecond).Seconds())
+	return nil
+}
+
+// result reads what the fleet states of a served request. A stream has it in
+// the trailer.
+func (s *sender) result(response *http.Response) {
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	for _, header := range []http.Header{response.Header, response.Trailer} {
+		if code, err := strconv.Atoi(header.Get(caller.HeaderResult)); err == nil {
+			s.record.Code = result.Code(code)
+			s.record.Ran = header.Get(caller.HeaderRan)
+		}
+	}
+}
+
+// settle brings the counters to the whole cost.
+func (s *sender) settle(cost float64) {
+	s.credit(cost - s.credited)
+	s.record.Cost = s.credited
+}
+
+func (s *sender) credit(cost float64) {
+	s.credited += cost
+	s.run.counter(s.class.Service, s.call.Workspace).serve(cost)
+}
+
+// timedBody notes when parts of an answer arrive.
+type timedBody struct {
+	io.ReadCloser
+	sender *sender
+	last   time.Duration
+}
+
+// eventMark begins each event of a stream.
+const eventMark = "data: "
+
+// Read passes on and counts tokens as they come, so that the service of a long
+// stream does not show only at its end.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	s := b.sender
+	now := s.run.since()
+	if s.record.First == 0 {
+		s.record.First = now
+	} else {
+		s.record.Slowest = max(s.record.Slowest, now-b.last)
+	}
+	b.last = now
+	if s.class.Stream && s.record.Status == http.StatusOK {
+		s.credit(float64(strings.Count(string(p[:n]), eventMark)))
+	}
+	return n, err
+}
+
+// maxDrained bounds what is read after an answer's end for its trailer.
+const maxDrained = 64 << 10
+
+// Close reads on to the trailer, which holds a stream's result.
+func (b *timedBody) Close() error {
+	_, _ = io.CopyN(io.Discard, b.ReadCloser, maxDrained)
+	return b.ReadCloser.Close()
+}
+
+// target returns the base URL for a call: a router's, or in a direct run the
+// next upstream's in turn.
+func (r *runner) target(call Call, class Class) (url, name string) {
+	if !r.direct {
+		router := r.fleet.Routers[call.Target%len(r.fleet.Routers)]
+		return router.Callers + "/" + string(class.Service), string(router.Name)
+	}
+	upstreams := r.upstreams[class.Service]
+	turn := r.turns[class.Service].Add(1)
+	u := upstreams[int(turn)%len(upstreams)]
+	return u.URL, string(u.Name)
+}
+
+func upstreamsByService(fleet Fleet) map[state.Service][]Upstream {
+	byService := make(map[state.Service][]Upstream)
+	for _, u := range fleet.Upstreams {
+		byService[u.Service] = append(byService[u.Service], u)
+	}
+	return byService
+}
