figstile load: open-loop load from a file against any fleet

Arrivals are drawn before the run; latency counts from the intended time.

Ruled out: taking the backlog from callers alone. They count a request as waiting until its first token, so that a fleet with free slots seems to let work wait; the routers' own queues are read instead.

--- a/cmd/figstile/internal/cli/cli.go
+++ b/cmd/figstile/internal/cli/cli.go
@@ -41,6 +41,7 @@
 	Status    statusCommand     `cmd:"" help:"Show every router: versions in force, upstreams, backlog, service, fairness gap."`
 	Drain     drainCommand      `cmd:"" help:"Drain the router at --server: it finishes what it has and stops."`
 	Dev       devCommand        `cmd:"" help:"Run a small fleet with stand-ins on this machine; with --once, load it and check its promises."`
+	Load      loadCommand       `cmd:"" help:"Send an open-loop load to a fleet and measure what its callers see."`
 }
 
 // tokenVariable holds the bearer token. It is no flag: other users of the
--- a/cmd/figstile/internal/cli/dev.go
+++ b/cmd/figstile/internal/cli/dev.go
@@ -15,7 +15,8 @@
 	Sample    string        `help:"Deployment to start: cantabria or aravena." default:"cantabria"`
 	Once      bool          `help:"Send a mixed load, print what came of it, check every promise and stop."`
 	Duration  time.Duration `help:"How long the load lasts with --once; without, how long to run." placeholder:"TIME"`
-	Skew      devfleet.Skew `help:"Where the load arrives with --once: ${enum}." enum:"spread,one-router,one-each" default:"spread"`
+	Load      devfleet.Load `help:"Load to send with --once or to write: ${enum}." enum:"idle,usual,rush,saturated,flood" default:"rush"`
+	Workload  string        `help:"Write the load as a workload file for figstile load and stop." type:"path" placeholder:"FILE"`
 	Describe  string        `help:"File to write the fleet's addresses to, for figstile load --fleet." type:"path" placeholder:"FILE"`
 	NoRouters bool          `help:"Start the stand-ins only."`
 	LogLevel  string        `help:"Least level of the routers' log." enum:"debug,info,warn,error" default:"warn"`
@@ -25,6 +26,9 @@
 	// defaultTrial is the length of the load of dev --once: the engine that
 	// leaves is away for six seconds of it.
 	defaultTrial = 8 * time.Second
+	// defaultWorkload lets the fairness bound tell: in a shorter run even a
+	// fleet that serves one workspace only stays within it.
+	defaultWorkload = 30 * time.Second
 	// startTimeout bounds the start of a fleet, which takes a second.
 	startTimeout = 30 * time.Second
 )
@@ -41,6 +45,9 @@
 	if err != nil {
 		return usageError(err.Error())
 	}
+	if d.Workload != "" {
+		return writeJSON(d.Workload, sample.Workload(d.length(defaultWorkload), d.Load))
+	}
 	fleet, err := d.start(a, sample)
 	if err != nil {
 		return err
@@ -73,19 +80,19 @@
 	if d.Describe == "" {
 		return nil
 	}
-	return writeFile(d.Describe, func(w io.Writer) error {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(fleet.Describe())
-	})
+	return writeJSON(d.Describe, fleet.Describe())
 }
 
-func (d devCommand) once(a *app, sample devfleet.Sample, fleet *devfleet.Fleet) error {
-	length := d.Duration
-	if length == 0 {
-		length = defaultTrial
+// length is how long a load lasts.
+func (d devCommand) length(usual time.Duration) time.Duration {
+	if d.Duration > 0 {
+		return d.Duration
 	}
-	trial, err := fleet.Try(a.ctx, sample.Workload(length, d.Skew))
+	return usual
+}
+
+func (d devCommand) once(a *app, sample devfleet.Sample, fleet *devfleet.Fleet) error {
+	trial, err := fleet.Try(a.ctx, sample.Workload(d.length(defaultTrial), d.Load))
 	if err != nil {
 		return err
 	}
@@ -108,6 +115,14 @@
 	<-ctx.Done()
 }
 
+func writeJSON(path string, value any) error {
+	return writeFile(path, func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	})
+}
+
 // writeFile creates a file and reports the error of closing it too: a full
 // disk shows only then.
 func writeFile(path string, write func(io.Writer) error) error {
--- a/devfleet/workload.go
+++ b/devfleet/workload.go
@@ -1,74 +1,94 @@
 package devfleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figstile/figstile/loadgen"
 	"github.com/figstile/figstile/state/config"
 )
 
-// Skew tells at which routers the load arrives.
-type Skew string
+// Load is how much a sample's workspaces ask for.
+type Load string
 
-// The skews.
+// The loads.
 const (
-	// Spread sends each request to any router.
-	Spread Skew = "spread"
-	// OneRouter sends everything to the first router.
-	OneRouter Skew = "one-router"
-	// OneEach sends each workspace to one router.
-	OneEach Skew = "one-each"
+	// Idle asks for next to nothing and shows what routers exchange anyway.
+	Idle Load = "idle"
+	// Usual keeps about two thirds of all slots busy.
+	Usual Load = "usual"
+	// Rush has four large workspaces that together ask for more than there
+	// is, and small ones that ask for less than their share.
+	Rush Load = "rush"
+	// Saturated has every workspace ask for about twice its share.
+	Saturated Load = "saturated"
+	// Flood is Saturated with one workspace that asks for 16 times as much.
+	Flood Load = "flood"
 )
 
-// The load of a sample in requests a second. A large workspace alone asks for
-// about a third of the engines and half of the workers, a small one for about
-// its share, so that with four large ones work waits all the time.
-const (
-	largeDrafts   = 14
-	largeBlurbs   = 30
-	largePages    = 160
-	smallDrafts   = 1.5
-	smallBlurbs   = 4
-	smallPages    = 12
-	smallBookings = 2
-	urgent        = 3
-	burstSize     = 8
+// Loads lists the loads.
+func Loads() []Load { return []Load{Idle, Usual, Rush, Saturated, Flood} }
+
+// rates are a workspace's requests a second.
+type rates struct {
+	drafts, blurbs, urgent, pages, bookings float64
+}
+
+// The engines of a sample write about 85 drafts a second and its workers
+// answer about 280 pages; a workspace's share is a sixteenth, more or less.
+var (
+	idle       = rates{pages: 0.02}
+	usualLarge = rates{drafts: 8, blurbs: 10, pages: 30, bookings: 1}
+	usualSmall = rates{drafts: 1, blurbs: 2, pages: 6, bookings: 1}
+	rushLarge  = rates{drafts: 14, blurbs: 30, urgent: 3, pages: 80, bookings: 2}
+	rushSmall  = rates{drafts: 1.5, blurbs: 4, pages: 6, bookings: 2}
+	greedy     = rates{drafts: 10, pages: 30, bookings: 2}
+	flooding   = rates{drafts: 160, pages: 480, bookings: 2}
 )
 
-// Workload returns the mixed load of the sample.
-func (s Sample) Workload(d time.Duration, skew Skew) loadgen.Workload {
+// burstSize is how many blurbs of a small workspace arrive at once.
+const burstSize = 8
+
+func (l Load) rates(t Tenant, first bool) rates {
+	switch {
+	case l == Idle:
+		return idle
+	case l == Flood && first:
+		return flooding
+	case l == Flood || l == Saturated:
+		return greedy
+	case l == Usual && t.Large:
+		return usualLarge
+	case l == Usual:
+		return usualSmall
+	case t.Large:
+		return rushLarge
+	default:
+		return rushSmall
+	}
+}
+
+// Workload returns a load of the sample.
+func (s Sample) Workload(d time.Duration, load Load) loadgen.Workload {
 	w := loadgen.Workload{
-		Name:    s.Name + "-" + string(skew),
+		Name:    s.Name + "-" + string(load),
 		Seed:    1,
 		Seconds: d.Seconds(),
 		Classes: s.classes(),
 	}
 	for _, team := range s.Teams {
 		for _, tenant := range team.Workspaces {
-			ws := loadgen.Workspace{
+			w.Workspaces = append(w.Workspaces, loadgen.Workspace{
 				Name:     tenant.Name,
 				Token:    Token(tenant.Name),
 				Share:    s.share(team, tenant),
-				Targets:  skew.targets(len(w.Workspaces)),
-				Arrivals: s.arrivals(tenant),
-			}
-			w.Workspaces = append(w.Workspaces, ws)
+				Arrivals: s.arrivals(load.rates(tenant, len(w.Workspaces) == 0), load == Rush && !tenant.Large),
+			})
 		}
 	}
 	return w
 }
 
-func (s Skew) targets(index int) []int {
-	switch s {
-	case OneRouter:
-		return []int{0}
-	case OneEach:
-		return []int{index}
-	default:
-		return nil
-	}
-}
-
 func (s Sample) classes() []loadgen.Class {
 	return []loadgen.Class{
 		{
@@ -89,30 +109,30 @@
 		},
 		{
 			Name: s.Page, Service: s.Workers, Kind: config.KindWorker, Path: "/" + s.Page,
-			Busy: loadgen.Size{Median: 50, Sigma: 0.5, Max: 300},
+			Busy: loadgen.Size{Median: 100, Sigma: 0.5, Max: 500},
 		},
 		{
 			Name: s.Booking, Service: s.Workers, Kind: config.KindWorker, Path: "/" + s.Booking,
-			Busy:  loadgen.Size{Median: 50, Sigma: 0.5, Max: 300},
+			Busy:  loadgen.Size{Median: 100, Sigma: 0.5, Max: 500},
 			Keyed: 1, Resent: 0.2, ResendAfterMS: 300,
 		},
 	}
 }
 
-func (s Sample) arrivals(t Tenant) []loadgen.Arrival {
-	if t.Large {
-		return []loadgen.Arrival{
-			{Class: s.Draft, Process: loadgen.Poisson, Rate: largeDrafts},
-			{Class: s.Blurb, Process: loadgen.Poisson, Rate: largeBlurbs},
-			{Class: s.Urgent, Process: loadgen.Poisson, Rate: urgent},
-			{Class: s.Page, Process: loadgen.Poisson, Rate: largePages},
-			{Class: s.Booking, Process: loadgen.Poisson, Rate: smallBookings},
-		}
+// arrivals come evenly, or with blurbs in bursts and pages on and off.
+func (s Sample) arrivals(r rates, uneven bool) []loadgen.Arrival {
+	blurbs := loadgen.Arrival{Class: s.Blurb, Process: loadgen.Poisson, Rate: r.blurbs}
+	pages := loadgen.Arrival{Class: s.Page, Process: loadgen.Poisson, Rate: r.pages}
+	if uneven {
+		blurbs.Process, blurbs.Burst = loadgen.Bursts, burstSize
+		pages.Process, pages.OnSeconds, pages.OffSeconds = loadgen.OnOff, 2, 1
 	}
-	return []loadgen.Arrival{
-		{Class: s.Draft, Process: loadgen.Poisson, Rate: smallDrafts},
-		{Class: s.Blurb, Process: loadgen.Bursts, Rate: smallBlurbs, Burst: burstSize},
-		{Class: s.Page, Process: loadgen.OnOff, Rate: smallPages, OnSeconds: 2, OffSeconds: 1},
-		{Class: s.Booking, Process: loadgen.Poisson, Rate: smallBookings},
+	all := []loadgen.Arrival{
+		{Class: s.Draft, Process: loadgen.Poisson, Rate: r.drafts},
+		blurbs,
+		{Class: s.Urgent, Process: loadgen.Poisson, Rate: r.urgent},
+		pages,
+		{Class: s.Booking, Process: loadgen.Poisson, Rate: r.bookings},
 	}
+	return slices.DeleteFunc(all, func(a loadgen.Arrival) bool { return a.Rate == 0 })
 }
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -19,6 +19,9 @@
 	Fleet    Fleet
 	// Direct sends to the upstreams in turn and by no router, as a baseline.
 	Direct bool
+	// Arrive is how many of the routers requests are sent to; all if zero.
+	// The others still serve what the first ones cannot.
+	Arrive int
 	// Grace is how long callers may wait for answers after the last arrival;
 	// DefaultGrace if zero.
 	Grace time.Duration
@@ -36,6 +39,7 @@
 	workload Workload
 	fleet    Fleet
 	direct   bool
+	arrive   int
 	client   *http.Client
 	started  time.Time
 
@@ -93,6 +97,9 @@
 	if !o.Direct && len(o.Fleet.Routers) == 0 {
 		return errors.New("load: no routers to send to")
 	}
+	if o.Arrive <= 0 || o.Arrive > len(o.Fleet.Routers) {
+		o.Arrive = len(o.Fleet.Routers)
+	}
 	byService := upstreamsByService(o.Fleet)
 	for _, service := range o.Workload.services() {
 		if o.Direct && len(byService[service]) == 0 {
@@ -107,6 +114,7 @@
 		workload:  options.Workload,
 		fleet:     options.Fleet,
 		direct:    options.Direct,
+		arrive:    options.Arrive,
 		client:    newClient(),
 		started:   time.Now(),
 		upstreams: upstreamsByService(options.Fleet),
--- a/loadgen/send.go
+++ b/loadgen/send.go
@@ -220,7 +220,7 @@
 // next upstream's in turn.
 func (r *runner) target(call Call, class Class) (url, name string) {
 	if !r.direct {
-		router := r.fleet.Routers[call.Target%len(r.fleet.Routers)]
+		router := r.fleet.Routers[call.Target%r.arrive]
 		return router.Callers + "/" + string(class.Service), string(router.Name)
 	}
 	upstreams := r.upstreams[class.Service]
