--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -148,6 +148,7 @@
 		Advertise: d.options.AdvertisePeer,
 		Seeds:     d.options.Peers,
 		TLS:       peerTLS,
+		Dial:      d.options.DialPeer,
 		Handler:   d.onEnvelope,
 		OnPeers:   d.onPeers,
 		OnSession: d.onSession,
--- a/transport/daemon/options.go
+++ b/transport/daemon/options.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -47,6 +48,10 @@
 	MaxQueuedBytes int64         `help:"Bytes of bodies held at once." env:"FIGSTILE_MAX_QUEUED_BYTES" default:"268435456"`
 	DrainTimeout   time.Duration `help:"How long a stop may take; 0 waits for the last request." env:"FIGSTILE_DRAIN_TIMEOUT" default:"0"`
 
+	// DialPeer opens connections to peers; nil means plain TCP. Tests put
+	// links that fail here.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error) `kong:"-" json:"-"`
+
 	LogLevel string `help:"Least level that is logged." env:"FIGSTILE_LOG_LEVEL" enum:"debug,info,warn,error" default:"info"`
 	TraceDir string `help:"Directory for recorded decisions; empty records nothing." env:"FIGSTILE_TRACE_DIR"`
 }
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
 	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -243,11 +245,21 @@
 	}
 }
 
+// logFailed warns of a connection that never became a session, unless one side
+// was just stopping or starting.
+func (m *Mesh) logFailed(s *session) {
+	level := zerolog.WarnLevel
+	if errors.Is(s.err, errStopped) || errors.Is(s.err, io.EOF) {
+		level = zerolog.DebugLevel
+	}
+	m.strangers.WithLevel(level).Str("address", s.conn.RemoteAddr().String()).Err(s.err).Msg("peer handshake failed")
+}
+
 func (m *Mesh) countEnd(s *session) {
 	switch {
 	case !s.accepted && s.refusal == membership.RefusalNone:
 		m.events.Failed++
-		m.strangers.Warn().Str("address", s.conn.RemoteAddr().String()).Err(s.err).Msg("peer handshake failed")
+		m.logFailed(s)
 		return
 	case !s.accepted:
 		return
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -35,7 +35,7 @@
 	self     membership.Hello
 	listener net.Listener
 	notices  notices
-	// connectTo opens a connection; tests put links that fail here.
+	// connectTo opens a connection.
 	connectTo func(ctx context.Context, address string) (net.Conn, error)
 	running   sync.WaitGroup
 	total     counters
@@ -84,7 +84,7 @@
 		opts:      opts,
 		self:      self,
 		listener:  listener,
-		connectTo: connectTo,
+		connectTo: opts.Dial,
 		notices:   newNotices(),
 		strangers: opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
 		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/netip"
 	"time"
 
@@ -52,6 +54,9 @@
 	Seeds []string
 	// TLS secures the sessions if set. It must verify peers both ways.
 	TLS *tls.Config
+	// Dial opens a connection to a peer; nil means plain TCP. Tests put links
+	// that fail here.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Handler receives the messages of peers. It is called concurrently for
 	// different peers, and for the two streams of one peer.
 	Handler func(from Peer, env *peerpb.Envelope)
@@ -102,6 +107,9 @@
 			return &OptionError{"Seeds", seed + " is not an IP address and port"}
 		}
 	}
+	if o.Dial == nil {
+		o.Dial = connectTo
+	}
 	if o.OnSession == nil {
 		o.OnSession = func(Peer) {}
 	}
