Count control messages by kind; show upstreams' data centres in status

Cause: control traffic is measured, but not what it consists of. The status and the metrics now count sent messages and bytes by kind.

--- a/transport/daemon/admin.go
+++ b/transport/daemon/admin.go
@@ -60,6 +60,10 @@
 	d.metrics.Gauge("control_bytes_out", float64(stats.Total.BytesOut))
 	d.metrics.Gauge("control_messages_in", float64(stats.Total.MessagesIn))
 	d.metrics.Gauge("control_messages_out", float64(stats.Total.MessagesOut))
+	for kind, traffic := range d.link.byKind() {
+		d.metrics.Gauge("control_sent_bytes_"+kind, float64(traffic.Bytes))
+		d.metrics.Gauge("control_sent_messages_"+kind, float64(traffic.Messages))
+	}
 	d.metrics.Handler().ServeHTTP(w, r)
 }
 
@@ -70,6 +74,8 @@
 	Versions map[string]uint64 `json:"versions"`
 	// Control is what the links to peers carried since the start.
 	Control ControlTraffic `json:"control"`
+	// Kinds are the messages sent, by kind and without session framing.
+	Kinds map[string]KindTraffic `json:"control_kinds"`
 }
 
 // ControlTraffic counts what the links to peers carried, framing included.
@@ -87,6 +93,7 @@
 		Status:   d.schedulerStatus(),
 		Versions: d.source.Versions(),
 		Control:  ControlTraffic(total),
+		Kinds:    d.link.byKind(),
 	}
 }
 
@@ -140,8 +147,11 @@
 		Ready:       d.source.Ready(),
 		Draining:    s.Draining,
 	}
+	sites := d.upstreamSites()
 	for _, u := range s.Owned {
-		status.Upstreams = append(status.Upstreams, upstreamStatus(s.Router, u))
+		shown := upstreamStatus(s.Router, u)
+		shown.DataCentre = sites[u.Name]
+		status.Upstreams = append(status.Upstreams, shown)
 	}
 	for _, svc := range s.Services {
 		status.Services = append(status.Services, admin.ServiceStatus{Service: svc.Name, Gap: fairnessGap(svc)})
@@ -150,6 +160,21 @@
 	return status
 }
 
+// upstreamSites tells where each upstream stands, by the settings in force.
+func (d *Daemon) upstreamSites() map[state.Upstream]state.DataCentre {
+	sites := make(map[state.Upstream]state.DataCentre)
+	view := d.source.View()
+	if view == nil {
+		return sites
+	}
+	for _, service := range view.Settings().Services {
+		for _, u := range service.Upstreams {
+			sites[u.Name] = u.DataCentre
+		}
+	}
+	return sites
+}
+
 func upstreamStatus(owner state.Router, u scheduler.UpstreamStatus) admin.UpstreamStatus {
 	return admin.UpstreamStatus{
 		Upstream: u.Name,
@@ -236,7 +261,7 @@
 
 func (d *Daemon) sendAdvert(to state.Router) {
 	advert := &peerpb.Advert{AdminUrl: d.adminURL()}
-	d.mesh.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_Advert{Advert: advert}})
+	d.link.Send(to, &peerpb.Envelope{Body: &peerpb.Envelope_Advert{Advert: advert}})
 }
 
 func (d *Daemon) adminURL() string {
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -42,6 +42,7 @@
 	metrics   *metrics.Metrics
 	peers     peerSet
 	adverts   adverts
+	link      *countingLink
 	claims    *claims.Ledger
 	writer    *settings.Writer
 	started   time.Time
@@ -92,10 +93,11 @@
 		d.close()
 		return nil, err
 	}
+	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(options.router())) }}
 	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.post)
 	d.host = host.New(host.Options{
 		Scheduler: stepper,
-		Peers:     d.mesh,
+		Peers:     d.link,
 		Poll:      d.pollUpstreams,
 		OnDrained: func() { close(d.drained) },
 		OnPanic:   d.failStop,
--- a/transport/daemon/gossip.go
+++ b/transport/daemon/gossip.go
@@ -99,9 +99,9 @@
 }
 
 // announceSettings tells all peers which versions are in force here.
-func (d *Daemon) announceSettings() { d.mesh.Broadcast(d.versions()) }
+func (d *Daemon) announceSettings() { d.link.Broadcast(d.versions()) }
 
-func (d *Daemon) sendVersions(to state.Router) { d.mesh.Send(to, d.versions()) }
+func (d *Daemon) sendVersions(to state.Router) { d.link.Send(to, d.versions()) }
 
 func (d *Daemon) onVersions(from state.Router, message *peerpb.ConfigVersions) {
 	announced := make(map[string]uint64, len(message.GetVersions()))
@@ -113,7 +113,7 @@
 		return
 	}
 	request := &peerpb.ConfigRequest{Keys: missing}
-	d.mesh.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: request}})
+	d.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: request}})
 }
 
 func (d *Daemon) onConfigRequest(from state.Router, message *peerpb.ConfigRequest) {
@@ -123,7 +123,7 @@
 			continue
 		}
 		answer := &peerpb.ConfigObject{Key: object.Key, Version: object.Version, Value: object.Value}
-		d.mesh.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: answer}})
+		d.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: answer}})
 	}
 }
 
