Refuse claims after a fault in their machine, and pace them before the first size

Cause: the supervisor goes on with an actor that panicked, and a machine half changed by a step could grant a key twice. A host that nobody tells the fleet's size paced itself as if it were alone, which eight routers would multiply to 1,600 rounds a second.

Ruled out: starting anew with an empty machine, which forgets the claims to be taken back.

Conclusion: Ledger.Resize should be called when membership changes; without it a router takes an eighth of the fleet's rounds.

--- a/coordination/claims/limits.go
+++ b/coordination/claims/limits.go
@@ -21,6 +21,9 @@
 	// round is at most one read and one write. The platform takes several
 	// hundred writes a second and serves other purposes too.
 	FleetRounds = 200
+	// defaultRouters paces a machine that has not heard the fleet's size. Too
+	// many only slow its bursts; too few would flood the platform.
+	defaultRouters = 8
 	// completionDelay lets a completion wait for a claim's write to ride in.
 	// Until then a resend hears that the request is in progress.
 	completionDelay = time.Second
--- a/coordination/claims/machine.go
+++ b/coordination/claims/machine.go
@@ -101,7 +101,7 @@
 // NewMachine returns a machine for one incarnation of a router.
 func NewMachine(router state.Router, incarnation state.Incarnation) *Machine {
 	m := &Machine{self: claimer{router, incarnation}}
-	m.resize(1)
+	m.resize(defaultRouters)
 	for i := range m.shards {
 		m.shards[i].index = i
 	}
--- a/transport/claims/host.go
+++ b/transport/claims/host.go
@@ -50,6 +50,7 @@
 	waiting map[state.AttemptID]chan<- result.Result
 	wake    *time.Timer
 	flushed chan<- struct{}
+	broken  bool
 }
 
 // ask is a claim with the channel its decision goes to.
@@ -135,7 +136,46 @@
 
 // receive is the actor: one message at a time reaches the machine.
 func (h *Host) receive(c actor.Context) {
-	switch m := c.Message().(type) {
+	if h.broken {
+		h.refuse(c.Message())
+		return
+	}
+	defer h.failClosed()
+	h.handle(c.Message())
+}
+
+// failClosed ends the use of a machine that panicked. A step that broke off
+// leaves it half changed, and the supervisor would go on with it: it could grant
+// a key twice. Every claim is refused instead until the router is replaced.
+func (h *Host) failClosed() {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	h.broken = true
+	h.stopTimer()
+	h.opts.Log.Error().Str("event", "claims-broken").Interface("panic", fault).Send()
+	for attempt, answer := range h.waiting {
+		delete(h.waiting, attempt)
+		answer <- result.New(result.ClaimUnavailable, "")
+	}
+	if h.flushed != nil {
+		close(h.flushed)
+	}
+}
+
+// refuse answers messages once the machine is broken.
+func (h *Host) refuse(message any) {
+	switch m := message.(type) {
+	case ask:
+		m.answer <- result.New(result.ClaimUnavailable, "")
+	case flush:
+		close(m.done)
+	}
+}
+
+func (h *Host) handle(message any) {
+	switch m := message.(type) {
 	case ask:
 		h.waiting[m.request.Attempt] = m.answer
 		h.step(claims.Wanted{Request: m.request})
--- a/transport/claims/host_test.go
+++ b/transport/claims/host_test.go
@@ -142,6 +142,17 @@
 	require.NoError(t, h.Close(context.Background()))
 }
 
+// TestHostFailsClosed: two resends of a booking run, because the router went on
+// after a fault in the middle of a step.
+func TestHostFailsClosed(t *testing.T) {
+	h := start(t, &memory{objects: map[string]objectstore.Object{}}, "a")
+	h.send(claims.ReadDone{Shard: claims.Shards})
+	res := h.Claim(context.Background(), request("a", "k", 1))
+	require.Equal(t, result.ClaimUnavailable, res.Code)
+	require.Equal(t, result.RanNo, res.Ran)
+	require.NoError(t, h.Close(context.Background()))
+}
+
 func TestWriteOutcome(t *testing.T) {
 	require.Equal(t, claims.WriteUnknown, writeOutcome(context.DeadlineExceeded))
 	require.Equal(t, claims.WriteUnknown, writeOutcome(errors.New("reset")))
--- a/transport/claims/ledger.go
+++ b/transport/claims/ledger.go
@@ -80,6 +80,9 @@
 	l.mint.Complete(req, ran)
 }
 
+// Resize says how many routers share the platform.
+func (l *Ledger) Resize(routers int) { l.host.Resize(routers) }
+
 // StopIssuing ends the issue of keys at the start of a drain. Those issued are
 // run as long as the router serves.
 func (l *Ledger) StopIssuing() {
