Free the slot of a handler that panicked

Cause: the HTTP server survives a panicking handler, but its dispatch was never ended, and the owner of the upstream would have counted the slot as taken for good.

Ruled out: answering the caller after a panic; the connection is aborted, since part of an answer may be out, and a claim stays as running, then unknown.

Conclusion: every Dispatch is followed by one Ended.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -38,6 +38,7 @@
 	case scheduler.Refuse:
 		return x.refuse(a.Result), true
 	case scheduler.Dispatch:
+		x.dispatched = true
 		return x.dispatch(a)
 	default:
 		return x.refuse(result.New(result.Internal, "").WithRan(result.RanNo)), true
@@ -50,7 +51,7 @@
 	x.h.opts.Scheduler.Left(x.id)
 	for action := range actions {
 		if _, ok := action.(scheduler.Dispatch); ok {
-			x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+			x.ended(0, scheduler.OutcomeAbandoned)
 		}
 	}
 	return x.abandoned()
@@ -108,10 +109,10 @@
 // forgo gives a dispatch back that must not run.
 func (x *exchange) forgo(res result.Result) result.Result {
 	if x.ctx.Err() != nil {
-		x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+		x.ended(0, scheduler.OutcomeAbandoned)
 		return x.abandoned()
 	}
-	x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeRefused)
+	x.ended(0, scheduler.OutcomeRefused)
 	return x.refuse(res)
 }
 
@@ -210,12 +211,26 @@
 
 // undone gives a dispatch back that sent nothing.
 func (x *exchange) undone(outcome scheduler.Outcome) (res result.Result, final bool) {
-	x.h.opts.Scheduler.Ended(x.id, 0, outcome)
+	x.ended(0, outcome)
 	return result.Result{}, false
 }
 
+// ended ends the dispatch under way.
+func (x *exchange) ended(cost state.Cost, outcome scheduler.Outcome) {
+	x.dispatched = false
+	x.h.opts.Scheduler.Ended(x.id, cost, outcome)
+}
+
+// recovered ends a dispatch that a fault in this package left open: the
+// server survives a panicking handler, and the slot would stay taken for good.
+func (x *exchange) recovered() {
+	if x.dispatched {
+		x.ended(0, scheduler.OutcomeTruncated)
+	}
+}
+
 // end reports the last of an attempt's cost.
 func (x *exchange) end(m *meter, total state.Cost, outcome scheduler.Outcome) {
 	x.record.Cost += max(total, m.reported)
-	x.h.opts.Scheduler.Ended(x.id, m.final(total), outcome)
+	x.ended(m.final(total), outcome)
 }
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -105,6 +105,7 @@
 		control: http.NewResponseController(w),
 		arrived: h.opts.Now(),
 	}
+	defer x.recovered()
 	res := x.run()
 	x.finish(res)
 	// The connection may serve another handler next, which knows nothing of
@@ -128,6 +129,8 @@
 
 	job *job
 	id  state.RequestID
+	// dispatched is set from a Dispatch until its Ended.
+	dispatched bool
 	// sent is set once any byte of the request may have reached an upstream.
 	// From then on no result says that it did not run.
 	sent bool
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -113,11 +113,15 @@
 
 type fakeClaims struct {
 	answer    result.Result
+	fault     bool
 	claimed   []ClaimRequest
 	completed []result.Ran
 }
 
 func (c *fakeClaims) Claim(_ context.Context, req ClaimRequest) result.Result {
+	if c.fault {
+		panic("a fault in the router")
+	}
 	c.claimed = append(c.claimed, req)
 	return c.answer
 }
@@ -486,11 +490,22 @@
 	})
 }
 
+// TestPanicFreesTheSlot: an engine idles for good. A fault of the router ends
+// the handler between the dispatch and its report.
+func TestPanicFreesTheSlot(t *testing.T) {
+	b := newBench(t, nil, dispatch("one"))
+	b.claims.fault = true
+	require.Error(t, b.callWith(context.Background(), t))
+	outcomes, _ := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeTruncated}, outcomes)
+}
+
 func (b *bench) callWith(ctx context.Context, t *testing.T) error {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/bookings/x", strings.NewReader("4A"))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set(HeaderIdempotencyKey, "k")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
