Split admission and dispatch into steps

Cause: both functions had grown past what one reads at a glance.

Ruled out: moving the check of a worker's access behind the reading of its body, which would let strangers to a service fill the memory budget.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -76,11 +76,17 @@
 	}
 	x.record.Upstream = d.Upstream
 	x.record.Waited = x.since()
+	return x.send(x.attempt(attempt, base), d.Attempt == 1)
+}
+
+// send runs one attempt under the request's deadline, which bounds the time to
+// the head of the answer: a draft that has begun is worth its end.
+func (x *exchange) send(attempt upstream.Attempt, first bool) (res result.Result, final bool) {
 	m := newMeter(x.job, x.h.opts.Now())
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	stopTimer := x.h.opts.AfterFunc(x.untilDeadline(), func() { cancel(errDeadlinePassed) })
-	answer, err := x.h.opts.Client.Send(ctx, x.attempt(attempt, base))
+	answer, err := x.h.opts.Client.Send(ctx, attempt)
 	if !stopTimer() && err == nil {
 		// The deadline passed in the moment the head arrived.
 		answer.Close()
@@ -91,7 +97,7 @@
 	}
 	defer answer.Close()
 	x.sent = true
-	if d.Attempt == 1 && x.job.request.Repeatable && turnedAway(answer.Status) {
+	if first && x.job.request.Repeatable && turnedAway(answer.Status) {
 		x.end(&m, 0, scheduler.OutcomeLost)
 		return result.Result{}, false
 	}
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -88,6 +88,33 @@
 	if view == nil {
 		return nil, result.New(result.NotReady, "")
 	}
+	j, err := x.readHead(view)
+	if err != nil {
+		return nil, err
+	}
+	if !j.engine() {
+		if err := j.allowed(view); err != nil {
+			return nil, err
+		}
+	}
+	if j.body, err = x.readBody(j.service.Limits.BodyBytes); err != nil {
+		return nil, err
+	}
+	j.request.Bytes = int64(len(j.body))
+	j.request.Fingerprint = fingerprint(j)
+	if !j.engine() {
+		return j, nil
+	}
+	if err := j.readCompletion(); err != nil {
+		return nil, err
+	}
+	// An engine's model is known only from the body.
+	return j, j.allowed(view)
+}
+
+// readHead takes what the head of a request tells: whose it is, where it goes
+// and what the caller says of it.
+func (x *exchange) readHead(view View) (*job, error) {
 	workspace, ok := view.AuthenticateCaller(bearerToken(x.r.Header))
 	if !ok {
 		return nil, result.New(result.Unauthorized, "")
@@ -99,42 +126,38 @@
 		return nil, result.New(result.UnknownService, "")
 	}
 	x.record.Service = name
-	if service.Kind != config.KindEngine {
-		// An engine's model is known only from the body.
-		if code := view.Allows(workspace, name, ""); code != result.OK {
-			return nil, result.New(code, "")
-		}
-	}
 	hints, err := parseHints(x.r.Header, x.arrived)
 	if err != nil {
 		return nil, result.New(result.BadRequest, err.Error())
 	}
 	x.record.Class = hints.class
-	body, err := x.readBody(service.Limits.BodyBytes)
-	if err != nil {
-		return nil, err
-	}
 	j := &job{
 		service:  service,
 		key:      hints.key,
 		method:   x.r.Method,
 		target:   target,
-		body:     body,
 		deadline: deadlineOf(hints, service, x.arrived),
 	}
 	j.header = upstreamHeader(x.r.Header, j.engine())
-	j.request = x.describe(j, workspace, hints)
-	if err := j.readCompletion(); err != nil {
-		return nil, err
-	}
-	if j.engine() {
-		if code := view.Allows(workspace, name, j.request.Model); code != result.OK {
-			return nil, result.New(code, "")
-		}
+	j.request = scheduler.Request{
+		Service:    service.Name,
+		Workspace:  workspace,
+		Class:      hints.class,
+		Deadline:   j.deadline,
+		Repeatable: service.Repeatable && j.key == "",
 	}
 	return j, nil
 }
 
+// allowed checks the workspace's access to the service and model.
+func (j *job) allowed(view View) error {
+	code := view.Allows(j.request.Workspace, j.request.Service, j.request.Model)
+	if code != result.OK {
+		return result.New(code, "")
+	}
+	return nil
+}
+
 // splitTarget cuts the service from the path and returns the escaped rest,
 // which goes to the upstream as the caller wrote it.
 func splitTarget(r *http.Request) (state.Service, string) {
@@ -157,23 +180,11 @@
 	return now.Add(defaultDeadline)
 }
 
-func (x *exchange) describe(j *job, ws state.Workspace, h hints) scheduler.Request {
-	return scheduler.Request{
-		Service:     j.service.Name,
-		Workspace:   ws,
-		Class:       h.class,
-		Bytes:       int64(len(j.body)),
-		Deadline:    j.deadline,
-		Repeatable:  j.service.Repeatable && j.key == "",
-		Fingerprint: fingerprint(ws, j),
-	}
-}
-
 // fingerprint digests the fields with separators, so that no two requests
 // agree by shifting bytes from one field to the next.
-func fingerprint(ws state.Workspace, j *job) state.Fingerprint {
+func fingerprint(j *job) state.Fingerprint {
 	digest := xxhash.New()
-	for _, field := range []string{string(ws), string(j.service.Name), j.method, j.target} {
+	for _, field := range []string{string(j.request.Workspace), string(j.service.Name), j.method, j.target} {
 		_, _ = digest.WriteString(field)
 		_, _ = digest.Write([]byte{0})
 	}
@@ -184,7 +195,7 @@
 // readCompletion fills in what an engine's body tells. A model is required
 // only where the service offers a choice.
 func (j *job) readCompletion() error {
-	if !j.engine() || j.method != http.MethodPost {
+	if j.method != http.MethodPost {
 		return nil
 	}
 	var c completion
