--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -38,6 +38,7 @@
 	case scheduler.Refuse:
 		return x.refuse(a.Result), true
 	case scheduler.Dispatch:
+		x.dispatched = true
 		return x.dispatch(a)
 	default:
 		return x.refuse(result.New(result.Internal, "").WithRan(result.RanNo)), true
@@ -50,7 +51,7 @@
 	x.h.opts.Scheduler.Left(x.id)
 	for action := range actions {
 		if _, ok := action.(scheduler.Dispatch); ok {
-			x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+			x.ended(0, scheduler.OutcomeAbandoned)
 		}
 	}
 	return x.abandoned()
@@ -75,11 +76,17 @@
 	}
 	x.record.Upstream = d.Upstream
 	x.record.Waited = x.since()
+	return x.send(x.attempt(attempt, base), d.Attempt == 1)
+}
+
+// send runs one attempt under the request's deadline, which bounds the time to
+// the head of the answer: a draft that has begun is worth its end.
+func (x *exchange) send(attempt upstream.Attempt, first bool) (res result.Result, final bool) {
 	m := newMeter(x.job, x.h.opts.Now())
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
 	stopTimer := x.h.opts.AfterFunc(x.untilDeadline(), func() { cancel(errDeadlinePassed) })
-	answer, err := x.h.opts.Client.Send(ctx, x.attempt(attempt, base))
+	answer, err := x.h.opts.Client.Send(ctx, attempt)
 	if !stopTimer() && err == nil {
 		// The deadline passed in the moment the head arrived.
 		answer.Close()
@@ -90,7 +97,7 @@
 	}
 	defer answer.Close()
 	x.sent = true
-	if d.Attempt == 1 && x.job.request.Repeatable && turnedAway(answer.Status) {
+	if first && x.job.request.Repeatable && turnedAway(answer.Status) {
 		x.end(&m, 0, scheduler.OutcomeLost)
 		return result.Result{}, false
 	}
@@ -108,10 +115,10 @@
 // forgo gives a dispatch back that must not run.
 func (x *exchange) forgo(res result.Result) result.Result {
 	if x.ctx.Err() != nil {
-		x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeAbandoned)
+		x.ended(0, scheduler.OutcomeAbandoned)
 		return x.abandoned()
 	}
-	x.h.opts.Scheduler.Ended(x.id, 0, scheduler.OutcomeRefused)
+	x.ended(0, scheduler.OutcomeRefused)
 	return x.refuse(res)
 }
 
@@ -210,12 +217,26 @@
 
 // undone gives a dispatch back that sent nothing.
 func (x *exchange) undone(outcome scheduler.Outcome) (res result.Result, final bool) {
-	x.h.opts.Scheduler.Ended(x.id, 0, outcome)
+	x.ended(0, outcome)
 	return result.Result{}, false
 }
 
+// ended ends the dispatch under way.
+func (x *exchange) ended(cost state.Cost, outcome scheduler.Outcome) {
+	x.dispatched = false
+	x.h.opts.Scheduler.Ended(x.id, cost, outcome)
+}
+
+// recovered ends a dispatch that a fault in this package left open: the
+// server survives a panicking handler, and the slot would stay taken for good.
+func (x *exchange) recovered() {
+	if x.dispatched {
+		x.ended(0, scheduler.OutcomeTruncated)
+	}
+}
+
 // end reports the last of an attempt's cost.
 func (x *exchange) end(m *meter, total state.Cost, outcome scheduler.Outcome) {
 	x.record.Cost += max(total, m.reported)
-	x.h.opts.Scheduler.Ended(x.id, m.final(total), outcome)
+	x.ended(m.final(total), outcome)
 }
