peer: measure messages, the idle mesh and the memory of sessions

Benchmarks count what is written on the TCP connections, with an injected clock for the idle mesh, so the figures do not depend on the machine.

A test holds that header and body of a message leave in one write.

--- /dev/null
+++ b/transport/peer/measure_test.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+)
+
+// writeCounter counts the calls of Write.
+type writeCounter struct {
+	net.Conn
+	writes int
+}
+
+func (c *writeCounter) Write(p []byte) (int, error) {
+	c.writes++
+	return c.Conn.Write(p)
+}
+
+// Each message of a stream must leave in one segment, or small messages cost
+// twice the packets.
+func TestHeaderAndBodyLeaveTogether(t *testing.T) {
+	near, far := net.Pipe()
+	counted := &writeCounter{Conn: near}
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.LogOutput = io.Discard
+	client, err := yamux.Client(&joinedConn{Conn: counted}, cfg)
+	require.NoError(t, err)
+	server, err := yamux.Server(far, cfg)
+	require.NoError(t, err)
+	stream, err := client.OpenStream()
+	require.NoError(t, err)
+	accepted, err := server.AcceptStream()
+	require.NoError(t, err)
+	const messages = 10
+	for range messages {
+		_, err = stream.Write([]byte("grant"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(accepted, make([]byte, 5))
+		require.NoError(t, err)
+	}
+	require.NoError(t, client.Close())
+	require.NoError(t, server.Close())
+	require.Equal(t, 1+messages, counted.writes, "opening the stream is a frame of its own")
+}
+
+func demand(entries int) scheduler.Action {
+	var list []scheduler.DemandEntry
+	for i := range entries {
+		list = append(list, scheduler.DemandEntry{Workspace: state.Workspace(fmt.Sprintf("turismo-oriental-%02d", i)), Model: "borrador-7b-v3", Waiting: 12, HeadAge: 2 * time.Second, HeadCost: 1500 * state.CostUnit})
+	}
+	return scheduler.SendDemand{Demand: scheduler.Demand{Service: "redaccion-figstile", Entries: list}}
+}
+
+func usage(origin state.Router, entries int) scheduler.Action {
+	var list []scheduler.UsageEntry
+	for i := range entries {
+		list = append(list, scheduler.UsageEntry{Service: "redaccion-figstile", Workspace: state.Workspace(fmt.Sprintf("turismo-oriental-%02d", i)), Charged: 250_000 * state.CostUnit, Reserved: 3000 * state.CostUnit, Lift: 90_000 * state.CostUnit})
+	}
+	return scheduler.SendUsage{Origin: origin, Incarnation: 1_767_225_600_000, Entries: list}
+}
+
+// BenchmarkMessage counts what one message adds to the TCP connection, yamux
+// header included. Names and numbers have the length of the present fleet's.
+func BenchmarkMessage(b *testing.B) {
+	const router, service, workspace, upstream = "sala-laredo-1", "redaccion-figstile", "turismo-oriental-01", "redaccion-laredo-03"
+	for name, action := range map[string]scheduler.Action{
+		"demand-1":       demand(1),
+		"demand-16":      demand(16),
+		"grant":          scheduler.SendGrant{Grant: scheduler.Grant{Sequence: 5_000_000, Service: service, Workspace: workspace, Model: "borrador-7b-v3", Upstream: upstream, Lifetime: time.Second, Reserved: 1500 * state.CostUnit}},
+		"decline":        scheduler.SendDecline{Sequence: 5_000_000, Service: service, Demand: scheduler.DemandEntry{Workspace: workspace}},
+		"progress":       scheduler.SendProgress{Sequence: 5_000_000, Upstream: upstream, Service: service, Workspace: workspace, Cost: 64 * state.CostUnit},
+		"ended":          scheduler.SendEnded{Sequence: 5_000_000, Upstream: upstream, Service: service, Workspace: workspace, Cost: 64 * state.CostUnit, Outcome: scheduler.OutcomeServed},
+		"usage-1":        usage("", 1),
+		"usage-1-origin": usage(router, 1),
+		"usage-16":       usage("", 16),
+	} {
+		env, _, _ := wire.ToEnvelope(action)
+		b.Run(name, func(b *testing.B) { measureMessage(b, env) })
+	}
+	beat := &peerpb.Heartbeat{Sequence: 100_000, Echo: 100_000, EchoHeldUs: 999_000}
+	b.Run("heartbeat", func(b *testing.B) {
+		measureMessage(b, &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: beat}})
+	})
+}
+
+func measureMessage(b *testing.B, env *peerpb.Envelope) {
+	f := newFleet(b)
+	f.direct = true
+	from := f.start("sala-laredo-1", 1)
+	to := f.start("sala-castro-1", 1, from.Addr())
+	f.until(func() bool { return inStep(from, to) && to.route(from.name) != nil && from.sees(to.name, from.name) })
+	received := func() uint64 { return to.Stats().Total.MessagesIn }
+	before, already := from.Stats().Total, received()
+	sent := uint64(0)
+	for b.Loop() {
+		require.True(b, from.Send(to.name, env))
+		sent++
+		f.wait(func() bool { return received() == already+sent })
+	}
+	after := from.Stats().Total
+	b.ReportMetric(float64(after.BytesOut-before.BytesOut)/float64(sent), "wire-B/msg")
+}
+
+// BenchmarkIdleMesh counts what an idle mesh sends, over two rounds of gossip
+// of an injected clock, and the memory of its sessions.
+func BenchmarkIdleMesh(b *testing.B) {
+	for _, routers := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			for b.Loop() {
+				measureIdle(b, routers)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, routers int) {
+	f := newFleet(b)
+	f.direct = true
+	f.start("sala-laredo-00", 1_767_225_600_000)
+	empty := inUse()
+	for i := 1; i < routers; i++ {
+		f.start(fmt.Sprintf("sala-laredo-%02d", i), 1_767_225_600_000, f.nodes[0].Addr())
+	}
+	started := inUse()
+	f.until(func() bool {
+		for _, n := range f.nodes {
+			if len(n.accepted()) != routers-1 {
+				return false
+			}
+		}
+		return f.settled()
+	})
+	connected := inUse()
+	const span = 2 * membership.GossipInterval
+	bytes := f.bytesOut()
+	for range span / membership.TickInterval {
+		f.tick(membership.TickInterval)
+		f.wait(f.settled)
+	}
+	b.ReportMetric(float64(f.bytesOut()-bytes)/span.Seconds()/float64(routers), "B/s/router")
+	b.ReportMetric(float64(connected-started)/float64(routers*(routers-1)), "mem-B/session")
+	b.ReportMetric(float64(started-empty)/float64(routers-1), "mem-B/router")
+}
+
+func (f *fleet) bytesOut() (sum uint64) {
+	for _, n := range f.nodes {
+		sum += n.Stats().Total.BytesOut
+	}
+	return sum
+}
+
+// inUse returns the bytes of live heap and of stacks.
+func inUse() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -36,8 +36,10 @@
 	notices  notices
 	// connectTo opens a connection; tests put links that fail here.
 	connectTo func(ctx context.Context, address string) (net.Conn, error)
-	running   sync.WaitGroup
-	total     counters
+	// flushLimit is flushTimeout, but for tests on slow machines.
+	flushLimit time.Duration
+	running    sync.WaitGroup
+	total      counters
 
 	mu sync.RWMutex
 	// ctx ends with Run; nil before.
@@ -78,15 +80,16 @@
 		Address:     opts.Advertise,
 	}
 	m := &Mesh{
-		opts:      opts,
-		self:      self,
-		listener:  listener,
-		connectTo: connectTo,
-		notices:   newNotices(),
-		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
-		sessions:  make(map[membership.SessionID]*session),
-		routes:    make(map[state.Router]*session),
-		traffic:   make(map[state.Router]*counters),
+		opts:       opts,
+		self:       self,
+		listener:   listener,
+		connectTo:  connectTo,
+		flushLimit: flushTimeout,
+		notices:    newNotices(),
+		machine:    membership.New(membership.Config{Self: self, Seed: opts.Seed}),
+		sessions:   make(map[membership.SessionID]*session),
+		routes:     make(map[state.Router]*session),
+		traffic:    make(map[state.Router]*counters),
 	}
 	return m, nil
 }
@@ -132,7 +135,7 @@
 // connection on which a heartbeat arrives meanwhile, and the reset would
 // destroy the last counters on their way.
 func (m *Mesh) flush() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), m.flushLimit)
 	defer cancel()
 	sessions := m.accepted()
 	for _, s := range sessions {
