wire: leave out names that repeat within a message

Names are most of a message: in a usage delta of 16 counters the service alone was a third. An entry now leaves out the service (usage) or the model (demand) of the entry before it.

Ruled out: numbering names per session (state on both ends that a lost session would have to rebuild, for another ten bytes an entry), and compression (the messages are too short for it).

--- a/protocol/wire/decode.go
+++ b/protocol/wire/decode.go
@@ -50,8 +50,11 @@
 		return nil
 	}
 	var entries []scheduler.DemandEntry
+	var before state.Model
 	for _, e := range m.GetEntries() {
-		entries = append(entries, c.demandEntry(e))
+		entry := c.demandEntry(e, before)
+		entries = append(entries, entry)
+		before = entry.Model
 	}
 	return scheduler.DemandHeard{
 		From:   from,
@@ -59,10 +62,14 @@
 	}
 }
 
-func (c *checker) demandEntry(e *peerpb.DemandEntry) scheduler.DemandEntry {
+func (c *checker) demandEntry(e *peerpb.DemandEntry, before state.Model) scheduler.DemandEntry {
+	model := before
+	if e != nil && e.Model != nil {
+		model = state.Model(c.optional("demand.model", e.GetModel()))
+	}
 	return scheduler.DemandEntry{
 		Workspace: state.Workspace(c.name("demand.workspace", e.GetWorkspace())),
-		Model:     state.Model(c.optional("demand.model", e.GetModel())),
+		Model:     model,
 		Waiting:   c.integer("demand.waiting", e.GetWaiting()),
 		HeadAge:   duration(e.GetHeadAgeMs()),
 		HeadCost:  c.cost("demand.head_cost", e.GetHeadCost()),
@@ -87,7 +94,7 @@
 		From:     from,
 		Sequence: m.GetSequence(),
 		Service:  state.Service(c.name("decline.service", m.GetService())),
-		Demand:   c.demandEntry(m.GetDemand()),
+		Demand:   c.demandEntry(m.GetDemand(), ""),
 	}
 }
 
@@ -134,15 +141,22 @@
 		heard.Origin = state.Router(origin)
 		heard.Incarnation = state.Incarnation(m.GetOriginIncarnation())
 	}
+	var before state.Service
 	for _, e := range m.GetEntries() {
-		heard.Entries = append(heard.Entries, c.usageEntry(e))
+		entry := c.usageEntry(e, before)
+		heard.Entries = append(heard.Entries, entry)
+		before = entry.Service
 	}
 	return heard
 }
 
-func (c *checker) usageEntry(e *peerpb.UsageEntry) scheduler.UsageEntry {
+func (c *checker) usageEntry(e *peerpb.UsageEntry, before state.Service) scheduler.UsageEntry {
+	service := before
+	if before == "" || e.GetService() != "" {
+		service = state.Service(c.name("usage.service", e.GetService()))
+	}
 	return scheduler.UsageEntry{
-		Service:   state.Service(c.name("usage.service", e.GetService())),
+		Service:   service,
 		Workspace: state.Workspace(c.name("usage.workspace", e.GetWorkspace())),
 		Charged:   c.cost("usage.charged", e.GetCharged()),
 		Reserved:  c.cost("usage.reserved", e.GetReserved()),
--- a/protocol/wire/encode.go
+++ b/protocol/wire/encode.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/state"
@@ -34,17 +36,25 @@
 
 func demandEnvelope(d scheduler.Demand) *peerpb.Envelope {
 	entries := make([]*peerpb.DemandEntry, 0, len(d.Entries))
+	var before state.Model
 	for _, e := range d.Entries {
-		entries = append(entries, demandEntry(e))
+		entries = append(entries, demandEntry(e, before))
+		before = e.Model
 	}
 	body := &peerpb.Demand{Service: string(d.Service), Entries: entries, Full: d.Full}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Demand{Demand: body}}
 }
 
-func demandEntry(e scheduler.DemandEntry) *peerpb.DemandEntry {
+// demandEntry leaves out a model that is that of the entry before. Names are
+// most of a message, and a service has few models.
+func demandEntry(e scheduler.DemandEntry, before state.Model) *peerpb.DemandEntry {
+	var model *string
+	if e.Model != before {
+		model = proto.String(string(e.Model))
+	}
 	return &peerpb.DemandEntry{
 		Workspace: string(e.Workspace),
-		Model:     string(e.Model),
+		Model:     model,
 		Waiting:   count32(e.Waiting),
 		HeadAgeMs: millis(e.HeadAge),
 		HeadCost:  int64(e.HeadCost),
@@ -68,7 +78,7 @@
 	body := &peerpb.Decline{
 		Sequence: a.Sequence,
 		Service:  string(a.Service),
-		Demand:   demandEntry(a.Demand),
+		Demand:   demandEntry(a.Demand, ""),
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Decline{Decline: body}}
 }
@@ -99,14 +109,10 @@
 
 func usageEnvelope(a scheduler.SendUsage) *peerpb.Envelope {
 	entries := make([]*peerpb.UsageEntry, 0, len(a.Entries))
+	var before state.Service
 	for _, e := range a.Entries {
-		entries = append(entries, &peerpb.UsageEntry{
-			Service:   string(e.Service),
-			Workspace: string(e.Workspace),
-			Charged:   int64(e.Charged),
-			Reserved:  int64(e.Reserved),
-			Lift:      int64(e.Lift),
-		})
+		entries = append(entries, usageEntry(e, before))
+		before = e.Service
 	}
 	body := &peerpb.Usage{
 		Entries:           entries,
@@ -117,6 +123,20 @@
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Usage{Usage: body}}
 }
 
+// usageEntry leaves out a service that is that of the entry before.
+func usageEntry(e scheduler.UsageEntry, before state.Service) *peerpb.UsageEntry {
+	entry := &peerpb.UsageEntry{
+		Workspace: string(e.Workspace),
+		Charged:   int64(e.Charged),
+		Reserved:  int64(e.Reserved),
+		Lift:      int64(e.Lift),
+	}
+	if e.Service != before {
+		entry.Service = string(e.Service)
+	}
+	return entry
+}
+
 func crashEnvelope(a scheduler.SendCrash) *peerpb.Envelope {
 	body := &peerpb.Crash{
 		Fingerprint: uint64(a.Fingerprint),
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -19,6 +19,16 @@
 
 var entry = scheduler.DemandEntry{Workspace: "guias", Model: "borrador-3", Waiting: 4, HeadAge: 1200 * time.Millisecond, HeadCost: 900}
 
+// mixed and counters repeat names and change them in every way.
+var (
+	mixed = scheduler.Demand{Service: "s", Entries: []scheduler.DemandEntry{
+		{Workspace: "a"}, {Workspace: "a", Model: "m"}, {Workspace: "b", Model: "m"}, {Workspace: "c"}, {Workspace: "d"}, {Workspace: "d", Model: "n"},
+	}}
+	counters = []scheduler.UsageEntry{
+		{Service: "s", Workspace: "a"}, {Service: "s", Workspace: "b"}, {Service: "t", Workspace: "a"}, {Service: "s", Workspace: "c"},
+	}
+)
+
 // pairs lists every action that leaves a router with the event it becomes.
 var pairs = []struct {
 	action scheduler.Action
@@ -48,6 +58,14 @@
 		scheduler.SendUsage{Entries: []scheduler.UsageEntry{{Service: "drafts", Workspace: "guias", Charged: 9, Reserved: 2, Lift: 1}}, Full: true},
 		scheduler.UsageHeard{Origin: sender, Incarnation: 41, Entries: []scheduler.UsageEntry{{Service: "drafts", Workspace: "guias", Charged: 9, Reserved: 2, Lift: 1}}, Full: true},
 	},
+	{
+		scheduler.SendDemand{Demand: mixed},
+		scheduler.DemandHeard{From: sender, Demand: mixed},
+	},
+	{
+		scheduler.SendUsage{Entries: counters},
+		scheduler.UsageHeard{Origin: sender, Incarnation: 41, Entries: counters},
+	},
 	{
 		scheduler.SendUsage{Origin: "r9", Incarnation: 3},
 		scheduler.UsageHeard{Origin: "r9", Incarnation: 3},
