--- /dev/null
+++ b/coordination/fairness/choice.go
@@ -0,0 +1,175 @@
+package fairness
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/btree"
+
+	"github.com/figstile/figstile/state"
+)
+
+// node is a backlogged account in an index.
+type node struct {
+	key     float64
+	tie     uint64
+	account *account
+}
+
+func newIndex() *btree.BTreeG[node] {
+	return btree.NewG(8, func(a, b node) bool {
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.tie, b.tie), cmp.Compare(a.account.workspace, b.account.workspace)) < 0
+	})
+}
+
+func tieBreak(seed uint64, w state.Workspace) uint64 {
+	return xxhash.Sum64String(string(w)) ^ seed
+}
+
+func (a *account) node() node {
+	return node{key: a.key, tie: a.tie, account: a}
+}
+
+// rekey moves a backlogged account to its present virtual time.
+func (l *Ledger) rekey(a *account) {
+	if len(a.models) == 0 {
+		return
+	}
+	key := l.virtual(a)
+	if key == a.key {
+		return
+	}
+	l.unindex(a)
+	a.key = key
+	l.index(a)
+}
+
+func (l *Ledger) index(a *account) {
+	l.all.ReplaceOrInsert(a.node())
+	for m := range a.models {
+		l.modelIndex(m).ReplaceOrInsert(a.node())
+	}
+}
+
+func (l *Ledger) unindex(a *account) {
+	l.all.Delete(a.node())
+	for m := range a.models {
+		l.modelIndex(m).Delete(a.node())
+	}
+}
+
+func (l *Ledger) modelIndex(m state.Model) *btree.BTreeG[node] {
+	index := l.byModel[m]
+	if index == nil {
+		index = newIndex()
+		l.byModel[m] = index
+	}
+	return index
+}
+
+// SetBacklog says whether any router has work of a workspace and model
+// waiting. A workspace that comes back from idle is lifted to the least
+// virtual time of those waiting, so that idleness saves up no claim.
+func (l *Ledger) SetBacklog(now time.Time, w state.Workspace, m state.Model, waiting bool) {
+	a := l.account(w)
+	if _, indexed := a.models[m]; indexed == waiting {
+		return
+	}
+	if !waiting {
+		l.modelIndex(m).Delete(a.node())
+		delete(a.models, m)
+		if l.byModel[m].Len() == 0 {
+			delete(l.byModel, m)
+		}
+		if len(a.models) == 0 {
+			l.all.Delete(a.node())
+			a.idleSince = now
+		}
+		return
+	}
+	if len(a.models) == 0 {
+		l.wake(now, a)
+	}
+	a.models[m] = struct{}{}
+	l.all.ReplaceOrInsert(a.node())
+	l.modelIndex(m).ReplaceOrInsert(a.node())
+}
+
+// Lost says that demand of a workspace went out of sight with a router, and
+// not because its work was done. If none is left, the workspace does not count
+// as idle: behind a partition it may have work waiting all the time, and lifted
+// on return it would never make up for what it missed.
+func (l *Ledger) Lost(w state.Workspace) {
+	a := l.account(w)
+	a.lost = len(a.models) == 0
+}
+
+// wake lifts an account that was idle for longer than idleGrace, up to one
+// usual request below the least virtual time of the others. Without that one,
+// a workspace that asks rarely would wait after each request for the others
+// to catch up with it. It cannot add up: the floor counts all past service.
+func (l *Ledger) wake(now time.Time, a *account) {
+	a.key = l.virtual(a)
+	lost := a.lost
+	a.lost = false
+	if lost || now.Sub(a.idleSince) <= idleGrace {
+		return
+	}
+	least, ok := l.all.Min()
+	if !ok {
+		return
+	}
+	floor := least.key - float64(a.usual)/a.share
+	if floor <= a.key {
+		return
+	}
+	l.raise(a, a.lift+state.Cost(floor-a.key))
+	a.key = l.virtual(a)
+}
+
+// Next returns the backlogged workspace with the least virtual time among
+// those that wait for one of the models; nil means any model.
+func (l *Ledger) Next(models []state.Model) (state.Workspace, bool) {
+	if models == nil {
+		least, ok := l.all.Min()
+		if !ok {
+			return "", false
+		}
+		return least.account.workspace, true
+	}
+	var best node
+	for _, m := range models {
+		index := l.byModel[m]
+		if index == nil {
+			continue
+		}
+		least, ok := index.Min()
+		if ok && (best.account == nil || least.key < best.key) {
+			best = least
+		}
+	}
+	if best.account == nil {
+		return "", false
+	}
+	return best.account.workspace, true
+}
+
+// Models lists for what models work of a workspace waits.
+func (l *Ledger) Models(w state.Workspace) map[state.Model]struct{} {
+	return l.account(w).models
+}
+
+// Backlogged counts the workspaces with work waiting.
+func (l *Ledger) Backlogged() int {
+	return l.all.Len()
+}
+
+func (l *Ledger) backlogged() []*account {
+	accounts := make([]*account, 0, l.all.Len())
+	l.all.Ascend(func(n node) bool {
+		accounts = append(accounts, n.account)
+		return true
+	})
+	return accounts
+}
