wire: carry the virtual time of counters

Cause: the scheduler tells newly appeared routers its virtual times, but the conversion left them out, so they arrived as zero and a router that starts cold adopted none. TestEveryFieldTravels fails on it: UsageHeard.Entries.Virtual.

The field may be negative, unlike a cost: what is forgiven after idleness can take it below zero. Costs at the end of a request stay refused below zero; the meter that makes them never gives one.

--- a/protocol/wire/decode.go
+++ b/protocol/wire/decode.go
@@ -161,6 +161,9 @@
 		Charged:   c.cost("usage.charged", e.GetCharged()),
 		Reserved:  c.cost("usage.reserved", e.GetReserved()),
 		Lift:      c.cost("usage.lift", e.GetLift()),
+		// A virtual time is a position, not a cost: what is forgiven after
+		// idleness can take it below zero.
+		Virtual: state.Cost(e.GetVirtual()),
 	}
 }
 
--- a/protocol/wire/encode.go
+++ b/protocol/wire/encode.go
@@ -130,6 +130,7 @@
 		Charged:   int64(e.Charged),
 		Reserved:  int64(e.Reserved),
 		Lift:      int64(e.Lift),
+		Virtual:   int64(e.Virtual),
 	}
 	if e.Service != before {
 		entry.Service = string(e.Service)
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -25,7 +25,7 @@
 		{Workspace: "a"}, {Workspace: "a", Model: "m"}, {Workspace: "b", Model: "m"}, {Workspace: "c"}, {Workspace: "d"}, {Workspace: "d", Model: "n"},
 	}}
 	counters = []scheduler.UsageEntry{
-		{Service: "s", Workspace: "a"}, {Service: "s", Workspace: "b"}, {Service: "t", Workspace: "a"}, {Service: "s", Workspace: "c"},
+		{Service: "s", Workspace: "a"}, {Service: "s", Workspace: "b"}, {Service: "t", Workspace: "a", Virtual: -7}, {Service: "s", Workspace: "c"},
 	}
 )
 
