--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -37,8 +37,10 @@
 	notices  notices
 	// connectTo opens a connection.
 	connectTo func(ctx context.Context, address string) (net.Conn, error)
-	running   sync.WaitGroup
-	total     counters
+	// flushLimit is flushTimeout, but for tests on slow machines.
+	flushLimit time.Duration
+	running    sync.WaitGroup
+	total      counters
 	// strangers logs connections that never became sessions.
 	strangers zerolog.Logger
 
@@ -81,16 +83,17 @@
 		Address:     opts.Advertise,
 	}
 	m := &Mesh{
-		opts:      opts,
-		self:      self,
-		listener:  listener,
-		connectTo: opts.Dial,
-		notices:   newNotices(),
-		strangers: opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
-		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
-		sessions:  make(map[membership.SessionID]*session),
-		routes:    make(map[state.Router]*session),
-		traffic:   make(map[state.Router]*counters),
+		opts:       opts,
+		self:       self,
+		listener:   listener,
+		connectTo:  opts.Dial,
+		strangers:  opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
+		flushLimit: flushTimeout,
+		notices:    newNotices(),
+		machine:    membership.New(membership.Config{Self: self, Seed: opts.Seed}),
+		sessions:   make(map[membership.SessionID]*session),
+		routes:     make(map[state.Router]*session),
+		traffic:    make(map[state.Router]*counters),
 	}
 	return m, nil
 }
@@ -136,7 +139,7 @@
 // connection on which a heartbeat arrives meanwhile, and the reset would
 // destroy the last counters on their way.
 func (m *Mesh) flush() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), m.flushLimit)
 	defer cancel()
 	sessions := m.accepted()
 	for _, s := range sessions {
