Pace claims by the number of live routers

Cause: the claims host was never told how many routers share the platform, so that each paced its rounds by the default of eight. Membership now tells it.

--- a/transport/daemon/gossip.go
+++ b/transport/daemon/gossip.go
@@ -46,6 +46,7 @@
 	defer d.peers.mu.Unlock()
 	d.peers.peers = slices.Clone(peers)
 	d.post(scheduler.PeersChanged{Peers: peers})
+	d.claims.Resize(len(peers))
 }
 
 // onSession starts again from full state with a peer. Messages may have been
