--- a/coordination/scheduler/faults_test.go
+++ b/coordination/scheduler/faults_test.go
@@ -237,3 +237,34 @@
 		}
 	}
 }
+
+// TestReplayGivesTheSameActions holds that a step depends on nothing but the
+// events before it.
+func TestReplayGivesTheSameActions(t *testing.T) {
+	type step struct {
+		at      time.Time
+		ev      Event
+		actions []Action
+	}
+	var trace []step
+	f := newFleet(4, 8, 32, 5, realRouter(time.Second))
+	f.onStep = func(r *router, ev Event, actions []Action) {
+		if r == f.routers[0] {
+			trace = append(trace, step{f.now, ev, actions})
+		}
+	}
+	f.boot(f.settings(map[state.Workspace]float64{tenant(0): 0.5, tenant(1): 0.5}))
+	f.onFinal = f.again
+	for range 50 {
+		f.submit(f.routers[f.rng.IntN(4)], tenant(f.rng.IntN(2)))
+	}
+	f.run(time.Minute)
+	f.cut(true)
+	f.run(time.Minute)
+	f.cut(false)
+	f.run(time.Minute)
+	replayed := realRouter(time.Second)(Peer{Router: "router-0", DataCentre: centre(0), Incarnation: 1}, 5)
+	for i, s := range trace {
+		require.Equal(t, s.actions, replayed.Step(s.at, s.ev), "step %d", i)
+	}
+}
--- a/coordination/slots/slots.go
+++ b/coordination/slots/slots.go
@@ -172,9 +172,10 @@
 }
 
 // Disowned counts one grant less whose work may go on without anybody to
-// report its end: from now on only the load report shows it.
+// report its end. It holds its slot until the next load report decides.
 func (t *Tracker) Disowned() {
 	t.outstanding = max(0, t.outstanding-1)
+	t.foreign++
 	t.recent = nil
 }
 
