Pass a lift on once

Every router that heard of a lift sent it on as its own news. The first one already tells all peers, so it is only repeated with the full counters.

--- a/coordination/fairness/origin.go
+++ b/coordination/fairness/origin.go
@@ -26,7 +26,7 @@
 	l.mark(known)
 	for _, e := range entries {
 		a := l.account(e.Workspace)
-		l.raise(a, e.Lift)
+		a.lift = max(a.lift, e.Lift)
 		old := known.counters[e.Workspace]
 		if e.Charged < old.Charged {
 			continue
--- a/coordination/scheduler/action.go
+++ b/coordination/scheduler/action.go
@@ -74,7 +74,8 @@
 	Full        bool
 }
 
-// SendCrash tells all peers of a crash.
+// SendCrash tells all peers of a crash. Without a boot it is a suspicion, for
+// the owner of the upstream to confirm.
 type SendCrash struct {
 	Fingerprint state.Fingerprint
 	Upstream    state.Upstream
--- a/coordination/scheduler/event.go
+++ b/coordination/scheduler/event.go
@@ -174,7 +174,8 @@
 	Full        bool
 }
 
-// CrashHeard says that an upstream fell while it ran a request.
+// CrashHeard says that an upstream fell while it ran a request, or without a
+// boot, that it may have.
 type CrashHeard struct {
 	Fingerprint state.Fingerprint
 	Upstream    state.Upstream
