Report progress only when it changes somebody's turn

Cause: progress was the largest part of the control traffic: a message when a grant is put to use and one a second while the answer streams. Within its reservation a request counts in full anyway, so none of them changes a choice; and that a grant is in use matters only before it would expire.

Ruled out: shorter messages (the frame and session overhead of each stays); no announcement at all (a long request's grant would expire and its slot be given twice). Taken: cost is reported once it outgrows the reservation, then at each doubling, and the rest at the end; an owner hears that its grant is in use after half the grant's lifetime, if the request still runs.

--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -173,10 +173,8 @@
 		return
 	}
 	s.dispatch(it, g.Sequence, owner, g.Upstream)
-	s.do(SendProgress{
-		To: g.Owner, Sequence: g.Sequence, Upstream: g.Upstream,
-		Service: g.Service, Workspace: g.Workspace, Started: true,
-	})
+	s.running[it.ID].reserved = g.Reserved
+	s.unannounced = append(s.unannounced, announcement{id: it.ID, attempt: it.Dispatches, due: s.now.Add(announceAfter)})
 }
 
 // decline gives a grant back at once, so that the slot does not idle for the
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figstile/figstile/coordination/estimate"
+	"github.com/figstile/figstile/coordination/grants"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/queue"
 	"github.com/figstile/figstile/state"
@@ -18,6 +19,12 @@
 	owner    Peer
 	upstream state.Upstream
 	cost     state.Cost
+	// unreported is the part of cost that the owner has not heard of.
+	unreported state.Cost
+	// reserved is what the owner has set aside; it doubles there as here.
+	reserved state.Cost
+	// announced says that the owner knows that the grant is in use.
+	announced bool
 }
 
 // arrive admits a request or refuses it at once.
@@ -151,27 +158,77 @@
 	s.do(Dispatch{ID: it.ID, Upstream: u, Attempt: it.Dispatches})
 }
 
-// progress reports cost of a running request to the owner of its upstream.
+// progress notes cost of a running request. An owner elsewhere hears of it
+// once the request has outgrown its reservation: until then the reservation
+// counts in full whatever was served of it, so that a message would change
+// nobody's turn. Reported every second, progress was the largest part of the
+// control traffic. What a router that dies had not reported is lost, at most
+// the reservation of each of its requests.
 func (s *Scheduler) progress(id state.RequestID, cost state.Cost) {
 	r := s.running[id]
 	if r == nil {
 		return
 	}
 	r.cost += cost
+	r.unreported += cost
 	to, sequence := s.reportTo(r)
 	if to == s.self.Router {
 		s.hearProgress(ProgressHeard{
 			From: to, Sequence: sequence, Upstream: r.upstream,
-			Service: r.item.Service, Workspace: r.item.Workspace, Cost: cost,
+			Service: r.item.Service, Workspace: r.item.Workspace, Cost: r.takeUnreported(),
 		})
 		return
 	}
+	if r.cost < r.reserved {
+		return
+	}
+	for r.reserved <= r.cost {
+		r.reserved = max(1, 2*r.reserved)
+	}
+	s.sendProgress(r, to, sequence)
+}
+
+func (r *run) takeUnreported() state.Cost {
+	cost := r.unreported
+	r.unreported = 0
+	return cost
+}
+
+func (s *Scheduler) sendProgress(r *run, to state.Router, sequence uint64) {
+	r.announced = true
 	s.do(SendProgress{
 		To: to, Sequence: sequence, Upstream: r.upstream,
-		Service: r.item.Service, Workspace: r.item.Workspace, Cost: cost,
+		Service: r.item.Service, Workspace: r.item.Workspace, Cost: r.takeUnreported(), Started: true,
 	})
 }
 
+// announcement is a grant in use that its owner may not know of yet.
+type announcement struct {
+	id      state.RequestID
+	attempt int
+	due     time.Time
+}
+
+// announceAfter is when an owner hears that its grant is in use: early enough
+// that the grant does not expire, late enough that short requests have ended
+// and need no message but that.
+const announceAfter = grants.Lifetime / 2
+
+// announceStarts tells owners of requests that run for longer than a moment.
+func (s *Scheduler) announceStarts() {
+	for len(s.unannounced) > 0 && !s.now.Before(s.unannounced[0].due) {
+		next := s.unannounced[0]
+		s.unannounced = s.unannounced[1:]
+		r := s.running[next.id]
+		if r == nil || r.announced || r.item.Dispatches != next.attempt {
+			continue
+		}
+		if to, sequence := s.reportTo(r); to != s.self.Router {
+			s.sendProgress(r, to, sequence)
+		}
+	}
+}
+
 // reportTo names the router to charge a run to: the granting one, or if that
 // incarnation is gone, the present owner of the upstream, which knows no such
 // grant. With neither, this router charges the cost itself, or it would count
@@ -216,16 +273,17 @@
 
 func (s *Scheduler) reportEnd(r *run, e Ended) {
 	to, sequence := s.reportTo(r)
+	cost := r.takeUnreported() + e.Cost
 	if to == s.self.Router {
 		s.ended(EndedHeard{
 			From: to, Sequence: sequence, Upstream: r.upstream,
-			Service: r.item.Service, Workspace: r.item.Workspace, Cost: e.Cost, Outcome: e.Outcome,
+			Service: r.item.Service, Workspace: r.item.Workspace, Cost: cost, Outcome: e.Outcome,
 		})
 		return
 	}
 	s.do(SendEnded{
 		To: to, Sequence: sequence, Upstream: r.upstream,
-		Service: r.item.Service, Workspace: r.item.Workspace, Cost: e.Cost, Outcome: e.Outcome,
+		Service: r.item.Service, Workspace: r.item.Workspace, Cost: cost, Outcome: e.Outcome,
 	})
 }
 
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -37,15 +37,17 @@
 	owned      []state.Upstream
 	ownedSent  bool
 
-	queues     *queue.Set
-	running    map[state.RequestID]*run
-	estimates  *estimate.Estimator
-	retries    *retry.Budget
-	quarantine *quarantine.List
-	suspicions quarantine.Suspicions
-	losses     *quarantine.Losses
-	given      *grants.Book
-	seen       *grants.Seen
+	queues  *queue.Set
+	running map[state.RequestID]*run
+	// unannounced are peers' grants in use, the oldest first.
+	unannounced []announcement
+	estimates   *estimate.Estimator
+	retries     *retry.Budget
+	quarantine  *quarantine.List
+	suspicions  quarantine.Suspicions
+	losses      *quarantine.Losses
+	given       *grants.Book
+	seen        *grants.Seen
 
 	timers timers
 	// voidUntil ends the time in which what arrives may be from before a
@@ -185,6 +187,7 @@
 
 func (s *Scheduler) tick() {
 	s.timers.lastTick = s.now
+	s.announceStarts()
 	for _, svc := range s.services {
 		svc.ledger.Refold()
 		s.noteUsable(svc)
