Free a slot whose request was never reported to end

The report of an end can be lost with a connection that comes back before the peer is missed. Its grant had started, so it never expired, and the slot counted as taken until the peer restarted. A used grant now closes after five minutes without a report; work that does go on shows in the load report.

--- a/coordination/fairness/exchange.go
+++ b/coordination/fairness/exchange.go
@@ -82,7 +82,6 @@
 	return relays
 }
 
-
 func (l *Ledger) measure(period time.Duration) {
 	perSecond := float64(l.paidOut) / period.Seconds() / l.share
 	l.paidOut = 0
--- a/coordination/fairness/origin.go
+++ b/coordination/fairness/origin.go
@@ -189,4 +189,3 @@
 	})
 	return names
 }
-
--- a/coordination/grants/grants.go
+++ b/coordination/grants/grants.go
@@ -16,6 +16,12 @@
 // lapse, and bounds for how long such a receiver keeps a slot idle.
 const Lifetime = 2 * time.Second
 
+// Silence is how long a used grant may go without a report. The report of the
+// end can be lost with a connection that is restored before anybody misses the
+// peer; then the slot would count as taken for ever. It is far above the
+// period of progress reports. If the work does go on, the load report shows it.
+const Silence = 5 * time.Minute
+
 // Given is one outstanding grant of this router.
 type Given struct {
 	Sequence  uint64
@@ -97,10 +103,12 @@
 	return g
 }
 
-// Start marks a grant as used, so that it does not expire.
-func (b *Book) Start(g *Given) {
-	g.Started = true
+// Heard marks a grant as used. It does not expire before Silence has passed.
+func (b *Book) Heard(now time.Time, g *Given) {
 	b.expiry.Delete(g)
+	g.Started = true
+	g.Expires = now.Add(Silence)
+	b.expiry.ReplaceOrInsert(g)
 }
 
 // Close removes a grant.
@@ -113,7 +121,8 @@
 	}
 }
 
-// Expired removes and returns the grants that were never used in time.
+// Expired removes and returns the grants that were not used in time or of
+// which nothing was heard for too long.
 func (b *Book) Expired(now time.Time) []*Given {
 	var expired []*Given
 	for {
--- a/coordination/grants/grants_test.go
+++ b/coordination/grants/grants_test.go
@@ -16,11 +16,15 @@
 	second := b.Give(now.Add(time.Second), Given{To: "r", Reserved: 100})
 	require.Equal(t, uint64(42), first.Sequence)
 	require.Nil(t, b.Find("other", 42), "a grant belongs to one router")
-	b.Start(b.Find("r", 42))
+	b.Heard(now, b.Find("r", 42))
 	require.Equal(t, []*Given{second}, b.Expired(now.Add(time.Second+Lifetime)))
-	require.Empty(t, b.Expired(now.Add(time.Hour)), "started grants don't expire")
+	b.Heard(now.Add(time.Minute), first)
+	require.Empty(t, b.Expired(now.Add(Silence)), "started grants outlive their lifetime")
 	require.Equal(t, []*Given{first}, b.Lose("r"))
 	require.Zero(t, b.Len())
+	silent := b.Give(now, Given{To: "r"})
+	b.Heard(now, silent)
+	require.Equal(t, []*Given{silent}, b.Expired(now.Add(Silence)), "its end was lost")
 }
 
 func TestReservationDoublesWhenOutgrown(t *testing.T) {
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -126,7 +126,7 @@
 		return s.queues.Total() < waiting
 	}
 	g := s.reserve(svc, u, k, e)
-	s.given.Start(g)
+	s.given.Heard(s.now, g)
 	s.dispatch(it, g.Sequence, s.self, u.name)
 	return true
 }
@@ -241,9 +241,7 @@
 		s.chargeService(e.Service, e.Workspace, e.Cost, 0)
 		return
 	}
-	if e.Started {
-		s.given.Start(g)
-	}
+	s.given.Heard(s.now, g)
 	s.charge(g, e.Cost)
 }
 
