--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,222 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// Options sets up a Platform. The zero value is usable.
+type Options struct {
+	Store  StoreOptions
+	Faults Faults
+	// Now is the clock of the rate limits and of the lag of the list of
+	// machines; time.Now if nil.
+	Now func() time.Time
+	// Sleep delays the calls of a slow platform; by real time if nil.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+// Platform serves a Store over HTTP, with faults to order.
+type Platform struct {
+	opts  Options
+	store *Store
+	mux   *http.ServeMux
+	bytes atomic.Int64
+
+	mu      sync.Mutex
+	faults  Faults
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	counts  [kinds]int64
+	limited int64
+	// stale answers reads while Faults.StaleReads is set.
+	stale *Store
+	// epoch ends when the outage changes.
+	epoch    context.Context
+	endEpoch context.CancelFunc
+}
+
+// New returns a platform with an empty store.
+func New(opts Options) *Platform {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Sleep == nil {
+		opts.Sleep = upstream.Sleep
+	}
+	opts.Store.Now = opts.Now
+	p := &Platform{
+		opts:   opts,
+		store:  NewStore(opts.Store),
+		mux:    http.NewServeMux(),
+		writes: newLimiter(0),
+		reads:  newLimiter(0),
+	}
+	p.epoch, p.endEpoch = context.WithCancel(context.Background())
+	p.SetFaults(opts.Faults)
+	p.routes()
+	return p
+}
+
+func (p *Platform) routes() {
+	p.mux.HandleFunc("GET "+objectstore.PathObjects+"/{key...}", p.guarded(GetCall, p.get))
+	p.mux.HandleFunc("PUT "+objectstore.PathObjects+"/{key...}", p.guarded(PutCall, p.put))
+	p.mux.HandleFunc("GET "+objectstore.PathObjects, p.guarded(ListCall, p.list))
+	p.mux.HandleFunc("GET "+objectstore.PathWatch, p.guarded(WatchCall, p.watch))
+	p.mux.HandleFunc("GET "+objectstore.PathVMs, p.guarded(VMsCall, p.vms))
+	p.mux.HandleFunc("PUT "+objectstore.PathVMs+"/{name}", p.putVM)
+	p.mux.HandleFunc("DELETE "+objectstore.PathVMs+"/{name}", p.deleteVM)
+	p.mux.HandleFunc("POST /v1/faults", p.controlFaults)
+	p.mux.HandleFunc("GET /v1/faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Faults(), nil) })
+	p.mux.HandleFunc("GET /v1/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Calls(), nil) })
+}
+
+// Store returns the store behind the API, for tests to set up and look into.
+func (p *Platform) Store() *Store { return p.store }
+
+// Handler returns the object API.
+func (p *Platform) Handler() http.Handler { return p.mux }
+
+// Start serves the API on a TCP address until stop is called.
+func (p *Platform) Start(addr string) (baseURL string, stop func(), err error) {
+	return upstream.Serve(addr, p.Handler())
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	object, err := p.readStore().Get(r.Context(), r.PathValue("key"))
+	reply(w, object, err)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	objects, version, err := p.readStore().List(r.Context(), r.URL.Query().Get(objectstore.ParamPrefix))
+	reply(w, objectstore.ListAnswer{Objects: objects, Version: version}, err)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get(objectstore.ParamAfter), 10, 64)
+	if err != nil {
+		reply(w, nil, objectstore.ErrInvalid)
+		return
+	}
+	wait, err := time.ParseDuration(query.Get(objectstore.ParamWait))
+	if err != nil {
+		reply(w, nil, objectstore.ErrInvalid)
+		return
+	}
+	objects, version, err := p.readStore().watch(r.Context(), query.Get(objectstore.ParamPrefix), objectstore.Version(after), wait)
+	reply(w, objectstore.ListAnswer{Objects: objects, Version: version}, err)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	expected, err := expectedVersion(r.Header)
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	var body objectstore.PutRequest
+	if err := decodeBody(w, r, &body); err != nil {
+		reply(w, nil, err)
+		return
+	}
+	if p.use(func(f *Faults) *int { return &f.LoseWrites }) {
+		panic(http.ErrAbortHandler)
+	}
+	version, err := p.store.Put(r.Context(), r.PathValue("key"), body.Value, expected)
+	if err == nil && p.use(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, objectstore.PutAnswer{Version: version}, err)
+}
+
+func (p *Platform) vms(w http.ResponseWriter, r *http.Request) {
+	lag := time.Duration(p.Faults().VMLagMs) * time.Millisecond
+	list, err := p.store.vmsBefore(r.Context(), lag)
+	reply(w, objectstore.VMsAnswer{VMs: list}, err)
+}
+
+func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
+	var vm objectstore.VM
+	if err := decodeBody(w, r, &vm); err != nil {
+		reply(w, nil, err)
+		return
+	}
+	vm.Name = r.PathValue("name")
+	p.store.PutVM(vm)
+	reply(w, vm, nil)
+}
+
+func (p *Platform) deleteVM(w http.ResponseWriter, r *http.Request) {
+	p.store.DeleteVM(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// expectedVersion reads the condition of a write, which must have one.
+func expectedVersion(header http.Header) (objectstore.Version, error) {
+	if header.Get(objectstore.HeaderIfNoneMatch) == objectstore.MustNotExist {
+		return 0, nil
+	}
+	quoted, err := strconv.Unquote(header.Get(objectstore.HeaderIfMatch))
+	if err != nil {
+		return 0, objectstore.ErrInvalid
+	}
+	version, err := strconv.ParseUint(quoted, 10, 64)
+	if err != nil || version == 0 {
+		return 0, objectstore.ErrInvalid
+	}
+	return objectstore.Version(version), nil
+}
+
+// maxBodyBytes holds a value of full size in base64 and its JSON frame.
+const maxBodyBytes = objectstore.MaxValueBytes*4/3 + 1024
+
+func decodeBody(w http.ResponseWriter, r *http.Request, into any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return objectstore.ErrInvalid
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return objectstore.ErrInvalid
+	}
+	return nil
+}
+
+// reply writes a JSON answer, or the error answer that err stands for.
+func reply(w http.ResponseWriter, answer any, err error) {
+	if err == nil {
+		writeJSON(w, http.StatusOK, answer)
+		return
+	}
+	var conflict *objectstore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusPreconditionFailed, objectstore.ErrorAnswer{Code: objectstore.CodeConflict, Current: conflict.Current})
+	case errors.Is(err, objectstore.ErrNotFound):
+		writeJSON(w, http.StatusNotFound, objectstore.ErrorAnswer{Code: objectstore.CodeNotFound})
+	case errors.Is(err, objectstore.ErrTooOld):
+		writeJSON(w, http.StatusGone, objectstore.ErrorAnswer{Code: objectstore.CodeTooOld})
+	case errors.Is(err, objectstore.ErrInvalid):
+		writeJSON(w, http.StatusBadRequest, objectstore.ErrorAnswer{Code: objectstore.CodeInvalid, Message: err.Error()})
+	default:
+		// The caller left or the server stops: no answer is the truth.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
