Check silent grants against the load before their slots are freed

Progress is now reported only once a request outgrows its reservation, so a long request may be silent for more than five minutes. Closing its grant gave back the reservation while it ran. A silent grant stays open as long as the upstream's load accounts for all outstanding ones.

--- a/coordination/grants/grants.go
+++ b/coordination/grants/grants.go
@@ -16,10 +16,10 @@
 // lapse, and bounds for how long such a receiver keeps a slot idle.
 const Lifetime = 2 * time.Second
 
-// Silence is how long a used grant may go without a report. The report of the
-// end can be lost with a connection that is restored before anybody misses the
-// peer; then the slot would count as taken for ever. It is far above the
-// period of progress reports. If the work does go on, the load report shows it.
+// Silence is after how long without a report a used grant is checked against
+// the upstream's load. The report of the end can be lost with a connection
+// that is restored before anybody misses the peer; then the slot would count
+// as taken for ever.
 const Silence = 5 * time.Minute
 
 // Given is one outstanding grant of this router.
@@ -85,13 +85,23 @@
 	g.Sequence = b.next
 	g.Given = now
 	g.Expires = now.Add(Lifetime)
-	b.bySeq[g.Sequence] = &g
+	b.enter(&g)
+	return &g
+}
+
+// Reopen enters a used grant again that had expired.
+func (b *Book) Reopen(now time.Time, g *Given) {
+	g.Expires = now.Add(Silence)
+	b.enter(g)
+}
+
+func (b *Book) enter(g *Given) {
+	b.bySeq[g.Sequence] = g
 	if b.byPeers[g.To] == nil {
 		b.byPeers[g.To] = make(map[uint64]*Given)
 	}
-	b.byPeers[g.To][g.Sequence] = &g
-	b.expiry.ReplaceOrInsert(&g)
-	return &g
+	b.byPeers[g.To][g.Sequence] = g
+	b.expiry.ReplaceOrInsert(g)
 }
 
 // Find returns an outstanding grant given to a router, or nil.
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -147,10 +147,26 @@
 		s.refuse(it, result.New(code, ""))
 	}
 	for _, g := range s.given.Expired(s.now) {
+		if g.Started && s.mayStillRun(g) {
+			s.given.Reopen(s.now, g)
+			continue
+		}
 		s.withdraw(g)
 	}
 }
 
+// mayStillRun reports whether the load of an upstream accounts for all its
+// outstanding grants. Long requests are silent until they outgrow their
+// reservation, so silence alone proves nothing.
+func (s *Scheduler) mayStillRun(g *grants.Given) bool {
+	u := s.upstreams[g.Upstream]
+	if u == nil {
+		return false
+	}
+	r, fresh := u.tracker.Last(s.now)
+	return !fresh || r.Running+r.Waiting >= u.tracker.Outstanding()
+}
+
 func (s *Scheduler) dispatch(it *queue.Item, sequence uint64, owner Peer, u state.Upstream) {
 	it.Dispatches++
 	it.Last = u
