Keep recorded runs of real processes under failure and replay them

Ruled out: checks that only compare with a golden; TestDamagedRunsFail damages one line of a run in five ways (another decision, a missing step, a false "not run", a foreign answer, reverted settings) and wants each noticed.

--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,105 @@
+package replay
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// traces are recorded runs of real processes under failure. They are recorded
+// anew, by the command in docs/PROOFS.md, when a decision changes on purpose.
+const traces = "../testdata/traces"
+
+// TestRecordedRuns replays every kept run: today's deciders must decide as the
+// recorded ones did, and every stated outcome must hold over all records.
+func TestRecordedRuns(t *testing.T) {
+	dirs, err := filepath.Glob(filepath.Join(traces, "*"))
+	require.NoError(t, err)
+	require.NotEmpty(t, dirs)
+	for _, dir := range dirs {
+		t.Run(filepath.Base(dir), func(t *testing.T) {
+			report, err := Dir(dir)
+			require.NoError(t, err)
+			require.Zero(t, report.Failed, report.String())
+			goldie.New(t).Assert(t, filepath.Base(dir), []byte(report.String()))
+		})
+	}
+}
+
+// Replaying must be able to fail, or the kept runs prove nothing. Each case
+// damages one line of a kept run as a fault of the fleet would have written it.
+func TestDamagedRunsFail(t *testing.T) {
+	cases := map[string]struct {
+		run, file, old, new string
+		want                string
+	}{
+		"a decision differs": {
+			run: "killed-router", file: "router-2", old: `"Upstream":"engine-1","Attempt":1`, new: `"Upstream":"engine-2","Attempt":1`,
+			want: "differences=1",
+		},
+		"a step is missing": {
+			run: "killed-router", file: "router-2", old: `"sequence":7,`, new: `"sequence":8,`,
+			want: "gaps=1",
+		},
+		"not run, but it ran": {
+			run: "killed-router", file: "callers", old: `"result":0,"ran":1`, new: `"result":2005,"ran":0`,
+			want: "told-not-run",
+		},
+		"an answer is another caller's": {
+			run: "killed-router", file: "callers", old: `"answer_digest":"`, new: `"answer_digest":"0`,
+			want: "whole-answers",
+		},
+		"settings revert": {
+			run: "cut-from-platform", file: "router-1", old: `"key":"config/root","version":4`, new: `"key":"config/root","version":1`,
+			want: "settings-never-revert",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			dir := damagedCopy(t, filepath.Join(traces, c.run), c.file, c.old, c.new)
+			report, err := Dir(dir)
+			require.NoError(t, err)
+			require.Positive(t, report.Failed)
+			require.Contains(t, failures(report), c.want)
+		})
+	}
+}
+
+// damagedCopy copies a run and replaces the first match in one of its files.
+func damagedCopy(t *testing.T, run, file, old, replacement string) string {
+	t.Helper()
+	dir := t.TempDir()
+	entries, err := os.ReadDir(run)
+	require.NoError(t, err)
+	damaged := false
+	for _, entry := range entries {
+		content, err := os.ReadFile(filepath.Join(run, entry.Name()))
+		require.NoError(t, err)
+		if strings.HasPrefix(entry.Name(), file) && strings.Contains(string(content), old) {
+			content = []byte(strings.Replace(string(content), old, replacement, 1))
+			damaged = true
+		}
+		require.NoError(t, os.WriteFile(filepath.Join(dir, entry.Name()), content, 0o600))
+	}
+	require.True(t, damaged, "%s has no %s", file, old)
+	return dir
+}
+
+func failures(r Report) string {
+	var failed []string
+	for _, line := range r.Lines {
+		if strings.HasPrefix(line, "FAILED") {
+			failed = append(failed, line)
+		}
+	}
+	return strings.Join(failed, "\n")
+}
+
+func TestNoTrace(t *testing.T) {
+	_, err := Dir(t.TempDir())
+	require.ErrorIs(t, err, ErrNoTrace)
+}
