peer: count refusals on both sides, and messages for good

A dialler that was refused was counted as a failed handshake, and the total of messages fell when a peer was forgotten, which a counter must not. Membership noted the router behind a refused dial in two places; it is one now.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -111,7 +111,7 @@
 	refusal := m.judge(e)
 	if refusal != RefusalNone {
 		m.do(Refuse{Session: e.Session, Refusal: refusal})
-		m.dialEnded(e.Dialled, e.Hello)
+		m.dialFailed(DialFailed{Address: e.Dialled, Refusal: refusal, Router: e.Hello.Router, Incarnation: e.Hello.Incarnation})
 		return
 	}
 	m.adopt(e)
@@ -196,31 +196,27 @@
 	}
 }
 
-// dialEnded plans the next dial to an address whose session was refused.
-func (m *Machine) dialEnded(dialled string, hello Hello) {
-	to, ok := m.targets.byAddress[dialled]
-	if !ok {
-		return
-	}
-	m.targets.failed(to, m.now())
-	if hello.Fleet != m.self.Fleet {
-		return
+func (m *Machine) dialFailed(e DialFailed) {
+	router := e.Router
+	if e.Refusal == RefusalFleet {
+		router = ""
 	}
-	to.router = hello.Router
-	to.own = hello.Router == m.self.Router && hello.Incarnation == m.self.Incarnation
+	m.dialEnded(e.Address, router, e.Incarnation)
 }
 
-func (m *Machine) dialFailed(e DialFailed) {
-	to, ok := m.targets.byAddress[e.Address]
+// dialEnded plans the next dial to an address that gave no session, and notes
+// which router of this fleet answered there, if any.
+func (m *Machine) dialEnded(address string, router state.Router, incarnation state.Incarnation) {
+	to, ok := m.targets.byAddress[address]
 	if !ok {
 		return
 	}
 	m.targets.failed(to, m.now())
-	if e.Router == "" || e.Refusal == RefusalFleet {
+	if router == "" {
 		return
 	}
-	to.router = e.Router
-	to.own = e.Router == m.self.Router && e.Incarnation == m.self.Incarnation
+	to.router = router
+	to.own = router == m.self.Router && incarnation == m.self.Incarnation
 }
 
 // closed makes the member of a session suspect. A draining member needs no
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -59,6 +59,16 @@
 	return n, err
 }
 
+func (c *countedConn) countMessageIn() {
+	c.total.messagesIn.Add(1)
+	c.perPeer().messagesIn.Add(1)
+}
+
+func (c *countedConn) countMessageOut() {
+	c.total.messagesOut.Add(1)
+	c.perPeer().messagesOut.Add(1)
+}
+
 // closeWrite tells the peer that nothing more comes.
 func (c *countedConn) closeWrite() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -130,6 +130,10 @@
 func (m *Mesh) refusedByPeer(s *session, hello membership.Hello, refusal membership.Refusal) *failure {
 	m.opts.Log.Warn().Str("address", s.dialled).Str("router", string(hello.Router)).
 		Stringer("reason", refusal).Msg("peer refused the session")
+	m.mu.Lock()
+	s.refusal = refusal
+	m.events.Refused++
+	m.mu.Unlock()
 	f := &failure{cause: refusedError(refusal)}
 	if s.dialled != "" {
 		f.event = membership.DialFailed{
@@ -169,7 +173,6 @@
 		counted = &counters{}
 		m.traffic[s.peer.Router] = counted
 	}
-	s.traffic = counted
 	s.conn.attribute(counted)
 }
 
--- a/transport/peer/failure_test.go
+++ b/transport/peer/failure_test.go
@@ -216,7 +216,7 @@
 	a := f.start("castro-1", 1)
 	f.tweak = func(o *Options) { o.Self.Fleet = "aravena" }
 	b := f.start("pudahuel-1", 1, a.Addr())
-	f.until(func() bool { return a.Stats().Refused > 0 })
+	f.until(func() bool { return a.Stats().Refused > 0 && b.Stats().Refused > 0 })
 	require.True(t, a.sees("castro-1"))
 	require.True(t, b.sees("pudahuel-1"))
 }
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -48,9 +48,8 @@
 	bulk    *lane
 	trip    roundTrip
 
-	// peer and traffic are set before the session is accepted.
-	peer    Peer
-	traffic *counters
+	// peer is set before the session is accepted.
+	peer Peer
 
 	// verdict is written by the mesh under its lock while it greets.
 	accepted bool
@@ -235,7 +234,7 @@
 			close(it.mark)
 			continue
 		}
-		s.traffic.messagesOut.Add(1)
+		s.conn.countMessageOut()
 	}
 	return nil
 }
@@ -250,7 +249,7 @@
 		env, err := l.in.Next()
 		if err == nil {
 			s.heard.Store(true)
-			s.traffic.messagesIn.Add(1)
+			s.conn.countMessageIn()
 			err = handle(env)
 		}
 		if err != nil {
--- a/transport/peer/stats.go
+++ b/transport/peer/stats.go
@@ -10,7 +10,7 @@
 
 // EventCounts count what happened to sessions since the start.
 type EventCounts struct {
-	// Sessions accepted, Refused, and Failed before a verdict.
+	// Sessions accepted, Refused by either side, and Failed before a verdict.
 	Sessions, Refused, Failed uint64
 	// Overflows ended an accepted session each.
 	Overflows uint64
@@ -45,10 +45,6 @@
 		stats.Peers = append(stats.Peers, m.peerStats(router, counted))
 	}
 	slices.SortFunc(stats.Peers, func(a, b PeerStats) int { return cmp.Compare(a.Router, b.Router) })
-	for _, p := range stats.Peers {
-		stats.Total.MessagesIn += p.MessagesIn
-		stats.Total.MessagesOut += p.MessagesOut
-	}
 	return stats
 }
 
