Settings: the models that an engine shall hold

Cause: orders to engines had no wish to go by; an operator could not say which model versions an engine shall hold.

wanted_models of an upstream is checked with the object: only for engines, no duplicates, only what the service offers. A service that lists no models offers any. Ruled out: a check over the whole tree, as an upstream and its service stand in one object.

--- a/state/config/parse.go
+++ b/state/config/parse.go
@@ -95,6 +95,22 @@
 		under := at(join(path, "upstreams"), i)
 		upstreams.check(fs, join(under, "name"), string(u.Name))
 		fs.checkUpstream(under, u)
+		fs.checkWantedModels(join(under, "wanted_models"), s, u.WantedModels)
+	}
+}
+
+// checkWantedModels admits only what the service offers. An engine would
+// otherwise be ordered to drop every model that requests may ask for, and the
+// service would refuse them all until the operator found the slip.
+func (fs *faults) checkWantedModels(path string, s Service, wanted []state.Model) {
+	if len(wanted) > 0 && s.Kind == KindWorker {
+		fs.add(path, "application workers hold no models")
+	}
+	fs.checkModelNames(path, wanted)
+	for i, m := range wanted {
+		if m != "" && !permits(s.Models, m) {
+			fs.add(at(path, i), "the service does not offer model %q", m)
+		}
 	}
 }
 
--- a/state/config/parse_test.go
+++ b/state/config/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -73,6 +74,37 @@
 	}, paths(t, err))
 }
 
+// An operator misspells a model version or names it twice, or wants a worker to
+// hold one. Taken as it stands, the engine would drop the model in use.
+func TestWantedModelsAreChecked(t *testing.T) {
+	const service = `{"name": "s", "kind": "%s", "cost": {}, "limits": {}, "repeatable": false, "models": %s,
+		"upstreams": [{"name": "u", "url": "http://h", "data_centre": "d", "wanted_models": %s}]}`
+	for _, c := range []struct {
+		kind, offered, wanted string
+		faults                []string
+	}{
+		{"engine", `["a", "b"]`, `["b", "a"]`, nil},
+		{"engine", `[]`, `["any"]`, nil},
+		{"engine", `["a"]`, `[]`, nil},
+		{"engine", `["a"]`, `["a", "a"]`, []string{"wanted_models[1]"}},
+		{"engine", `["a"]`, `["b", "a"]`, []string{"wanted_models[0]"}},
+		{"engine", `["a"]`, `[""]`, []string{"wanted_models[0]"}},
+		{"worker", `[]`, `["a"]`, []string{"wanted_models"}},
+	} {
+		text := fmt.Sprintf(service, c.kind, c.offered, c.wanted)
+		_, err := config.ParseRoot([]byte(`{"teams": [], "operator_tokens": [], "services": [` + text + `]}`))
+		if c.faults == nil {
+			require.NoError(t, err, text)
+			continue
+		}
+		var want []string
+		for _, fault := range c.faults {
+			want = append(want, "services[0].upstreams[0]."+fault)
+		}
+		require.Equal(t, want, paths(t, err), text)
+	}
+}
+
 func TestParseRefusesWhatIsNotOneObject(t *testing.T) {
 	for _, data := range []string{"", "{", "null", "[]", "7", "{} {}", rootJSON + "x", strings.Repeat(" ", config.MaxObjectBytes+1)} {
 		_, err := config.ParseRoot([]byte(data))
--- a/state/config/tree.go
+++ b/state/config/tree.go
@@ -86,6 +86,9 @@
 	// ChecksFencing says that the upstream refuses orders with an old
 	// fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// WantedModels lists the model versions that the engine shall hold, and
+	// no others; empty leaves the engine as it is.
+	WantedModels []state.Model `json:"wanted_models,omitempty"`
 }
 
 // Subtree is one team's object. Only that team and operators may write it.
