Daemons give orders to the engines they own

Cause: the controller of orders was tested but no daemon ran it.

Each daemon now runs a controller for each engine that it owns and whose settings name wanted models. It goes by the load reports that are polled anyway, so that it calls the platform only while something is to be ordered or a lease is to be released. An engine is given up when ownership moves, at a drain and at a stop: no further order, the one under way ends, the lease is released. A store that is away is logged once and once again when it is back.

A router that resumes with settings from before its pause could take a free lease and undo its successor's orders until the settings reach it. The lease object now names the version of the settings its holder went by, and a router with older ones leaves it alone. Ruled out: reading the root before each take-over, as that read may come from an old replica.

Ruled out: telling an unchanged wish anew with each version of the settings.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -39,6 +39,7 @@
 	host      *host.Host
 	mesh      *peer.Mesh
 	poller    *upstream.Poller
+	orders    *orderDesk
 	metrics   *metrics.Metrics
 	peers     peerSet
 	adverts   adverts
@@ -94,7 +95,8 @@
 		return nil, err
 	}
 	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(options.router())) }}
-	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.post)
+	d.openOrders()
+	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.onPolled)
 	d.host = host.New(host.Options{
 		Scheduler: stepper,
 		Peers:     d.link,
@@ -289,6 +291,9 @@
 	case <-finish.Done():
 		d.log.Warn().Msg("drain timed out")
 	}
+	if err := d.orders.drain(finish); err != nil {
+		d.log.Warn().Err(err).Msg("drain timed out")
+	}
 	err := d.callers.server.Shutdown(finish)
 	if adminErr := d.admin.server.Shutdown(finish); err == nil {
 		err = adminErr
@@ -335,11 +340,13 @@
 func (d *Daemon) onSettings(view *config.View) {
 	d.trace.noteVersions(d.self(), d.source.Versions())
 	d.post(scheduler.Configured{Settings: view.Settings()})
+	d.orders.onSettings()
 	d.announceSettings()
 }
 
 // pollUpstreams fetches the load of the upstreams this router owns.
 func (d *Daemon) pollUpstreams(owned []state.Upstream) {
+	d.orders.setOwned(owned)
 	view := d.source.View()
 	if view == nil {
 		return
@@ -377,6 +384,9 @@
 	if d.host != nil {
 		d.host.Stop()
 	}
+	if d.orders != nil {
+		d.orders.close()
+	}
 	for _, l := range []listener{d.callers, d.admin} {
 		if l.server != nil {
 			_ = l.server.Close()
--- /dev/null
+++ b/transport/daemon/orders.go
@@ -0,0 +1,275 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/coordination/fencing"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/orders"
+	"github.com/figstile/figstile/transport/settings"
+)
+
+// orderDesk runs a controller of orders for each engine that this router owns
+// and whose settings say what it shall hold.
+type orderDesk struct {
+	options orderDeskOptions
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	owned   []state.Upstream
+	closed  bool
+	engines map[state.Upstream]*engineOrders
+}
+
+// orderDeskOptions sets up an orderDesk.
+type orderDeskOptions struct {
+	Router      state.Router
+	Incarnation state.Incarnation
+	Store       objectstore.Store
+	// Timing is that of the leases.
+	Timing fencing.Timing
+	// Settings returns the view in force, nil if there is none, and the
+	// version of its root.
+	Settings func() (*config.View, uint64)
+	Log      zerolog.Logger
+}
+
+// engineOrders is one engine's controller and what it was told.
+type engineOrders struct {
+	controller *orders.Controller
+	target     orderTarget
+	wanted     []state.Model
+	settings   uint64
+	leaving    bool
+}
+
+// orderTarget is what a controller cannot change while it runs.
+type orderTarget struct {
+	upstream      state.Upstream
+	url           string
+	checksFencing bool
+}
+
+// wish is what one engine shall hold.
+type wish struct {
+	target orderTarget
+	models []state.Model
+}
+
+func newOrderDesk(options orderDeskOptions) *orderDesk {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &orderDesk{
+		options: options,
+		ctx:     ctx,
+		cancel:  cancel,
+		engines: make(map[state.Upstream]*engineOrders),
+	}
+}
+
+// setOwned replaces the upstreams that this router owns.
+func (o *orderDesk) setOwned(owned []state.Upstream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.owned = slices.Clone(owned)
+	o.refresh()
+}
+
+// onSettings compares the controllers with new settings.
+func (o *orderDesk) onSettings() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refresh()
+}
+
+// reported passes a load report on to the engine's controller. A report that
+// cannot be right is dropped: it would bring orders against a sound engine.
+func (o *orderDesk) reported(report state.LoadReport) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.engines[report.Upstream]
+	if e == nil || e.leaving {
+		return
+	}
+	if err := orders.CheckReport(report.Upstream, report); err != nil {
+		o.options.Log.Warn().Err(err).Msg("order_report_refused")
+		return
+	}
+	e.controller.Report(report)
+}
+
+// refresh brings the controllers in line with ownership and settings.
+func (o *orderDesk) refresh() {
+	wishes, version := o.wishes()
+	for name, e := range o.engines {
+		if w, ok := wishes[name]; !ok || w.target != e.target {
+			o.giveUp(e)
+		}
+	}
+	for _, w := range wishes {
+		o.pursue(w, version)
+	}
+}
+
+// wishes returns what the owned engines shall hold, and the version of the
+// settings that say so.
+func (o *orderDesk) wishes() (map[state.Upstream]wish, uint64) {
+	wishes := make(map[state.Upstream]wish)
+	view, version := o.options.Settings()
+	if view == nil || o.closed {
+		return wishes, version
+	}
+	owned := make(map[state.Upstream]bool, len(o.owned))
+	for _, name := range o.owned {
+		owned[name] = true
+	}
+	for _, service := range view.Settings().Services {
+		for _, u := range service.Upstreams {
+			if owned[u.Name] && len(u.WantedModels) > 0 {
+				wishes[u.Name] = wishOf(u)
+			}
+		}
+	}
+	return wishes, version
+}
+
+func wishOf(u config.Upstream) wish {
+	target := orderTarget{upstream: u.Name, url: u.URL, checksFencing: u.ChecksFencing}
+	return wish{target: target, models: u.WantedModels}
+}
+
+// pursue tells an engine's controller the wish if it is news, and starts one
+// if there is none. One that is leaving may still wait for the end of its last
+// order; a second beside it would give the engine two at a time. The next one
+// starts when it has ended.
+func (o *orderDesk) pursue(w wish, version uint64) {
+	e := o.engines[w.target.upstream]
+	if e == nil {
+		e = o.start(w.target)
+	}
+	if e.leaving {
+		return
+	}
+	e.tell(w.models, version)
+}
+
+// tell passes on what is news. Every change of the settings brings a version,
+// few bring a wish.
+func (e *engineOrders) tell(models []state.Model, version uint64) {
+	switch {
+	case !slices.Equal(e.wanted, models):
+		e.controller.Want(&fencing.Wish{Models: models}, version)
+	case e.settings != version:
+		e.controller.Confirm(version)
+	}
+	e.wanted = models
+	e.settings = version
+}
+
+func (o *orderDesk) start(target orderTarget) *engineOrders {
+	e := &engineOrders{target: target, controller: orders.New(orders.Options{
+		Upstream: target.upstream,
+		BaseURL:  target.url,
+		Store:    o.options.Store,
+		Holder: fencing.Config{
+			Self:         o.options.Router,
+			Incarnation:  o.options.Incarnation,
+			ChecksNumber: target.checksFencing,
+			Timing:       o.options.Timing,
+		},
+		Log: o.options.Log,
+	})}
+	o.engines[target.upstream] = e
+	o.running.Go(func() { o.run(e) })
+	return e
+}
+
+// run ends when the engine is given up, and then looks whether it is wanted
+// again.
+func (o *orderDesk) run(e *engineOrders) {
+	err := e.controller.Run(o.ctx)
+	o.options.Log.Info().Str("upstream", string(e.target.upstream)).Err(err).Msg("orders_ended")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.engines, e.target.upstream)
+	o.refresh()
+}
+
+func (o *orderDesk) giveUp(e *engineOrders) {
+	if e.leaving {
+		return
+	}
+	e.leaving = true
+	e.controller.GiveUp()
+}
+
+// drain gives up every engine and waits until orders under way have ended and
+// the leases are released, so that the next owner need not wait for their end.
+// When the context ends it breaks off what is left.
+func (o *orderDesk) drain(ctx context.Context) error {
+	o.mu.Lock()
+	o.closed = true
+	o.refresh()
+	o.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		o.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		o.cancel()
+		<-ended
+		return errOrdersCut
+	}
+}
+
+// errOrdersCut says that orders under way were broken off by a stop.
+var errOrdersCut = errors.New("daemon: orders to engines were broken off")
+
+// close breaks everything off at once.
+func (o *orderDesk) close() {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
+	o.cancel()
+	o.running.Wait()
+}
+
+func (d *Daemon) openOrders() {
+	d.orders = newOrderDesk(orderDeskOptions{
+		Router:      d.options.router(),
+		Incarnation: d.incarnation,
+		Store:       d.store,
+		Timing:      fencing.DefaultTiming(),
+		Settings:    func() (*config.View, uint64) { return orderSettings(d.source) },
+		Log:         d.log,
+	})
+}
+
+// orderSettings returns the view in force and the version of its root. A root
+// that arrives between the two reads gives a version that does not fit the
+// view; the notice of that change follows at once and puts it right.
+func orderSettings(source *settings.Source) (*config.View, uint64) {
+	view := source.View()
+	return view, source.Versions()[config.RootKey]
+}
+
+// onPolled hands a load report to the orders and to the scheduler.
+func (d *Daemon) onPolled(event scheduler.Event) {
+	if reported, ok := event.(scheduler.Reported); ok {
+		d.orders.reported(reported.Report)
+	}
+	d.post(event)
+}
--- a/transport/orders/controller.go
+++ b/transport/orders/controller.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,8 +51,29 @@
 type Controller struct {
 	opts   Options
 	holder *fencing.Holder
-	events chan fencing.Event
+	inputs chan input
 	ended  chan struct{}
+
+	// settings is the version that the present wish is in force by.
+	settings atomic.Uint64
+	// storeAway is set while the store gives no answer.
+	storeAway atomic.Bool
+	// leaving is set once the engine is given up.
+	leaving atomic.Bool
+	// underWay counts the actions without an answer; only Run touches it.
+	underWay int
+}
+
+// input is what Run takes: an event and what comes with it.
+type input struct {
+	event fencing.Event
+	// settings is the version that the wish is in force by; zero if the event
+	// tells nothing of it.
+	settings uint64
+	// answers is set if the event is the answer to an action.
+	answers bool
+	// leaves is set if the engine is given up.
+	leaves bool
 }
 
 // New returns a controller that wants nothing yet.
@@ -72,7 +94,7 @@
 	return &Controller{
 		opts:   opts,
 		holder: fencing.NewHolder(opts.Holder, opts.Clock()),
-		events: make(chan fencing.Event, eventBacklog),
+		inputs: make(chan input, eventBacklog),
 		ended:  make(chan struct{}),
 	}
 }
@@ -96,55 +118,96 @@
 	}
 }
 
-// Want replaces what the engine is to hold; nil gives the engine up. It waits
-// for Run to take it, and does nothing once Run has ended.
-func (c *Controller) Want(wish *fencing.Wish) { c.post(fencing.Wanted{Wish: wish}) }
+// Want replaces what the engine is to hold; nil leaves it as it is. The
+// settings are the version that the wish was read from. Want waits for Run to
+// take it, and does nothing once Run has ended.
+func (c *Controller) Want(wish *fencing.Wish, settings uint64) {
+	c.post(input{event: fencing.Wanted{Wish: wish}, settings: settings})
+}
+
+// Confirm says that the present wish stands in later settings too. It is not
+// wanted anew, which would end the back-off of orders that fail.
+func (c *Controller) Confirm(settings uint64) {
+	c.post(input{event: fencing.Tick{}, settings: settings})
+}
+
+// GiveUp has Run end as soon as the order under way has ended and the lease is
+// released. No further order is given.
+func (c *Controller) GiveUp() { c.post(input{event: fencing.Wanted{}, leaves: true}) }
 
 // Report passes on a load report of the engine that was read just now. It is
 // dropped if Run is behind, for another one follows.
 func (c *Controller) Report(report state.LoadReport) {
 	select {
-	case c.events <- fencing.Reported{Report: report}:
+	case c.inputs <- input{event: fencing.Reported{Report: report}}:
 	default:
 	}
 }
 
-func (c *Controller) post(event fencing.Event) {
+func (c *Controller) post(in input) {
 	select {
-	case c.events <- event:
+	case c.inputs <- in:
 	case <-c.ended:
 	}
 }
 
-// Run gives orders until the context ends, and returns its error. It must be
-// called once. A lease that is held then lapses by itself; Want(nil) beforehand
-// releases it.
+// Run gives orders until the context ends, and returns its error, or until
+// the engine is given up, and returns nil. It must be called once. If the
+// context ends, an order under way is broken off and a lease that is held
+// lapses by itself.
 func (c *Controller) Run(ctx context.Context) error {
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer close(c.ended)
 	ticker := time.NewTicker(c.opts.Tick)
 	defer ticker.Stop()
-	for {
-		event, err := c.next(ctx, ticker.C)
+	for !c.atRest() {
+		in, err := c.next(ctx, ticker.C)
 		if err != nil {
 			return err
 		}
-		for _, action := range c.holder.Step(c.opts.Clock(), event) {
-			calls.Go(func() { c.post(c.perform(ctx, action)) })
+		for _, action := range c.take(in) {
+			calls.Go(func() { c.post(input{event: c.perform(ctx, action), answers: true}) })
 		}
 	}
+	return nil
 }
 
-func (c *Controller) next(ctx context.Context, ticks <-chan time.Time) (fencing.Event, error) {
+// atRest reports whether a given-up engine needs nothing more: no call is
+// under way, and the lease is not held. A lease that cannot be released is left
+// to its end: waiting for a store that is away would hold up the router's stop.
+func (c *Controller) atRest() bool {
+	if !c.leaving.Load() || c.underWay > 0 {
+		return false
+	}
+	return c.holder.Number() == 0 || c.storeAway.Load()
+}
+
+func (c *Controller) next(ctx context.Context, ticks <-chan time.Time) (input, error) {
 	select {
-	case event := <-c.events:
-		return event, nil
+	case in := <-c.inputs:
+		return in, nil
 	case <-ticks:
-		return fencing.Tick{}, nil
+		return input{event: fencing.Tick{}}, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return input{}, ctx.Err()
+	}
+}
+
+// take lets the decider see an input and counts what it asks for.
+func (c *Controller) take(in input) []fencing.Action {
+	if in.answers {
+		c.underWay--
+	}
+	if in.settings > 0 {
+		c.settings.Store(in.settings)
+	}
+	if in.leaves {
+		c.leaving.Store(true)
 	}
+	actions := c.holder.Step(c.opts.Clock(), in.event)
+	c.underWay += len(actions)
+	return actions
 }
 
 // perform does one action and returns the event that answers it.
--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
-	c.Want(&fencing.Wish{Models: []state.Model{"m"}})
+	c.Want(&fencing.Wish{Models: []state.Model{"m"}}, 1)
 	require.Eventually(t, func() bool {
 		report, err := FetchReport(ctx, http.DefaultClient, url, "engine")
 		require.NoError(t, err)
@@ -184,5 +184,5 @@
 	}, patience, time.Millisecond)
 	cancel()
 	require.ErrorIs(t, <-ended, context.Canceled)
-	c.Want(nil)
+	c.Want(nil, 1)
 }
--- a/transport/orders/lease.go
+++ b/transport/orders/lease.go
@@ -13,41 +13,75 @@
 // LeaseKey returns the key of an upstream's lease object.
 func LeaseKey(upstream state.Upstream) string { return "fencing/" + string(upstream) }
 
+// leaseObject is the value of the lease object.
+type leaseObject struct {
+	fencing.Lease
+	// Settings is the version of the settings that the holder went by.
+	Settings uint64 `json:"settings,omitempty"`
+}
+
+// readLease counts a lease of newer settings as unread. A router that was
+// paused, resumes and finds the lease free would otherwise take it with a wish
+// from before the pause, and undo what its successor did, until the settings
+// reach it. Every take-over is conditional on a version that was read here, so
+// that the versions of the settings in the lease never fall. A controller that
+// gives its engine up reads on, for it wants nothing but the release.
 func (c *Controller) readLease(ctx context.Context) fencing.Event {
 	object, err := c.opts.Store.Get(ctx, LeaseKey(c.opts.Upstream))
 	if errors.Is(err, objectstore.ErrNotFound) {
+		c.noteStore(nil)
 		return fencing.LeaseRead{}
 	}
+	c.noteStore(err)
 	if err != nil {
-		c.opts.Log.Warn().Err(err).Msg("lease-read-failed")
 		return fencing.LeaseFailed{}
 	}
-	var lease fencing.Lease
+	var lease leaseObject
 	if err := json.Unmarshal(object.Value, &lease); err != nil {
 		c.opts.Log.Error().Err(err).Msg("lease-not-understood")
 		return fencing.LeaseFailed{}
 	}
-	return fencing.LeaseRead{Lease: lease, Version: uint64(object.Version)}
+	if own := c.settings.Load(); own < lease.Settings && !c.leaving.Load() {
+		c.opts.Log.Info().Uint64("settings", own).Uint64("lease_settings", lease.Settings).Msg("settings-behind-lease")
+		return fencing.LeaseFailed{}
+	}
+	return fencing.LeaseRead{Lease: lease.Lease, Version: uint64(object.Version)}
 }
 
 // writeLease tells a conflict, which is final, from every other failure, after
 // which the write may have taken effect.
 func (c *Controller) writeLease(ctx context.Context, write fencing.WriteLease) fencing.Event {
-	value, err := json.Marshal(write.Lease)
+	value, err := json.Marshal(leaseObject{Lease: write.Lease, Settings: c.settings.Load()})
 	if err != nil {
 		c.opts.Log.Error().Err(err).Msg("lease-not-encoded")
 		return fencing.LeaseFailed{}
 	}
 	version, err := c.opts.Store.Put(ctx, LeaseKey(c.opts.Upstream), value, objectstore.Version(write.Expected))
 	var conflict *objectstore.ConflictError
-	switch {
-	case errors.As(err, &conflict):
+	if errors.As(err, &conflict) {
+		c.noteStore(nil)
 		c.opts.Log.Info().Uint64("expected", write.Expected).Uint64("found", uint64(conflict.Current)).Msg("lease-lost")
 		return fencing.LeaseConflict{}
-	case err != nil:
-		c.opts.Log.Warn().Err(err).Msg("lease-write-failed")
+	}
+	c.noteStore(err)
+	if err != nil {
 		return fencing.LeaseFailed{}
 	}
 	c.opts.Log.Info().Str("holder", string(write.Lease.Holder)).Uint64("number", write.Lease.Number).Msg("lease-written")
 	return fencing.LeaseWritten{Version: uint64(version)}
 }
+
+// noteStore logs when the store stops answering and when it answers again, and
+// not each try in between: an outage may last hours and is tried every two
+// seconds for each engine.
+func (c *Controller) noteStore(err error) {
+	away := err != nil
+	if c.storeAway.Swap(away) == away {
+		return
+	}
+	if away {
+		c.opts.Log.Warn().Err(err).Msg("lease-store-away")
+		return
+	}
+	c.opts.Log.Info().Msg("lease-store-back")
+}
--- a/transport/orders/report.go
+++ b/transport/orders/report.go
@@ -67,12 +67,20 @@
 	if err := json.Unmarshal(body, &report); err != nil {
 		return state.LoadReport{}, &ReportError{Upstream: upstream, Reason: "not JSON", Cause: err}
 	}
-	if reason := faultOf(upstream, report); reason != "" {
-		return state.LoadReport{}, &ReportError{Upstream: upstream, Reason: reason}
+	if err := CheckReport(upstream, report); err != nil {
+		return state.LoadReport{}, err
 	}
 	return report, nil
 }
 
+// CheckReport returns a *ReportError if orders must not go by the report.
+func CheckReport(upstream state.Upstream, report state.LoadReport) error {
+	if reason := faultOf(upstream, report); reason != "" {
+		return &ReportError{Upstream: upstream, Reason: reason}
+	}
+	return nil
+}
+
 // faultOf returns what is wrong with a report, or nothing.
 func faultOf(upstream state.Upstream, report state.LoadReport) string {
 	switch {
