devfleet: test a whole fleet with a second of load

Cause: only the checks were tested, not that the fleet they run on starts, serves every caller its own answer and can be drawn.

The test looks at nothing that depends on speed: answers belong to their callers, keys run once, every request has a record.

--- /dev/null
+++ b/devfleet/fleet_test.go
@@ -0,0 +1,61 @@
+package devfleet
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/loadgen"
+	"github.com/figstile/figstile/state"
+)
+
+// patience ends a start that never succeeds; no outcome depends on it.
+const patience = time.Minute
+
+func TestUnknownSample(t *testing.T) {
+	_, err := SampleByName("santander")
+	require.ErrorContains(t, err, "cantabria aravena")
+}
+
+func TestEveryLoadIsValid(t *testing.T) {
+	for _, sample := range samples() {
+		for _, load := range Loads() {
+			require.NoError(t, sample.Workload(time.Second, load).Check())
+		}
+	}
+}
+
+// A second of load goes through a whole fleet. What is checked depends on no
+// speed: answers are their callers' own and keys run once.
+func TestFleetServes(t *testing.T) {
+	sample, err := SampleByName("aravena")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	fleet, err := Start(ctx, Options{Sample: sample, Log: zerolog.Nop(), TokenDelay: time.Millisecond})
+	require.NoError(t, err)
+	defer fleet.Stop()
+
+	res, err := loadgen.Run(ctx, loadgen.Options{Workload: sample.Workload(time.Second, Usual), Fleet: fleet.Describe()})
+	require.NoError(t, err)
+	evidence := Evidence{
+		Records:    res.Records,
+		Ledgers:    fleet.Entries(),
+		Services:   fleet.services,
+		Repeatable: map[state.Service]bool{sample.Engines: true},
+	}
+	for _, v := range []Verdict{evidence.answersOwn(), evidence.everyCallerAnswered(), evidence.keyedOnce(), evidence.unkeyedOnce()} {
+		require.True(t, v.Held, "%s: %s", v.Promise, v.Checked)
+	}
+	require.Len(t, res.Records, res.Intended)
+
+	var text, svg bytes.Buffer
+	require.NoError(t, fleet.WriteAddresses(&text))
+	require.Contains(t, text.String(), "curl")
+	require.NoError(t, res.WriteSVG(&svg))
+	require.Contains(t, svg.String(), "</svg>")
+}
