--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -113,11 +113,15 @@
 
 type fakeClaims struct {
 	answer    result.Result
+	fault     bool
 	claimed   []ClaimRequest
 	completed []result.Ran
 }
 
 func (c *fakeClaims) Claim(_ context.Context, req ClaimRequest) result.Result {
+	if c.fault {
+		panic("a fault in the router")
+	}
 	c.claimed = append(c.claimed, req)
 	return c.answer
 }
@@ -219,6 +223,21 @@
 	require.Greater(t, b.request.CostHint, 200*state.CostUnit)
 }
 
+// TestJSONAnswersAreCharged covers answers that are held and those too long.
+func TestJSONAnswersAreCharged(t *testing.T) {
+	for _, length := range []int{10, 3 * relayBytes} {
+		b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+			text := strings.Repeat(`\"usage\":{} `, length/13)
+			_, _ = fmt.Fprintf(w, `{"choices":[{"message":{"content":"%s"}}],"usage":{"prompt_tokens":7,"completion_tokens":90000}}`, text)
+		}, dispatch("one"))
+		_, _, err := b.call(t, "/drafts/v1/chat/completions", prompt)
+		require.NoError(t, err)
+		<-b.records
+		_, cost := b.heard()
+		require.Equal(t, 180_007*state.CostUnit, cost)
+	}
+}
+
 // TestTruncatedStreamIsSeen: a councillor prints half a guide. The engine
 // falls in mid-stream, and a clean end would make the half look whole.
 func TestTruncatedStreamIsSeen(t *testing.T) {
@@ -457,6 +476,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		told := make(chan error, 1)
 		b := newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+			// A server notices a closed connection once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			cancel()
 			<-r.Context().Done()
 			told <- r.Context().Err()
@@ -469,11 +490,22 @@
 	})
 }
 
+// TestPanicFreesTheSlot: an engine idles for good. A fault of the router ends
+// the handler between the dispatch and its report.
+func TestPanicFreesTheSlot(t *testing.T) {
+	b := newBench(t, nil, dispatch("one"))
+	b.claims.fault = true
+	require.Error(t, b.callWith(context.Background(), t))
+	outcomes, _ := b.heard()
+	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeTruncated}, outcomes)
+}
+
 func (b *bench) callWith(ctx context.Context, t *testing.T) error {
 	t.Helper()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.url+"/bookings/x", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/bookings/x", strings.NewReader("4A"))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer secret")
+	req.Header.Set(HeaderIdempotencyKey, "k")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -39,12 +39,15 @@
 	host      *host.Host
 	mesh      *peer.Mesh
 	poller    *upstream.Poller
+	orders    *orderDesk
 	metrics   *metrics.Metrics
 	peers     peerSet
 	adverts   adverts
+	link      *countingLink
 	claims    *claims.Ledger
 	writer    *settings.Writer
 	started   time.Time
+	trace     traceFile
 
 	callers listener
 	admin   listener
@@ -76,19 +79,27 @@
 	d.source = settings.NewSource(settings.SourceOptions{OnChange: d.onSettings, Log: d.log})
 	d.writer = settings.NewWriter(settings.WriterOptions{Store: d.store, Source: d.source, Log: d.log})
 	d.follower = settings.NewFollower(settings.FollowerOptions{Store: d.store, Source: d.source, Log: d.log})
-	d.scheduler = scheduler.New(scheduler.Options{
+	decisions := scheduler.Options{
 		Self:   d.self(),
 		Seed:   uint64(d.incarnation),
 		Queues: queue.Limits{Requests: options.MaxQueued, Bytes: options.MaxQueuedBytes},
-	})
+	}
+	d.scheduler = scheduler.New(decisions)
+	stepper, err := d.openTrace(decisions)
+	if err != nil {
+		d.close()
+		return nil, err
+	}
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
 	}
-	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.post)
+	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(options.router())) }}
+	d.openOrders()
+	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.onPolled)
 	d.host = host.New(host.Options{
-		Scheduler: d.scheduler,
-		Peers:     d.mesh,
+		Scheduler: stepper,
+		Peers:     d.link,
 		Poll:      d.pollUpstreams,
 		OnDrained: func() { close(d.drained) },
 		OnPanic:   d.failStop,
@@ -141,6 +152,7 @@
 		Advertise: d.options.AdvertisePeer,
 		Seeds:     d.options.Peers,
 		TLS:       peerTLS,
+		Dial:      d.options.DialPeer,
 		Handler:   d.onEnvelope,
 		OnPeers:   d.onPeers,
 		OnSession: d.onSession,
@@ -176,7 +188,13 @@
 		Requests:    d.options.MaxQueued,
 		BodyBudget:  d.options.MaxQueuedBytes,
 	})
-	d.callers.server = caller.NewServer(handler, limits)
+	keys := &caller.KeysHandler{
+		Router:     d.options.router(),
+		DataCentre: d.options.dataCentre(),
+		Settings:   callerSettings{source: d.source},
+		Issuer:     d.claims,
+	}
+	d.callers.server = caller.NewServer(withKeys(keys, handler), limits)
 	d.callers.Listener = caller.Limit(d.callers.Listener, limits)
 	d.admin.server = caller.NewServer(d.adminHandler(), caller.ServerOptions{})
 }
@@ -273,6 +291,9 @@
 	case <-finish.Done():
 		d.log.Warn().Msg("drain timed out")
 	}
+	if err := d.orders.drain(finish); err != nil {
+		d.log.Warn().Err(err).Msg("drain timed out")
+	}
 	err := d.callers.server.Shutdown(finish)
 	if adminErr := d.admin.server.Shutdown(finish); err == nil {
 		err = adminErr
@@ -317,12 +338,15 @@
 func (d *Daemon) post(ev scheduler.Event) { d.host.Post(ev) }
 
 func (d *Daemon) onSettings(view *config.View) {
+	d.trace.noteVersions(d.self(), d.source.Versions())
 	d.post(scheduler.Configured{Settings: view.Settings()})
+	d.orders.onSettings()
 	d.announceSettings()
 }
 
 // pollUpstreams fetches the load of the upstreams this router owns.
 func (d *Daemon) pollUpstreams(owned []state.Upstream) {
+	d.orders.setOwned(owned)
 	view := d.source.View()
 	if view == nil {
 		return
@@ -360,6 +384,9 @@
 	if d.host != nil {
 		d.host.Stop()
 	}
+	if d.orders != nil {
+		d.orders.close()
+	}
 	for _, l := range []listener{d.callers, d.admin} {
 		if l.server != nil {
 			_ = l.server.Close()
@@ -369,4 +396,7 @@
 		}
 	}
 	_ = d.metrics.Close()
+	if err := d.trace.close(); err != nil {
+		d.log.Warn().Err(err).Msg("trace not whole")
+	}
 }
--- a/transport/daemon/gossip.go
+++ b/transport/daemon/gossip.go
@@ -46,6 +46,7 @@
 	defer d.peers.mu.Unlock()
 	d.peers.peers = slices.Clone(peers)
 	d.post(scheduler.PeersChanged{Peers: peers})
+	d.claims.Resize(len(peers))
 }
 
 // onSession starts again from full state with a peer. Messages may have been
@@ -99,9 +100,9 @@
 }
 
 // announceSettings tells all peers which versions are in force here.
-func (d *Daemon) announceSettings() { d.mesh.Broadcast(d.versions()) }
+func (d *Daemon) announceSettings() { d.link.Broadcast(d.versions()) }
 
-func (d *Daemon) sendVersions(to state.Router) { d.mesh.Send(to, d.versions()) }
+func (d *Daemon) sendVersions(to state.Router) { d.link.Send(to, d.versions()) }
 
 func (d *Daemon) onVersions(from state.Router, message *peerpb.ConfigVersions) {
 	announced := make(map[string]uint64, len(message.GetVersions()))
@@ -113,7 +114,7 @@
 		return
 	}
 	request := &peerpb.ConfigRequest{Keys: missing}
-	d.mesh.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: request}})
+	d.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigRequest{ConfigRequest: request}})
 }
 
 func (d *Daemon) onConfigRequest(from state.Router, message *peerpb.ConfigRequest) {
@@ -123,7 +124,7 @@
 			continue
 		}
 		answer := &peerpb.ConfigObject{Key: object.Key, Version: object.Version, Value: object.Value}
-		d.mesh.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: answer}})
+		d.link.Send(from, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: answer}})
 	}
 }
 
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -34,10 +35,14 @@
 	self     membership.Hello
 	listener net.Listener
 	notices  notices
-	// connectTo opens a connection; tests put links that fail here.
+	// connectTo opens a connection.
 	connectTo func(ctx context.Context, address string) (net.Conn, error)
-	running   sync.WaitGroup
-	total     counters
+	// flushLimit is flushTimeout, but for tests on slow machines.
+	flushLimit time.Duration
+	running    sync.WaitGroup
+	total      counters
+	// strangers logs connections that never became sessions.
+	strangers zerolog.Logger
 
 	mu sync.RWMutex
 	// ctx ends with Run; nil before.
@@ -78,15 +83,17 @@
 		Address:     opts.Advertise,
 	}
 	m := &Mesh{
-		opts:      opts,
-		self:      self,
-		listener:  listener,
-		connectTo: connectTo,
-		notices:   newNotices(),
-		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
-		sessions:  make(map[membership.SessionID]*session),
-		routes:    make(map[state.Router]*session),
-		traffic:   make(map[state.Router]*counters),
+		opts:       opts,
+		self:       self,
+		listener:   listener,
+		connectTo:  opts.Dial,
+		strangers:  opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
+		flushLimit: flushTimeout,
+		notices:    newNotices(),
+		machine:    membership.New(membership.Config{Self: self, Seed: opts.Seed}),
+		sessions:   make(map[membership.SessionID]*session),
+		routes:     make(map[state.Router]*session),
+		traffic:    make(map[state.Router]*counters),
 	}
 	return m, nil
 }
@@ -132,7 +139,7 @@
 // connection on which a heartbeat arrives meanwhile, and the reset would
 // destroy the last counters on their way.
 func (m *Mesh) flush() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), m.flushLimit)
 	defer cancel()
 	sessions := m.accepted()
 	for _, s := range sessions {
