figstile load: control messages by kind, and why connections broke

Cause: the sum of control bytes does not tell what fills the links, and broken connections were one number.

Broken connections are told by their last cause.

--- a/loadgen/observe.go
+++ b/loadgen/observe.go
@@ -26,6 +26,7 @@
 	Services map[state.Service]*Moment `json:"services"`
 	Control  map[state.Router]Control  `json:"control,omitempty"`
 
+	kinds    map[state.Router]map[string]daemon.KindTraffic
 	versions map[state.Router]map[string]uint64
 	loads    map[state.Upstream]loadRow
 }
@@ -99,6 +100,7 @@
 		At:       o.run.since(),
 		Services: make(map[state.Service]*Moment),
 		Control:  make(map[state.Router]Control),
+		kinds:    make(map[state.Router]map[string]daemon.KindTraffic),
 		versions: make(map[state.Router]map[string]uint64),
 		loads:    make(map[state.Upstream]loadRow),
 	}
@@ -177,6 +179,7 @@
 			take(err, func() {
 				statuses = append(statuses, status)
 				s.Control[router.Name] = Control(status.Control)
+				s.kinds[router.Name] = status.Kinds
 				s.versions[router.Name] = status.Versions
 			})
 		})
--- a/loadgen/result.go
+++ b/loadgen/result.go
@@ -1,9 +1,11 @@
 package loadgen
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -24,6 +26,8 @@
 	Groups     []Group           `json:"groups"`
 	Services   []Service         `json:"services"`
 	Control    []ControlRate     `json:"control"`
+	// Kinds are the control messages that all routers sent, by kind.
+	Kinds []KindRate `json:"control_kinds"`
 	// MissedSamples counts status and load reports that did not come.
 	MissedSamples int       `json:"missed_samples"`
 	Samples       []*Sample `json:"samples"`
@@ -91,6 +95,14 @@
 	MessagesOut float64      `json:"messages_out"`
 }
 
+// KindRate is one kind of control message over the whole fleet, without the
+// framing of the links.
+type KindRate struct {
+	Kind     string  `json:"kind"`
+	Messages float64 `json:"messages"`
+	Bytes    float64 `json:"bytes"`
+}
+
 // deliverySeconds is allowed for a counter on its way, beside the period of
 // the exchange.
 const deliverySeconds = 0.1
@@ -117,6 +129,7 @@
 		res.Services = append(res.Services, o.service(name))
 	}
 	res.Control = controlRates(o.samples)
+	res.Kinds = kindRates(o.samples)
 	return res
 }
 
@@ -126,7 +139,7 @@
 	case r.Left:
 		return "caller-left"
 	case r.Broken != "":
-		return "connection-broken"
+		return "connection-broken:" + lastCause(r.Broken)
 	case r.Status == 200 && r.Code == result.OK:
 		return "ok"
 	default:
@@ -134,6 +147,13 @@
 	}
 }
 
+// lastCause drops the addresses before the cause in a network error's text:
+// with them every request would be a row of its own.
+func lastCause(text string) string {
+	cause := text[strings.LastIndex(text, ": ")+1:]
+	return " " + strings.TrimSpace(cause)
+}
+
 // service works out the figures of one service from the samples.
 func (o *observer) service(name state.Service) Service {
 	s := Service{Name: name}
@@ -242,6 +262,25 @@
 	return rates
 }
 
+func kindRates(samples []*Sample) []KindRate {
+	if len(samples) < 2 {
+		return nil
+	}
+	first, last := samples[0], samples[len(samples)-1]
+	seconds := (last.At - first.At).Seconds()
+	sums := make(map[string]KindRate)
+	for router, kinds := range last.kinds {
+		for kind, traffic := range kinds {
+			sum := sums[kind]
+			sum.Kind = kind
+			sum.Messages += float64(traffic.Messages-first.kinds[router][kind].Messages) / seconds
+			sum.Bytes += float64(traffic.Bytes-first.kinds[router][kind].Bytes) / seconds
+			sums[kind] = sum
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(a, b KindRate) int { return cmp.Compare(b.Bytes, a.Bytes) })
+}
+
 // histograms collect one group's times in microseconds.
 type histograms struct {
 	wait, first, pause, total *hdrhistogram.Histogram
--- a/loadgen/text.go
+++ b/loadgen/text.go
@@ -59,5 +59,9 @@
 	for _, c := range r.Control {
 		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.1f\t%.1f\n", c.Router, c.BytesIn, c.BytesOut, c.MessagesIn, c.MessagesOut)
 	}
+	fmt.Fprintf(w, "\nCONTROL MESSAGES OF ALL ROUTERS\tMESSAGES/S\tBYTES/S\n")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(w, "%s\t%.1f\t%.0f\n", k.Kind, k.Messages, k.Bytes)
+	}
 	fmt.Fprintln(w)
 }
