e2e: orders to engines over real processes

Cause: nothing showed that the wiring gives orders, nor that an owner that was frozen with an order in hand gives none that is out of date.

The frozen owner's order is held before its TLS connection stands, which is where the last look at the clock is to come. That the order is under way shows in a renewal of its lease, so that no wait depends on a duration. Ruled out: holding the platform's answer to the lease's write. On resume the client's own timeout ends that call, and no order would be decided on.

--- /dev/null
+++ b/e2e/orders_test.go
@@ -0,0 +1,390 @@
+package e2e
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/figstile/figstile/coordination/fencing"
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/orders"
+	"github.com/stretchr/testify/require"
+)
+
+// want has an operator change what the first engine shall hold.
+func (f *fleet) want(r *router, models ...state.Model) {
+	f.t.Helper()
+	f.root.Services[0].Upstreams[0].WantedModels = models
+	encoded, err := json.Marshal(f.root)
+	require.NoError(f.t, err)
+	file := filepath.Join(f.t.TempDir(), "root.json")
+	require.NoError(f.t, os.WriteFile(file, encoded, 0o600))
+	out, code := f.cli(r, operatorToken, "config", "apply", "root", file, "--force")
+	require.Zero(f.t, code, out)
+}
+
+// awaitHeld waits until an engine holds exactly these models, in this order.
+func awaitHeld(t *testing.T, baseURL string, models ...state.Model) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("the engine holds %v", models), func() bool {
+		return fmt.Sprint(received(t, baseURL).Models) == fmt.Sprint(models)
+	})
+}
+
+func received(t *testing.T, baseURL string) engine.OrdersAnswer {
+	t.Helper()
+	var answer engine.OrdersAnswer
+	getJSON(t, baseURL+"/orders", &answer)
+	return answer
+}
+
+// loaded lists the models of the applied loads, and refused those of others;
+// an order of another kind fails the test.
+func loaded(t *testing.T, baseURL string) (applied, refused []state.Model) {
+	t.Helper()
+	for _, o := range received(t, baseURL).Orders {
+		require.Equal(t, engine.LoadModel, o.Action, "%+v", o)
+		if o.Applied {
+			applied = append(applied, o.Model)
+		} else {
+			refused = append(refused, o.Model)
+		}
+	}
+	return applied, refused
+}
+
+// lease reads an upstream's lease object past the routers; the zero value if
+// there is none.
+func (f *fleet) lease(upstream state.Upstream) (fencing.Lease, objectstore.Version) {
+	f.t.Helper()
+	client := objectstore.NewClient(objectstore.ClientOptions{BaseURL: f.platformURL})
+	object, err := client.Get(f.t.Context(), orders.LeaseKey(upstream))
+	if err != nil {
+		require.ErrorIs(f.t, err, objectstore.ErrNotFound)
+		return fencing.Lease{}, 0
+	}
+	var lease fencing.Lease
+	require.NoError(f.t, json.Unmarshal(object.Value, &lease))
+	return lease, object.Version
+}
+
+// awaitReleased waits until a lease was taken and given back.
+func (f *fleet) awaitReleased(upstream state.Upstream) {
+	f.t.Helper()
+	eventually(f.t, "the lease is released", func() bool {
+		lease, version := f.lease(upstream)
+		return version > 0 && lease.Holder == ""
+	})
+}
+
+// An operator wants a model on an engine; it is loaded and the lease given
+// back. The platform goes away and the engine restarts with nothing in memory.
+// Without a lease nobody may order it to load again, while drafts are written
+// on. With the platform back the model is loaded again.
+func TestOperatorChangesWantedModels(t *testing.T) {
+	f := startStandardFleet(t)
+	f.want(f.all[2], "guide:v1")
+	awaitHeld(t, f.engines[0], "guide:v1")
+	f.awaitReleased("engine-1")
+
+	send(t, http.MethodPost, f.platformURL+"/v1/faults", platform.Faults{Outage: platform.Refuse})
+	crash(f.engines[0])
+	eventually(t, "the owner has missed the platform", func() bool { return f.logged("lease-store-away") })
+	for _, got := range f.guides(24) {
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	require.Len(t, received(t, f.engines[0]).Orders, 1, "no order without a lease")
+	send(t, http.MethodPost, f.platformURL+"/v1/faults", platform.Faults{})
+	awaitHeld(t, f.engines[0], "guide:v1")
+	eventually(t, "the owner has found the platform", func() bool { return f.logged("lease-store-back") })
+	require.Empty(t, received(t, f.engines[1]).Orders, "an engine without a wish is left as it is")
+}
+
+// The engine's owner is stopped as a VM is replaced. Its successor must bring
+// the engine to what is wanted next, and the owner must not leave a lease
+// behind that would hold the successor up.
+func TestOwnerOfOrdersStops(t *testing.T) {
+	f := startStandardFleet(t)
+	f.want(f.all[2], "guide:v1")
+	awaitHeld(t, f.engines[0], "guide:v1")
+	owner := f.owner("engine-1")
+	owner.terminate()
+	<-owner.done
+	lease, _ := f.lease("engine-1")
+	require.Empty(t, lease.Holder)
+	f.want(f.all[2], "guide:v1", "guide:v2")
+	awaitHeld(t, f.engines[0], "guide:v1", "guide:v2")
+}
+
+func (f *fleet) logged(event string) bool {
+	for _, r := range f.routers {
+		if strings.Contains(r.lines.text(), "event="+event) {
+			return true
+		}
+	}
+	return false
+}
+
+// owner waits until a router that answers owns an upstream.
+func (f *fleet) owner(upstream state.Upstream) *router {
+	f.t.Helper()
+	var owner *router
+	eventually(f.t, "the upstream has an owner", func() bool {
+		for _, r := range f.routers {
+			for _, u := range status(f.t, r).Owned {
+				if u.Name == upstream {
+					owner = r
+				}
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+// holdingListener can hold up new connections before their TLS handshake. What
+// a client sends only over a connection that stands has then not been sent.
+type holdingListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	holds bool
+	held  []*heldConn
+}
+
+// heldConn reads nothing until it is let go.
+type heldConn struct {
+	net.Conn
+	once sync.Once
+	free chan struct{}
+}
+
+// Read waits until the connection is let go.
+func (c *heldConn) Read(p []byte) (int, error) {
+	<-c.free
+	return c.Conn.Read(p)
+}
+
+// Accept holds the connection if it shall.
+func (l *holdingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.holds {
+		return conn, nil
+	}
+	c := &heldConn{Conn: conn, free: make(chan struct{})}
+	l.held = append(l.held, c)
+	return c, nil
+}
+
+func (l *holdingListener) hold(holds bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holds = holds
+}
+
+func (l *holdingListener) connections() []*heldConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*heldConn(nil), l.held...)
+}
+
+func letGo(conns []*heldConn) {
+	for _, c := range conns {
+		c.once.Do(func() { close(c.free) })
+	}
+}
+
+// orderFleet is two routers of one data centre before one engine, which is
+// reached over TLS through a listener that can hold connections up.
+type orderFleet struct {
+	*fleet
+	engine string
+	gate   *holdingListener
+}
+
+func startOrderFleet(t *testing.T, ignores bool) *orderFleet {
+	f := &orderFleet{fleet: newFleet(t)}
+	_, f.engine = f.standIn("engine-1", "engine", engineOptions{Name: "engine-1", Slots: 4, Ignore: ignores})
+	f.service(config.Service{
+		Name: "redaccion-figstile", Kind: config.KindEngine, Repeatable: true,
+		Models: []state.Model{"guide:v1", "guide:v2", "guide:v3", "guide:v4"},
+		Upstreams: []config.Upstream{{
+			Name: "engine-1", URL: f.openGate(), DataCentre: "sala-laredo", ChecksFencing: !ignores,
+		}},
+	})
+	f.team("costa", 1, "laredo")
+	f.configure()
+	f.startRouter("router-1", "sala-laredo")
+	f.startRouter("router-2", "sala-laredo")
+	for _, r := range f.routers {
+		eventually(t, r.name+" is ready", func() bool {
+			s := status(t, r)
+			return len(s.Versions) == 2 && len(s.Peers) == 1
+		})
+	}
+	return f
+}
+
+// openGate serves the engine over TLS and has the routers trust it.
+func (f *orderFleet) openGate() string {
+	a := newAuthority(f.t)
+	certPEM, keyPEM := a.issue(f.t, "engine-1")
+	pair, err := tls.X509KeyPair([]byte(certPEM), []byte(keyPEM))
+	require.NoError(f.t, err)
+	trusted := filepath.Join(f.t.TempDir(), "trusted.pem")
+	require.NoError(f.t, os.WriteFile(trusted, []byte(a.pem), 0o600))
+	f.secrets = append(f.secrets, "SSL_CERT_FILE="+trusted)
+
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	f.gate = &holdingListener{Listener: plain}
+	secured := tls.NewListener(f.gate, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12})
+	way := &forwarder{
+		Listener: secured,
+		target:   strings.TrimPrefix(f.engine, "http://"),
+		open:     make(map[net.Conn]struct{}),
+	}
+	go forwardSecured(way)
+	f.t.Cleanup(func() {
+		way.Close()
+		letGo(f.gate.connections())
+		way.cut()
+	})
+	return "https://" + plain.Addr().String()
+}
+
+// forwardSecured goes to the engine only once a connection stands, as the
+// engine cuts one that says nothing for long.
+func forwardSecured(way *forwarder) {
+	for {
+		conn, err := way.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			if err := conn.(*tls.Conn).Handshake(); err != nil {
+				conn.Close()
+				return
+			}
+			way.forward(conn)
+		}()
+	}
+}
+
+func (f *orderFleet) other(r *router) *router {
+	for _, candidate := range f.routers {
+		if candidate != r {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// awaitHeldOrder waits until the holder has an order under way whose
+// connection does not stand yet. It shows in a renewal of the lease, which
+// happens only while an order is under way. Connections from before the lease
+// are polls of the load and are let go, as no order is given without a report.
+func (f *orderFleet) awaitHeldOrder(holder *router) {
+	f.t.Helper()
+	var taken objectstore.Version
+	eventually(f.t, "an order is held up", func() bool {
+		polls := f.gate.connections()
+		lease, version := f.lease("engine-1")
+		if lease.Holder != state.Router(holder.name) {
+			letGo(polls)
+			return false
+		}
+		if taken == 0 {
+			taken = version
+		}
+		return version > taken
+	})
+}
+
+// awaitTakeover waits until another router owns the engine and has taken the
+// lease with a greater number.
+func (f *orderFleet) awaitTakeover(successor *router, number uint64) {
+	f.t.Helper()
+	eventually(f.t, successor.name+" owns the engine", func() bool { return len(status(f.t, successor).Owned) == 1 })
+	eventually(f.t, "another router has had the lease", func() bool {
+		lease, _ := f.lease("engine-1")
+		return lease.Number > number
+	})
+}
+
+// outcomes lists what became of a router's orders, by its own log.
+func (r *router) outcomes() []string {
+	var found []string
+	for _, match := range orderOutcome.FindAllStringSubmatch(r.lines.text(), -1) {
+		found = append(found, match[1])
+	}
+	return found
+}
+
+var orderOutcome = regexp.MustCompile(`event=order .*outcome=(\w+)`)
+
+// An operator wants "guide:v2" on an engine. The owner takes the lease and is
+// frozen while the order's connection is still being made. The operator thinks
+// better of it and wants "guide:v3" instead; another router waits for the end
+// of the lease and has it loaded. The frozen owner resumes with its order in
+// hand, its lease and its settings out of date. If the order were applied the
+// engine would load what nobody wants any more.
+func TestFrozenOwnerGivesNoStaleOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		ignores bool
+		outcome string
+		refused []state.Model
+	}{
+		"engine checks numbers":  {false, "stale", []state.Model{"guide:v2"}},
+		"engine ignores numbers": {true, "late", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startOrderFleet(t, c.ignores)
+			owner := f.owner("engine-1")
+			other := f.other(owner)
+			f.want(other, "guide:v1")
+			awaitHeld(t, f.engine, "guide:v1")
+			f.awaitReleased("engine-1")
+
+			f.gate.hold(true)
+			f.want(other, "guide:v1", "guide:v2")
+			f.awaitHeldOrder(owner)
+			owner.freeze()
+			f.gate.hold(false)
+			held, _ := f.lease("engine-1")
+			f.want(other, "guide:v1", "guide:v3")
+			f.awaitTakeover(other, held.Number)
+			awaitHeld(t, f.engine, "guide:v1", "guide:v3")
+			f.awaitReleased("engine-1")
+
+			letGo(f.gate.connections())
+			owner.thaw()
+			eventually(t, "the held-up order has ended", func() bool { return len(owner.outcomes()) == 2 })
+			f.want(other, "guide:v1", "guide:v3", "guide:v4")
+			awaitHeld(t, f.engine, "guide:v1", "guide:v3", "guide:v4")
+
+			require.Equal(t, c.outcome, owner.outcomes()[1])
+			applied, refused := loaded(t, f.engine)
+			require.Equal(t, []state.Model{"guide:v1", "guide:v3", "guide:v4"}, applied)
+			require.Equal(t, c.refused, refused)
+		})
+	}
+}
