capacity: slopes measured on the real parts, and what follows for a fleet

Cause: the destination needs figures per role, and nobody had measured what grows with what.

Measure runs the scheduler, ledger, membership and claims machines, the codecs, real sessions, pollers and whole daemons over at least three sizes each, and fits the simplest shape. Bytes, messages and allocations come from messages encoded and deciders run on a clock of their own, so that a busy machine does not change them; times are the fastest of eleven batches and marked as the machine's. Periods that packages keep to themselves are observed, not typed in.

--- /dev/null
+++ b/capacity/measure_progress.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/caller"
+	"github.com/figstile/figstile/transport/upstream"
+
+	standin "github.com/figstile/figstile/standin/upstream"
+)
+
+// tokenDelay is how fast the measured stream runs.
+const tokenDelay = 20 * time.Millisecond
+
+// progressReports counts the reports of cost that the caller's handler makes
+// while it relays one stream.
+func progressReports(_ context.Context, seconds int) (float64, error) {
+	e := engine.New(engine.Options{
+		Options:       standin.Options{Name: upstreamName(0), Slots: 1},
+		TokenDelay:    tokenDelay,
+		DefaultTokens: int(time.Duration(seconds) * time.Second / tokenDelay),
+	})
+	url, stop, err := e.Start("127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
+	client := upstream.NewClient(upstream.ClientOptions{})
+	defer client.Close()
+	counted := &countedReports{}
+	handler := caller.NewHandler(caller.Options{
+		Router: "router-0000", Scheduler: counted, Settings: oneService{url: url}, Client: client, Log: zerolog.Nop(),
+	})
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, streamRequest("/drafts/v1/chat/completions"))
+	if answer.Code != http.StatusOK {
+		return 0, fmt.Errorf("capacity: stream has status %d: %s", answer.Code, answer.Body)
+	}
+	return float64(counted.reports.Load()), nil
+}
+
+func streamRequest(target string) *http.Request {
+	const body = `{"stream":true,"messages":[{"role":"user","content":"A short guide."}]}`
+	r := httptest.NewRequest(http.MethodPost, target, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer token")
+	r.Header.Set("Content-Type", "application/json")
+	return r
+}
+
+// countedReports dispatches each request at once and counts its reports.
+type countedReports struct{ reports atomic.Int64 }
+
+// NextID numbers a request.
+func (*countedReports) NextID() state.RequestID { return 1 }
+
+// Submit dispatches to the only upstream.
+func (*countedReports) Submit(scheduler.Request) <-chan scheduler.Action {
+	actions := make(chan scheduler.Action, 1)
+	actions <- scheduler.Dispatch{ID: 1, Upstream: upstreamName(0), Attempt: 1}
+	return actions
+}
+
+// Left does nothing.
+func (*countedReports) Left(state.RequestID) {}
+
+// Progressed counts.
+func (c *countedReports) Progressed(state.RequestID, state.Cost) { c.reports.Add(1) }
+
+// Ended does nothing.
+func (*countedReports) Ended(state.RequestID, state.Cost, scheduler.Outcome) {}
+
+// oneService is a view with one engine.
+type oneService struct{ url string }
+
+// View returns itself.
+func (s oneService) View() caller.View { return s }
+
+// AuthenticateCaller knows one workspace.
+func (oneService) AuthenticateCaller(string) (state.Workspace, bool) { return workspaceNamed(0), true }
+
+// Service returns the engine for every name.
+func (s oneService) Service(name state.Service) (config.Service, bool) {
+	up := config.Upstream{Name: upstreamName(0), URL: s.url}
+	return config.Service{Name: name, Kind: config.KindEngine, Repeatable: true, Upstreams: []config.Upstream{up}}, true
+}
+
+// Allows permits everything.
+func (oneService) Allows(state.Workspace, state.Service, state.Model) result.Code { return result.OK }
--- /dev/null
+++ b/capacity/measure_test.go
@@ -0,0 +1,56 @@
+package capacity
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/state"
+)
+
+// The measured scheduler must do what its name says: otherwise a slope would
+// be that of refusals.
+func TestRigServesAndQueues(t *testing.T) {
+	r := newRig(size{routers: 4, upstreams: 16, workspaces: 64, services: 1})
+	require.NotEmpty(t, r.owned)
+	served := dispatched(r.wait(len(r.owned) * rigSlots))
+	require.Len(t, served, len(r.owned)*rigSlots)
+	require.Empty(t, dispatched(r.wait(10)), "full")
+	actions := r.step(scheduler.Ended{ID: served[0], Cost: state.CostUnit, Outcome: scheduler.OutcomeServed})
+	require.Len(t, dispatched(actions), 1, "the slot goes to one that waited")
+}
+
+func TestTrafficGrowsWithWhatChanged(t *testing.T) {
+	few, err := usageTraffic(16)
+	require.NoError(t, err)
+	many, err := usageTraffic(160)
+	require.NoError(t, err)
+	require.Greater(t, many, 9*few)
+	lone, err := demandTraffic(10)
+	require.NoError(t, err)
+	require.Positive(t, lone.bytes)
+}
+
+// Rounds are shared out over the fleet, so that one router's claims wait
+// longer the more routers there are.
+func TestClaimsWaitLongerInALargerFleet(t *testing.T) {
+	small, err := claimWait(73)
+	require.NoError(t, err)
+	large, err := claimWait(730)
+	require.NoError(t, err)
+	require.Greater(t, large, 5*small)
+}
+
+func TestSessionsAreCountedWithoutHeartbeats(t *testing.T) {
+	cost, err := messageCost(context.Background(), 10)
+	require.NoError(t, err)
+	require.InDelta(t, 12, cost.bytes, 0.001, "yamux puts 12 bytes before each message")
+}
+
+func TestProgressReportsAreCounted(t *testing.T) {
+	reports, err := progressReports(context.Background(), 0)
+	require.NoError(t, err)
+	require.Positive(t, reports)
+}
--- /dev/null
+++ b/capacity/measure_wire.go
@@ -0,0 +1,151 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/figstile/figstile/coordination/claims"
+	"github.com/figstile/figstile/coordination/grants"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/objectstore"
+)
+
+// Slopes of bytes in a message, its length prefix included, yamux not.
+const (
+	WireUsage     Name = "wire.usage"
+	WireDemand    Name = "wire.demand"
+	WireVersions  Name = "wire.versions"
+	WireObject    Name = "wire.object"
+	WireRoot      Name = "wire.root"
+	WireRootTeams Name = "wire.root-teams"
+	WireVMs       Name = "wire.vms"
+	WireGrant     Name = "wire.grant"
+	WireProgress  Name = "wire.progress"
+	WireEnded     Name = "wire.ended"
+	WireLeaving   Name = "wire.leaving"
+	WireShard     Name = "wire.shard"
+	WireHeartbeat Name = "wire.heartbeat"
+)
+
+// nameLengths are lengths of workspaces' names.
+var nameLengths = []int{8, 16, 32}
+
+func wireMeasurements() []measurement {
+	return []measurement{
+		framed(WireUsage, "counters", []int{1, 10, 100, 1000}, func(n int) *peerpb.Envelope {
+			return envelope(scheduler.SendUsage{Origin: "router-0001", Incarnation: rigIncarnation, Entries: usageOf(n, 1e9)})
+		}),
+		framed(WireDemand, "lines", []int{1, 10, 100, 630}, func(n int) *peerpb.Envelope {
+			return envelope(scheduler.SendDemand{Demand: demandOf(n)})
+		}),
+		framed(WireVersions, "objects", []int{10, 100, 630}, versionsEnvelope),
+		framed(WireObject, "workspaces of the team", []int{1, 10, 100}, func(n int) *peerpb.Envelope {
+			return objectEnvelope("config/teams/team-0001", teamObject(1, n))
+		}),
+		framed(WireRoot, "upstreams", []int{100, 1000, 10_000}, func(n int) *peerpb.Envelope {
+			return objectEnvelope("config/root", rootObject(1, n))
+		}),
+		framed(WireRootTeams, "teams", []int{10, 100, 630}, func(n int) *peerpb.Envelope {
+			return objectEnvelope("config/root", rootObject(n, 0))
+		}),
+		framed(WireGrant, "bytes of a workspace's name", nameLengths, grantEnvelope),
+		framed(WireProgress, "bytes of a workspace's name", nameLengths, func(n int) *peerpb.Envelope {
+			return envelope(scheduler.SendProgress{
+				Sequence: 1e12, Upstream: upstreamName(1), Service: serviceNamed(0), Workspace: workspaceOfLength(n), Cost: 30_000,
+			})
+		}),
+		framed(WireEnded, "bytes of a workspace's name", nameLengths, func(n int) *peerpb.Envelope {
+			return envelope(scheduler.SendEnded{
+				Sequence: 1e12, Upstream: upstreamName(1), Service: serviceNamed(0), Workspace: workspaceOfLength(n),
+				Cost: 30_000, Outcome: scheduler.OutcomeServed,
+			})
+		}),
+		framed(WireLeaving, "bytes of an upstream's name", nameLengths, func(n int) *peerpb.Envelope {
+			return envelope(scheduler.SendLeaving{Upstream: state.Upstream(workspaceOfLength(n)), Boot: "01J0000000"})
+		}),
+		framed(WireHeartbeat, "members", []int{0, 100, 730}, heartbeatEnvelope),
+		{
+			name: WireVMs, unit: "B of JSON", against: "VMs", sizes: []int{100, 1000, 10_000},
+			value: func(_ context.Context, n int) (float64, error) { return float64(len(vmList(n))), nil },
+		},
+		{
+			name: WireShard, unit: "B", against: "claims in the shard", sizes: []int{1000, 10_000, 30_000},
+			value: func(_ context.Context, n int) (float64, error) {
+				value, err := shardOf(n).Encode()
+				return float64(len(value)), err
+			},
+		},
+	}
+}
+
+func framed(name Name, against string, sizes []int, build func(int) *peerpb.Envelope) measurement {
+	return measurement{
+		name: name, unit: "B", against: against, sizes: sizes,
+		value: func(_ context.Context, n int) (float64, error) { return frameBytes(build(n)) },
+	}
+}
+
+func frameBytes(env *peerpb.Envelope) (float64, error) {
+	frame, err := wire.AppendFrame(nil, env)
+	return float64(len(frame)), err
+}
+
+func envelope(a scheduler.Action) *peerpb.Envelope {
+	env, _, _ := wire.ToEnvelope(a)
+	return env
+}
+
+func grantEnvelope(n int) *peerpb.Envelope {
+	return envelope(scheduler.SendGrant{Grant: scheduler.Grant{
+		Sequence: 1e12, Service: serviceNamed(0), Workspace: workspaceOfLength(n),
+		Upstream: upstreamName(1), Lifetime: grants.Lifetime, Reserved: 229 * state.CostUnit,
+	}})
+}
+
+func workspaceOfLength(n int) state.Workspace { return state.Workspace(fmt.Sprintf("%0*d", n, 1)) }
+
+func versionsEnvelope(n int) *peerpb.Envelope {
+	m := &peerpb.ConfigVersions{}
+	for i := range n {
+		key := fmt.Sprintf("config/teams/%s", teamNamed(i))
+		m.Versions = append(m.Versions, &peerpb.ConfigVersion{Key: key, Version: 1_000_000})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigVersions{ConfigVersions: m}}
+}
+
+func objectEnvelope(key string, value []byte) *peerpb.Envelope {
+	o := &peerpb.ConfigObject{Key: key, Version: 1_000_000, Value: value}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: o}}
+}
+
+func heartbeatEnvelope(n int) *peerpb.Envelope {
+	beat := &peerpb.Heartbeat{Sequence: 100_000, Echo: 100_000, EchoHeldUs: 500_000}
+	for i := range n {
+		hello := helloOf(i)
+		beat.Members = append(beat.Members, &peerpb.Member{
+			Router: string(hello.Router), DataCentre: string(hello.DataCentre),
+			PeerAddress: hello.Address, Incarnation: uint64(hello.Incarnation),
+		})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: beat}}
+}
+
+// vmList is the platform's answer of so many VMs.
+func vmList(n int) []byte {
+	var answer objectstore.VMsAnswer
+	for i := range n {
+		hello := helloOf(i)
+		answer.VMs = append(answer.VMs, objectstore.VM{
+			Name: string(upstreamName(i)), Address: hello.Address, Role: "engine", DataCentre: hello.DataCentre,
+		})
+	}
+	return encoded(answer)
+}
+
+// shardCapacity is how many claims fit one shard's object.
+func shardCapacity(bytes Slope) float64 {
+	return (claims.MaxShardBytes - bytes.Base) / bytes.Rate
+}
