cli: figstile capacity, and the page that it fills

Cause: operators and developers need to see at which size which mechanism stops, for their own sizes.

figstile capacity works a fleet out from the slopes of the build; every size is a flag. docs/CAPACITY.md holds its output for today and for the destination, and TestCapacityPage holds the page to it.

Ruled out: an interval of infinity where no traffic is left, which JSON cannot carry (the flags test failed on it); it is a number nobody waits for.

Run: go test ./capacity ./cmd/figstile/... passes; go vet and staticcheck are clean on the packages touched.

--- /dev/null
+++ b/cmd/figstile/internal/cli/capacity_test.go
@@ -0,0 +1,56 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/capacity"
+	"github.com/figstile/figstile/cmd/figstile/internal/cli"
+)
+
+const docsDir = "../../../../docs"
+
+// block is one table of the page, held to the output of a command.
+var block = regexp.MustCompile("(?s)<!-- output: figstile ([^\n]*) -->\n```\n.*?```\n")
+
+// TestCapacityPage holds the tables of docs/CAPACITY.md to the tool; with
+// -update it writes them.
+func TestCapacityPage(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(docsDir, "CAPACITY.md"))
+	require.NoError(t, err)
+	require.Regexp(t, block, string(page))
+	current := block.ReplaceAllStringFunc(string(page), func(old string) string {
+		command := block.FindStringSubmatch(old)[1]
+		return "<!-- output: figstile " + command + " -->\n```\n" + runAlone(t, strings.Fields(command)...) + "```\n"
+	})
+	goldie.New(t, goldie.WithFixtureDir(docsDir), goldie.WithNameSuffix(".md")).Assert(t, "CAPACITY", []byte(current))
+}
+
+// runAlone runs a command that needs no router.
+func runAlone(t *testing.T, args ...string) string {
+	t.Helper()
+	var out, errs bytes.Buffer
+	code := cli.Main(context.Background(), cli.Environment{
+		Args: args, Getenv: func(string) string { return "" }, Stdout: &out, Stderr: &errs, Version: "test",
+	})
+	require.Zero(t, code, errs.String())
+	return out.String()
+}
+
+func TestCapacityFlagsReplaceTheProfile(t *testing.T) {
+	var report capacity.Report
+	out := runAlone(t, "capacity", "--profile=destination", "--routers=100", "--max-mb=64", "--output=json")
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	want := capacity.Destination()
+	want.Routers, want.MaxMB = 100, 64
+	require.Equal(t, want, report.Fleet)
+}
--- a/cmd/figstile/internal/cli/cli.go
+++ b/cmd/figstile/internal/cli/cli.go
@@ -40,6 +40,7 @@
 	Upstream  upstreamCommands  `cmd:"" help:"Take upstreams out of use and back (operators)."`
 	Status    statusCommand     `cmd:"" help:"Show every router: versions in force, upstreams, backlog, service, fairness gap."`
 	Drain     drainCommand      `cmd:"" help:"Drain the router at --server: it finishes what it has and stops."`
+	Capacity  capacityCommands  `cmd:"" help:"Work out what a fleet of some size costs, and what breaks first."`
 }
 
 // tokenVariable holds the bearer token. It is no flag: other users of the
