Test the wiring of orders; say what is proved of them

Cause: the wiring had only tests of whole processes. Calls to the platform while nothing is to be done, an ownership that moves during a load, a stop whose time runs out or whose platform is away, and a router with settings older than the last holder's were not tested.

The loads of the tests last until the test ends them; no wait depends on a duration. The applied orders are now compared before the outcome in the log.

--- a/e2e/orders_test.go
+++ b/e2e/orders_test.go
@@ -381,10 +381,10 @@
 			f.want(other, "guide:v1", "guide:v3", "guide:v4")
 			awaitHeld(t, f.engine, "guide:v1", "guide:v3", "guide:v4")
 
-			require.Equal(t, c.outcome, owner.outcomes()[1])
 			applied, refused := loaded(t, f.engine)
 			require.Equal(t, []state.Model{"guide:v1", "guide:v3", "guide:v4"}, applied)
 			require.Equal(t, c.refused, refused)
+			require.Equal(t, c.outcome, owner.outcomes()[1])
 		})
 	}
 }
--- /dev/null
+++ b/transport/daemon/orders_test.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/fencing"
+	"github.com/figstile/figstile/standin/engine"
+	"github.com/figstile/figstile/standin/platform"
+	"github.com/figstile/figstile/standin/upstream"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/orders"
+)
+
+// deskBench is one router's orders before one engine whose loads last until
+// the test lets them end.
+type deskBench struct {
+	t        *testing.T
+	platform *platform.Platform
+	engine   *engine.Engine
+	url      string
+	load     chan struct{}
+	view     atomic.Pointer[config.View]
+	version  atomic.Uint64
+	desk     *orderDesk
+}
+
+func newDeskBench(t *testing.T) *deskBench {
+	b := &deskBench{t: t, platform: platform.New(platform.Options{}), load: make(chan struct{})}
+	b.engine = engine.New(engine.Options{
+		Options:   upstream.Options{Name: "engine-1", Sleep: b.sleep},
+		LoadDelay: time.Second,
+	})
+	url, stop, err := b.engine.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	b.url = url
+	server := httptest.NewServer(b.platform.Handler())
+	t.Cleanup(server.Close)
+	b.want()
+	timing := fencing.DefaultTiming()
+	timing.ReportLag, timing.Poll, timing.Retry = 0, 0, 0
+	b.desk = newOrderDesk(orderDeskOptions{
+		Router:      "router-1",
+		Incarnation: 1,
+		Store:       objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL}),
+		Timing:      timing,
+		Settings:    func() (*config.View, uint64) { return b.view.Load(), b.version.Load() },
+		Log:         zerolog.Nop(),
+	})
+	t.Cleanup(b.desk.close)
+	b.desk.setOwned([]state.Upstream{"engine-1"})
+	return b
+}
+
+// sleep is a load under way.
+func (b *deskBench) sleep(ctx context.Context, _ time.Duration) error {
+	select {
+	case <-b.load:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (b *deskBench) want(models ...state.Model) {
+	b.view.Store(config.NewView(config.Root{Services: []config.Service{{
+		Name: "drafts", Kind: config.KindEngine,
+		Upstreams: []config.Upstream{{Name: "engine-1", URL: b.url, DataCentre: "sala-laredo", WantedModels: models}},
+	}}}, nil))
+	b.version.Add(1)
+	if b.desk != nil {
+		b.desk.onSettings()
+	}
+}
+
+// poll hands the engine's load to the orders.
+func (b *deskBench) poll() {
+	report, err := orders.FetchReport(b.t.Context(), http.DefaultClient, b.url, "engine-1")
+	require.NoError(b.t, err)
+	b.desk.reported(report)
+}
+
+// await polls until a condition holds.
+func (b *deskBench) await(what string, holds func() bool) {
+	b.t.Helper()
+	eventually(b.t, what, func() bool {
+		b.poll()
+		return holds()
+	})
+}
+
+func (b *deskBench) received() int { return len(b.engine.Orders().Orders) }
+
+func (b *deskBench) leaseHolder() string {
+	object, err := b.platform.Store().Get(b.t.Context(), orders.LeaseKey("engine-1"))
+	require.NoError(b.t, err)
+	return string(object.Value)
+}
+
+func (b *deskBench) engines() int {
+	b.desk.mu.Lock()
+	defer b.desk.mu.Unlock()
+	return len(b.desk.engines)
+}
+
+// Hundreds of routers share the platform's rates. One whose engines hold what
+// is wanted, or want nothing, must not call it at all.
+func TestNoCallsWhileNothingIsToBeDone(t *testing.T) {
+	b := newDeskBench(t)
+	close(b.load)
+	b.poll()
+	require.Zero(t, b.engines(), "no wish, no controller")
+	b.want("m")
+	b.await("the model is loaded and the lease released", func() bool {
+		return b.engine.Holds("m") && b.platform.Calls().Put == 2
+	})
+	calls := b.platform.Calls().Total()
+	for range 50 {
+		b.poll()
+	}
+	b.want("m")
+	b.desk.setOwned(nil)
+	require.NoError(t, b.desk.drain(t.Context()))
+	require.Equal(t, calls, b.platform.Calls().Total())
+}
+
+// The engine moves to another owner while it loads a model. The order must
+// end in peace, as it has cost a read from the weight store, no second order
+// may follow it, and then the lease is there for the new owner. When the
+// engine comes back meanwhile, there is still only one order at a time.
+func TestOwnershipMovesWhileAnOrderRuns(t *testing.T) {
+	b := newDeskBench(t)
+	b.want("m", "n")
+	b.await("the first load is under way", func() bool { return b.received() == 1 })
+	b.desk.setOwned(nil)
+	b.desk.setOwned([]state.Upstream{"engine-1"})
+	for range 50 {
+		b.poll()
+	}
+	require.Equal(t, 1, b.received())
+	require.Contains(t, b.leaseHolder(), "router-1")
+	b.load <- struct{}{}
+	b.await("the second load is under way", func() bool { return b.received() == 2 })
+	b.desk.setOwned(nil)
+	b.load <- struct{}{}
+	eventually(t, "the engine is given up", func() bool { return b.engines() == 0 })
+	require.NotContains(t, b.leaseHolder(), "router-1")
+	require.Equal(t, []state.Model{"m", "n"}, b.engine.Models())
+}
+
+// A router is stopped while a load runs and its time for the stop runs out, or
+// while the platform is away. The stop must not wait for either.
+func TestStopEndsOrders(t *testing.T) {
+	t.Run("time runs out", func(t *testing.T) {
+		b := newDeskBench(t)
+		b.want("m")
+		b.await("the load is under way", func() bool { return b.received() == 1 })
+		over, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.ErrorIs(t, b.desk.drain(over), errOrdersCut)
+		require.Empty(t, b.engine.Models())
+	})
+	t.Run("platform is away", func(t *testing.T) {
+		b := newDeskBench(t)
+		b.want("m")
+		b.await("the load is under way", func() bool { return b.received() == 1 })
+		b.platform.SetFaults(platform.Faults{Outage: platform.Refuse})
+		close(b.load)
+		require.NoError(t, b.desk.drain(t.Context()))
+		require.Equal(t, []state.Model{"m"}, b.engine.Models())
+	})
+}
+
+// A report that cannot be right names no model that the engine holds. Orders
+// by it would load again what is there.
+func TestBrokenReportGivesNoOrder(t *testing.T) {
+	b := newDeskBench(t)
+	b.engine.SetHeld("m", true)
+	b.want("m")
+	b.desk.reported(state.LoadReport{Upstream: "engine-1", Boot: "1", Running: -1})
+	require.NoError(t, b.desk.drain(t.Context()))
+	require.Zero(t, b.received())
+	require.Zero(t, b.platform.Calls().Total())
+}
--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -186,3 +186,32 @@
 	require.ErrorIs(t, <-ended, context.Canceled)
 	c.Want(nil, 1)
 }
+
+// An operator has "old" replaced by "new" while router r1 is cut off. r2 does
+// it and gives the lease back. r1 comes back, finds the lease free and the
+// engine without "old", which it still wants. It must not touch the engine
+// until the settings have reached it, and must obey them then.
+func TestHolderWithOldSettingsWaits(t *testing.T) {
+	b := newBench(t, true)
+	old, second := b.controller("r1", nil), b.controller("r2", nil)
+	want := func(c *Controller, settings uint64, model state.Model) {
+		for _, action := range c.take(input{event: fencing.Wanted{Wish: &fencing.Wish{Models: []state.Model{model}}}, settings: settings}) {
+			b.step(c, c.perform(b.t.Context(), action))
+		}
+	}
+	seconds := func(c *Controller) {
+		for range 12 {
+			b.second(c)
+		}
+	}
+	want(second, 2, "new")
+	seconds(second)
+	require.Zero(t, second.holder.Number(), "the lease is released")
+	want(old, 1, "old")
+	seconds(old)
+	require.Equal(t, []state.Model{"new"}, b.engine.Models())
+	require.Len(t, b.engine.Orders().Orders, 1)
+	want(old, 3, "newer")
+	seconds(old)
+	require.Equal(t, []state.Model{"newer"}, b.engine.Models())
+}
