--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
-	c.Want(&fencing.Wish{Models: []state.Model{"m"}})
+	c.Want(&fencing.Wish{Models: []state.Model{"m"}}, 1)
 	require.Eventually(t, func() bool {
 		report, err := FetchReport(ctx, http.DefaultClient, url, "engine")
 		require.NoError(t, err)
@@ -184,5 +184,34 @@
 	}, patience, time.Millisecond)
 	cancel()
 	require.ErrorIs(t, <-ended, context.Canceled)
-	c.Want(nil)
+	c.Want(nil, 1)
+}
+
+// An operator has "old" replaced by "new" while router r1 is cut off. r2 does
+// it and gives the lease back. r1 comes back, finds the lease free and the
+// engine without "old", which it still wants. It must not touch the engine
+// until the settings have reached it, and must obey them then.
+func TestHolderWithOldSettingsWaits(t *testing.T) {
+	b := newBench(t, true)
+	old, second := b.controller("r1", nil), b.controller("r2", nil)
+	want := func(c *Controller, settings uint64, model state.Model) {
+		for _, action := range c.take(input{event: fencing.Wanted{Wish: &fencing.Wish{Models: []state.Model{model}}}, settings: settings}) {
+			b.step(c, c.perform(b.t.Context(), action))
+		}
+	}
+	seconds := func(c *Controller) {
+		for range 12 {
+			b.second(c)
+		}
+	}
+	want(second, 2, "new")
+	seconds(second)
+	require.Zero(t, second.holder.Number(), "the lease is released")
+	want(old, 1, "old")
+	seconds(old)
+	require.Equal(t, []state.Model{"new"}, b.engine.Models())
+	require.Len(t, b.engine.Orders().Orders, 1)
+	want(old, 3, "newer")
+	seconds(old)
+	require.Equal(t, []state.Model{"newer"}, b.engine.Models())
 }
