Prefer an owner's own request that is nearly as old

Cause: almost every request in a rush was granted to another router (311 grants a second for 280 requests), each with a grant, a report of its end and fresh demand, because the router with the oldest request always went first.

Ruled out: a constant slack (one second would be nothing in a rush and double the wait of a page), and always the own request (a peer's would wait for as long as the owner has any). Taken: the own request, if it has waited at least half as long as the oldest of that workspace; which workspace is next is not touched.

--- a/coordination/demand/demand.go
+++ b/coordination/demand/demand.go
@@ -121,6 +121,29 @@
 	return l.order.Min()
 }
 
+// nearPart is how long the owner's own request must have waited, as a part of
+// the oldest one's wait, to be preferred. Made for saturation: a slot for a
+// request of the owner's own router needs no message, one for a peer's needs a
+// grant, a report of the end and fresh demand. A half bounds the harm without
+// a constant of time: no request waits more than twice as long as it would in
+// order of age, be it milliseconds or minutes. Which workspace is next is not
+// touched.
+const nearPart = 2
+
+// Choose returns the entry that a slot goes to: that of the near router if its
+// oldest request has waited for long enough, otherwise the oldest of all.
+func (b *Book) Choose(now time.Time, k Key, near state.Router) (Entry, bool) {
+	oldest, ok := b.Oldest(k)
+	if !ok || oldest.Router == near {
+		return oldest, ok
+	}
+	own, ok := b.lines[k].routers[near]
+	if ok && now.Sub(own.Head)*nearPart >= now.Sub(oldest.Head) {
+		return own, true
+	}
+	return oldest, true
+}
+
 // Waiting counts a router's remembered requests of a key.
 func (b *Book) Waiting(k Key, r state.Router) int {
 	l := b.lines[k]
--- a/coordination/demand/demand_test.go
+++ b/coordination/demand/demand_test.go
@@ -28,3 +28,25 @@
 	require.Equal(t, []Key{k}, b.Keys("r"))
 	require.False(t, b.Set(k, Entry{Router: "r"}))
 }
+
+// The owner's own request goes first while it has waited at least half as long
+// as the oldest one, whether that is milliseconds or minutes; a peer's oldest
+// request is never passed over for longer.
+func TestNearRequestGoesFirstWithinHalfTheWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := Key{Workspace: "w"}
+	for _, unit := range []time.Duration{time.Millisecond, time.Minute} {
+		b := New()
+		b.Set(k, Entry{Router: "peer", Waiting: 1, Head: now.Add(-10 * unit)})
+		chosen, _ := b.Choose(now, k, "near")
+		require.Equal(t, state.Router("peer"), chosen.Router)
+		b.Set(k, Entry{Router: "near", Waiting: 1, Head: now.Add(-4 * unit)})
+		chosen, _ = b.Choose(now, k, "near")
+		require.Equal(t, state.Router("peer"), chosen.Router)
+		b.Set(k, Entry{Router: "near", Waiting: 1, Head: now.Add(-5 * unit)})
+		chosen, _ = b.Choose(now, k, "near")
+		require.Equal(t, state.Router("near"), chosen.Router)
+	}
+	_, ok := New().Choose(now, k, "near")
+	require.False(t, ok)
+}
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -72,7 +72,8 @@
 	return append([]state.Model{""}, r.Models...)
 }
 
-// oldest finds the router and line with a workspace's oldest request.
+// oldest finds the router and line with a workspace's oldest request, or one
+// of its own that is nearly as old.
 func (s *Scheduler) oldest(svc *service, w state.Workspace, models []state.Model) (demand.Key, demand.Entry) {
 	var key demand.Key
 	var best demand.Entry
@@ -81,7 +82,7 @@
 			continue
 		}
 		k := demand.Key{Workspace: w, Model: m}
-		e, ok := svc.demand.Oldest(k)
+		e, ok := svc.demand.Choose(s.now, k, s.self.Router)
 		if ok && (best.Waiting == 0 || e.Head.Before(best.Head)) {
 			key, best = k, e
 		}
