capacity: measure what a session's queue holds, and show the slopes

Cause: introduce tells a router that starts all counters of all gone incarnations at once, and nothing compared that with the queue it goes through.

Run: go test ./capacity ./cmd/figstile/... . passes.

--- a/capacity/calc.go
+++ b/capacity/calc.go
@@ -25,7 +25,7 @@
 	MemoryTree, MemoryTreeUp, MemorySeries, MemoryShard,
 	WireUsage, WireDemand, WireVersions, WireObject, WireRoot, WireRootTeams, WireVMs, WireGrant, WireProgress, WireEnded, WireShard, WireHeartbeat, WireLeaving,
 	UsageBytes, DemandBytes, DemandMessages, BeatBytes, IntroduceBytes, IntroduceRelays, ClaimWait,
-	SessionBytes, SessionTime, SessionMemory, PlatformWatches, PlatformVMs, PlatformChanges, PollBytes, PollTime, ProgressReports,
+	SessionBytes, SessionTime, SessionMemory, SessionQueue, PlatformWatches, PlatformVMs, PlatformChanges, PollBytes, PollTime, ProgressReports,
 }
 
 func newCalc(f Fleet, slopes *Slopes) (*calc, error) {
--- a/capacity/measure_sessions.go
+++ b/capacity/measure_sessions.go
@@ -19,6 +19,7 @@
 	SessionBytes  Name = "session.bytes"
 	SessionTime   Name = "session.time"
 	SessionMemory Name = "session.memory"
+	SessionQueue  Name = "session.queue"
 )
 
 // sessionPatience ends a measurement whose sessions do not come about.
@@ -47,6 +48,10 @@
 			name: SessionMemory, unit: "B", against: "sessions of a router", sizes: []int{1, 3, 7, 15},
 			value: sessionMemory,
 		},
+		{
+			name: SessionQueue, unit: "B sent at once before a session overflows", against: "counters in a message", sizes: []int{1500, 3000, 6000},
+			value: sessionQueue,
+		},
 	}
 }
 
@@ -141,6 +146,7 @@
 func (m *meshes) stop() {
 	m.cancel()
 	m.done.Wait()
+	close(m.heard)
 }
 
 // cost is what one message takes at both ends together.
@@ -178,6 +184,32 @@
 	}
 }
 
+// sessionQueue sends to a router that does not read until the session ends,
+// as one that is told much at once over a slow link does.
+func sessionQueue(ctx context.Context, counters int) (float64, error) {
+	m, err := startMeshes(ctx, 2)
+	if err != nil {
+		return 0, err
+	}
+	env := envelope(scheduler.SendUsage{Origin: "router-0000", Incarnation: rigIncarnation, Entries: usageOf(counters, 1e9)})
+	frame, err := frameBytes(env)
+	queued := 0.0
+	for err == nil && m.list[0].Send(peerNamed(1).Router, env) {
+		queued += frame
+	}
+	m.release()
+	m.stop()
+	return queued, err
+}
+
+// release lets handlers end that wait to be heard.
+func (m *meshes) release() {
+	go func() {
+		for range m.heard {
+		}
+	}()
+}
+
 // sessionMemory is the memory of one router with so many sessions.
 func sessionMemory(ctx context.Context, sessions int) (float64, error) {
 	routers := sessions + 1
--- a/capacity/measure_test.go
+++ b/capacity/measure_test.go
@@ -49,6 +49,14 @@
 	require.InDelta(t, 12, cost.bytes, 0.001, "yamux puts 12 bytes before each message")
 }
 
+// A router that starts is told everything at once. What a session's queue does
+// not hold ends the session, and the next one begins with the same.
+func TestAQueueThatIsFullEndsTheSession(t *testing.T) {
+	queued, err := sessionQueue(context.Background(), 6000)
+	require.NoError(t, err)
+	require.Positive(t, queued)
+}
+
 func TestProgressReportsAreCounted(t *testing.T) {
 	reports, err := progressReports(context.Background(), 0)
 	require.NoError(t, err)
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -252,6 +252,7 @@
 		{Peer, "sessions", "sessions", (*calc).peers, nil, "full mesh"},
 		{Peer, "counters held", "counters", func(c *calc) float64 { return c.origins() * c.Workspaces }, nil, "one per incarnation and workspace"},
 		{Peer, "full usage message", "B", func(c *calc) float64 { return c.at(WireUsage, c.Workspaces) }, constant(wire.MaxControlFrame), "one frame, not sent if longer"},
+		{Peer, "told at once to a router that starts", "MB", (*calc).toldNewcomer, func(c *calc) float64 { return c.at(SessionQueue, c.Workspaces) / megabyte }, "one queue per session, which ends when it is full"},
 		{Peer, "received by a router that starts", "MB", (*calc).coldStart, nil, "all peers tell all counters"},
 		{Peer, "told to routers that start, mean", "KB/s", (*calc).toldADay, func(c *calc) float64 { return c.MaxKB }, "all peers tell all counters"},
 		{Peer, "scheduler time of a router that starts", "s", (*calc).coldTime, func(c *calc) float64 { return c.MaxStale }, "owners worked out anew per session"},
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 )
 
 // Table is one table of a report for people.
@@ -22,6 +23,31 @@
 	return append(tables, r.planTable(), roleTable("plan, one router", r.Planned, Daemon), r.eventTable())
 }
 
+// Table renders the slopes with their points.
+func (s *Slopes) Table() Table {
+	t := Table{Title: "slopes", Header: []string{"SLOPE", "SHAPE", "BASE", "RATE", "UNIT", "AGAINST", "WORST ERROR", "MACHINE'S", "MEASURED"}}
+	for _, slope := range s.Slopes {
+		machine := "-"
+		if slope.Machine {
+			machine = "yes"
+		}
+		t.Rows = append(t.Rows, []string{
+			string(slope.Name), string(slope.Shape), number(slope.Base), fmt.Sprintf("%.3g", slope.Rate), slope.Unit, slope.Against,
+			fmt.Sprintf("%.0f %%", 100*slope.Error), machine, slope.measured(),
+		})
+	}
+	return t
+}
+
+// measured lists the points as size and value.
+func (s Slope) measured() string {
+	var points []string
+	for _, p := range s.Points {
+		points = append(points, number(p.Size)+": "+number(p.Value))
+	}
+	return strings.Join(points, ", ")
+}
+
 func roles() []Role {
 	list := []Role{Daemon}
 	for _, l := range loads {
--- a/cmd/figstile/internal/cli/capacity.go
+++ b/cmd/figstile/internal/cli/capacity.go
@@ -12,6 +12,7 @@
 
 type capacityCommands struct {
 	Show    capacityCommand        `cmd:"" default:"withargs" help:"Work out what each role of a router costs in a fleet of some size, and which limit breaks first."`
+	Slopes  capacitySlopesCommand  `cmd:"" help:"Show the slopes of the build."`
 	Measure capacityMeasureCommand `cmd:"" help:"Measure the slopes that this is worked out from; takes two minutes."`
 }
 
@@ -97,8 +98,7 @@
 
 // capacity prints every table of a report under its title.
 func (o *output) capacity(report *capacity.Report, slopes *capacity.Slopes) {
-	fmt.Fprintf(o.w, "Slopes measured at %s on %d cores, load %s before and %s after.\n",
-		slopes.MeasuredAt.Format(time.RFC3339), slopes.Cores, slopes.LoadBefore, slopes.LoadAfter)
+	o.measured(slopes)
 	fmt.Fprintln(o.w, "A mark ! is a broken limit; sizes at which limits break are those of a fleet that grows evenly.")
 	for _, table := range report.Tables() {
 		fmt.Fprintf(o.w, "\n%s\n", table.Title)
@@ -106,6 +106,27 @@
 	}
 }
 
+// measured says when and where the slopes come from.
+func (o *output) measured(slopes *capacity.Slopes) {
+	fmt.Fprintf(o.w, "Slopes measured at %s on %d cores, load %s before and %s after.\n",
+		slopes.MeasuredAt.Format(time.RFC3339), slopes.Cores, slopes.LoadBefore, slopes.LoadAfter)
+}
+
+type capacitySlopesCommand struct{}
+
+// Run prints every slope.
+func (capacitySlopesCommand) Run(a *app) error {
+	slopes, err := capacity.Load()
+	if err != nil {
+		return err
+	}
+	return a.out.show(slopes, func() {
+		a.out.measured(slopes)
+		table := slopes.Table()
+		a.out.table(table.Header, table.Rows)
+	})
+}
+
 type capacityMeasureCommand struct {
 	Out string `help:"File to write." default:"capacity/slopes.json" placeholder:"FILE"`
 }
