--- a/cmd/figstile/internal/cli/cli.go
+++ b/cmd/figstile/internal/cli/cli.go
@@ -43,6 +43,7 @@
 	Replay    replayCommand     `cmd:"" help:"Replay recorded traces and check the stated outcomes."`
 	Dev       devCommand        `cmd:"" help:"Run a small fleet with stand-ins on this machine; with --once, load it and check its promises."`
 	Load      loadCommand       `cmd:"" help:"Send an open-loop load to a fleet and measure what its callers see."`
+	Capacity  capacityCommands  `cmd:"" help:"Work out what a fleet of some size costs, and what breaks first."`
 }
 
 // tokenVariable holds the bearer token. It is no flag: other users of the
--- a/coordination/grants/grants.go
+++ b/coordination/grants/grants.go
@@ -16,6 +16,12 @@
 // lapse, and bounds for how long such a receiver keeps a slot idle.
 const Lifetime = 2 * time.Second
 
+// Silence is after how long without a report a used grant is checked against
+// the upstream's load. The report of the end can be lost with a connection
+// that is restored before anybody misses the peer; then the slot would count
+// as taken for ever.
+const Silence = 5 * time.Minute
+
 // Given is one outstanding grant of this router.
 type Given struct {
 	Sequence  uint64
@@ -79,13 +85,23 @@
 	g.Sequence = b.next
 	g.Given = now
 	g.Expires = now.Add(Lifetime)
-	b.bySeq[g.Sequence] = &g
+	b.enter(&g)
+	return &g
+}
+
+// Reopen enters a used grant again that had expired.
+func (b *Book) Reopen(now time.Time, g *Given) {
+	g.Expires = now.Add(Silence)
+	b.enter(g)
+}
+
+func (b *Book) enter(g *Given) {
+	b.bySeq[g.Sequence] = g
 	if b.byPeers[g.To] == nil {
 		b.byPeers[g.To] = make(map[uint64]*Given)
 	}
-	b.byPeers[g.To][g.Sequence] = &g
-	b.expiry.ReplaceOrInsert(&g)
-	return &g
+	b.byPeers[g.To][g.Sequence] = g
+	b.expiry.ReplaceOrInsert(g)
 }
 
 // Find returns an outstanding grant given to a router, or nil.
@@ -97,10 +113,12 @@
 	return g
 }
 
-// Start marks a grant as used, so that it does not expire.
-func (b *Book) Start(g *Given) {
-	g.Started = true
+// Heard marks a grant as used. It does not expire before Silence has passed.
+func (b *Book) Heard(now time.Time, g *Given) {
 	b.expiry.Delete(g)
+	g.Started = true
+	g.Expires = now.Add(Silence)
+	b.expiry.ReplaceOrInsert(g)
 }
 
 // Close removes a grant.
@@ -113,7 +131,8 @@
 	}
 }
 
-// Expired removes and returns the grants that were never used in time.
+// Expired removes and returns the grants that were not used in time or of
+// which nothing was heard for too long.
 func (b *Book) Expired(now time.Time) []*Given {
 	var expired []*Given
 	for {
--- a/coordination/scheduler/fleet_test.go
+++ b/coordination/scheduler/fleet_test.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/google/btree"
+
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 )
@@ -23,18 +23,8 @@
 	run func()
 }
 
-type timeline []timed
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, j int) bool {
-	return t[i].at.Before(t[j].at) || t[i].at.Equal(t[j].at) && t[i].seq < t[j].seq
-}
-func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(timed)) }
-func (t *timeline) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
+func (t timed) before(o timed) bool {
+	return t.at.Before(o.at) || t.at.Equal(o.at) && t.seq < o.seq
 }
 
 type job struct {
@@ -57,21 +47,12 @@
 	last  state.RequestID
 }
 
-type engine struct {
-	name        state.Upstream
-	side, slots int
-	slow        float64
-	running     map[*job]struct{}
-	waiting     []*job
-	models      []state.Model
-}
-
 // fleet is an in-memory network of routers and engines with a clock of its
 // own. Costs are slot-seconds. Only the seed decides what happens.
 type fleet struct {
 	now      time.Time
 	seq      int
-	pending  timeline
+	pending  *btree.BTreeG[timed]
 	rng      *rand.Rand
 	routers  []*router
 	engines  []*engine
@@ -79,6 +60,7 @@
 	served   map[state.Workspace]time.Duration
 	waits    map[state.Workspace][]time.Duration
 	busy     time.Duration
+	inUse    int
 	messages int
 	// cost draws a request's cost; onFinal follows each request's end; onStep
 	// sees every step; broken says how a dispatch fails, if it does.
@@ -97,7 +79,7 @@
 
 func newFleet(routers, engines, slots int, seed uint64, build func(self Peer, seed uint64) stepper) *fleet {
 	f := &fleet{
-		now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), byName: map[state.Upstream]*engine{},
+		now: time.Unix(1_700_000_000, 0), pending: btree.NewG(8, timed.before), rng: rand.New(rand.NewPCG(seed, 1)), byName: map[state.Upstream]*engine{},
 		served: map[state.Workspace]time.Duration{}, waits: map[state.Workspace][]time.Duration{},
 		model: func(state.Workspace) state.Model { return "" }, onFinal: func(*job) {}, onStep: func(*router, Event, []Action) {}, broken: func() Outcome { return 0 },
 	}
@@ -158,24 +140,9 @@
 	}
 }
 
-func (f *fleet) sendReport(e *engine) {
-	report := Reported{Report: state.LoadReport{Upstream: e.name, Boot: "1", Running: len(e.running), Waiting: len(e.waiting), Slots: e.slots, Models: e.models}}
-	f.after(reportDelay, func() {
-		for _, r := range f.routers {
-			switch {
-			case !slices.Contains(r.owned, e.name):
-			case r.side == e.side:
-				f.deliver(r, report)
-			default:
-				f.deliver(r, Unreachable{Upstream: e.name})
-			}
-		}
-	})
-}
-
 func (f *fleet) after(d time.Duration, run func()) {
 	f.seq++
-	heap.Push(&f.pending, timed{at: f.now.Add(d), seq: f.seq, run: run})
+	f.pending.ReplaceOrInsert(timed{at: f.now.Add(d), seq: f.seq, run: run})
 }
 
 func (f *fleet) every(d time.Duration, run func()) {
@@ -188,11 +155,13 @@
 }
 
 func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); len(f.pending) > 0 && !f.pending[0].at.After(end); {
-		next := heap.Pop(&f.pending).(timed)
-		for _, e := range f.engines {
-			f.busy += time.Duration(len(e.running)) * next.at.Sub(f.now)
+	for end := f.now.Add(d); ; {
+		next, ok := f.pending.Min()
+		if !ok || next.at.After(end) {
+			return
 		}
+		f.pending.DeleteMin()
+		f.busy += time.Duration(f.inUse) * next.at.Sub(f.now)
 		f.now = next.at
 		next.run()
 	}
@@ -262,55 +231,6 @@
 	}
 }
 
-func (f *fleet) connect(e *engine, j *job) {
-	outcome := f.broken()
-	if e.side != j.home.side {
-		outcome = OutcomeNotSent
-	}
-	if outcome == 0 {
-		f.admit(e, j)
-		return
-	}
-	j.running = false
-	f.deliver(j.home, Ended{ID: j.id, Outcome: outcome})
-}
-
-func (f *fleet) admit(e *engine, j *job) {
-	if len(e.running) >= e.slots {
-		e.waiting = append(e.waiting, j)
-		return
-	}
-	e.running[j] = struct{}{}
-	j.started, j.reported = f.now, f.now
-	f.advance(e, j)
-}
-
-// advance reports a second of progress or the end.
-func (f *fleet) advance(e *engine, j *job) {
-	left := time.Duration(float64(j.cost)*e.slow) - f.now.Sub(j.started)
-	f.after(min(left, time.Second), func() {
-		spent := f.now.Sub(j.reported)
-		j.reported = f.now
-		f.served[j.ws] += spent
-		if left > time.Second {
-			f.deliver(j.home, Progressed{ID: j.id, Cost: state.Cost(spent.Milliseconds())})
-			f.advance(e, j)
-			return
-		}
-		delete(e.running, j)
-		if len(e.waiting) > 0 {
-			next := e.waiting[0]
-			e.waiting = e.waiting[1:]
-			f.admit(e, next)
-		}
-		f.after(netDelay, func() {
-			j.running = false
-			f.deliver(j.home, Ended{ID: j.id, Cost: state.Cost(spent.Milliseconds()), Outcome: OutcomeServed})
-			f.finish(j)
-		})
-	})
-}
-
 func (f *fleet) finish(j *job) {
 	j.finals++
 	f.onFinal(j)
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -126,7 +126,7 @@
 		return s.queues.Total() < waiting
 	}
 	g := s.reserve(svc, u, k, e)
-	s.given.Start(g)
+	s.given.Heard(s.now, g)
 	s.dispatch(it, g.Sequence, s.self, u.name)
 	return true
 }
@@ -173,10 +173,8 @@
 		return
 	}
 	s.dispatch(it, g.Sequence, owner, g.Upstream)
-	s.do(SendProgress{
-		To: g.Owner, Sequence: g.Sequence, Upstream: g.Upstream,
-		Service: g.Service, Workspace: g.Workspace, Started: true,
-	})
+	s.running[it.ID].reserved = g.Reserved
+	s.unannounced = append(s.unannounced, announcement{id: it.ID, attempt: it.Dispatches, due: s.now.Add(announceAfter)})
 }
 
 // decline gives a grant back at once, so that the slot does not idle for the
@@ -245,9 +243,7 @@
 		s.chargeService(e.Service, e.Workspace, e.Cost, 0)
 		return
 	}
-	if e.Started {
-		s.given.Start(g)
-	}
+	s.given.Heard(s.now, g)
 	s.charge(g, e.Cost)
 }
 
