loadgen: a run lasts its time

Cause: a run ended with its last answer. A trial of cantabria-idle for 3 s with one request ended after 0.6 s, so control traffic was averaged over that.

--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -159,6 +159,9 @@
 		}
 		group.Go(func() { r.send(waiting, call) })
 	}
+	// A run without late arrivals still lasts its time: what an idle fleet
+	// exchanges would be measured over the few arrivals only.
+	sleepUntil(ctx, r.started.Add(r.workload.length()))
 	stop := time.AfterFunc(grace, giveUp)
 	defer stop.Stop()
 	group.Wait()
--- a/loadgen/workload.go
+++ b/loadgen/workload.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
@@ -175,6 +176,10 @@
 	}
 }
 
+func (w Workload) length() time.Duration {
+	return time.Duration(w.Seconds * float64(time.Second))
+}
+
 // shares returns each workspace's part of the whole, in the workload's order.
 func (w Workload) shares() []float64 {
 	sum := 0.0
