Test that other changes keep a failed load's back-off, and stops without a store

Cause: on scratch copies two changes of the wiring went unnoticed: a stop that waits for a store that is away, and a controller that ends before its lease is released. The back-off over changes of other settings had no test at all.

A release now has to wait for its turn in the test of a moved ownership, and in that of a stop the renewal fails first, after which the lease has to be read before it could be released.

Ruled out: no pause after a failed call in the tests. A controller then reads without an end while the store refuses, and its stop waits for the reads.

--- a/transport/daemon/orders_test.go
+++ b/transport/daemon/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -28,14 +29,14 @@
 	platform *platform.Platform
 	engine   *engine.Engine
 	url      string
-	load     chan struct{}
+	load     chan error
 	view     atomic.Pointer[config.View]
 	version  atomic.Uint64
 	desk     *orderDesk
 }
 
 func newDeskBench(t *testing.T) *deskBench {
-	b := &deskBench{t: t, platform: platform.New(platform.Options{}), load: make(chan struct{})}
+	b := &deskBench{t: t, platform: platform.New(platform.Options{}), load: make(chan error)}
 	b.engine = engine.New(engine.Options{
 		Options:   upstream.Options{Name: "engine-1", Sleep: b.sleep},
 		LoadDelay: time.Second,
@@ -48,7 +49,8 @@
 	t.Cleanup(server.Close)
 	b.want()
 	timing := fencing.DefaultTiming()
-	timing.ReportLag, timing.Poll, timing.Retry = 0, 0, 0
+	timing.ReportLag, timing.Poll, timing.Retry = 0, time.Millisecond, time.Millisecond
+	timing.FirstBackoff, timing.LastBackoff = time.Hour, time.Hour
 	b.desk = newOrderDesk(orderDeskOptions{
 		Router:      "router-1",
 		Incarnation: 1,
@@ -65,8 +67,8 @@
 // sleep is a load under way.
 func (b *deskBench) sleep(ctx context.Context, _ time.Duration) error {
 	select {
-	case <-b.load:
-		return nil
+	case err := <-b.load:
+		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -99,6 +101,14 @@
 	})
 }
 
+// drain gives up all engines and waits for that.
+func (b *deskBench) drain() {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(b.t.Context(), patience)
+	defer cancel()
+	require.NoError(b.t, b.desk.drain(ctx))
+}
+
 func (b *deskBench) received() int { return len(b.engine.Orders().Orders) }
 
 func (b *deskBench) leaseHolder() string {
@@ -130,7 +140,7 @@
 	}
 	b.want("m")
 	b.desk.setOwned(nil)
-	require.NoError(t, b.desk.drain(t.Context()))
+	b.drain()
 	require.Equal(t, calls, b.platform.Calls().Total())
 }
 
@@ -140,6 +150,7 @@
 // engine comes back meanwhile, there is still only one order at a time.
 func TestOwnershipMovesWhileAnOrderRuns(t *testing.T) {
 	b := newDeskBench(t)
+	b.desk.options.Timing.Poll = time.Second // A release must wait for its turn.
 	b.want("m", "n")
 	b.await("the first load is under way", func() bool { return b.received() == 1 })
 	b.desk.setOwned(nil)
@@ -149,10 +160,10 @@
 	}
 	require.Equal(t, 1, b.received())
 	require.Contains(t, b.leaseHolder(), "router-1")
-	b.load <- struct{}{}
+	b.load <- nil
 	b.await("the second load is under way", func() bool { return b.received() == 2 })
 	b.desk.setOwned(nil)
-	b.load <- struct{}{}
+	b.load <- nil
 	eventually(t, "the engine is given up", func() bool { return b.engines() == 0 })
 	require.NotContains(t, b.leaseHolder(), "router-1")
 	require.Equal(t, []state.Model{"m", "n"}, b.engine.Models())
@@ -172,15 +183,37 @@
 	})
 	t.Run("platform is away", func(t *testing.T) {
 		b := newDeskBench(t)
+		b.desk.options.Timing.Renew = 0
 		b.want("m")
 		b.await("the load is under way", func() bool { return b.received() == 1 })
 		b.platform.SetFaults(platform.Faults{Outage: platform.Refuse})
+		before := b.platform.Calls().Get
+		b.await("a renewal has failed and the lease is read", func() bool { return b.platform.Calls().Get > before })
 		close(b.load)
-		require.NoError(t, b.desk.drain(t.Context()))
+		b.drain()
 		require.Equal(t, []state.Model{"m"}, b.engine.Models())
 	})
 }
 
+// An engine cannot load a model, and operators change other settings all day.
+// Each change would start the load anew if it ended the back-off, and use up
+// the weight store's rate.
+func TestOtherChangesKeepTheBackOff(t *testing.T) {
+	b := newDeskBench(t)
+	b.want("m")
+	b.await("the load is under way", func() bool { return b.received() == 1 })
+	b.load <- errors.New("weight store is slow")
+	b.await("the lease is released", func() bool { return b.platform.Calls().Put == 2 })
+	calls := b.platform.Calls().Total()
+	for range 50 {
+		b.want("m")
+		b.poll()
+	}
+	close(b.load)
+	b.drain()
+	require.Equal(t, calls, b.platform.Calls().Total())
+}
+
 // A report that cannot be right names no model that the engine holds. Orders
 // by it would load again what is there.
 func TestBrokenReportGivesNoOrder(t *testing.T) {
@@ -188,7 +221,7 @@
 	b.engine.SetHeld("m", true)
 	b.want("m")
 	b.desk.reported(state.LoadReport{Upstream: "engine-1", Boot: "1", Running: -1})
-	require.NoError(t, b.desk.drain(t.Context()))
+	b.drain()
 	require.Zero(t, b.received())
 	require.Zero(t, b.platform.Calls().Total())
 }
