--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -45,7 +45,7 @@
 	MaxCore float64 `json:"max_core"`
 	MaxMB   float64 `json:"max_mb"`
 	MaxKB   float64 `json:"max_kb"`
-	// Limits of the platform, a second. The brief says several hundred writes.
+	// Limits of the platform, a second. Its operators promise several hundred writes.
 	MaxReads  float64 `json:"max_reads"`
 	MaxWrites float64 `json:"max_writes"`
 	// Limits in seconds: the first token, a change of the settings in force.
@@ -54,7 +54,7 @@
 }
 
 // Today is the size at which the fleet runs. The load per upstream is taken
-// from the destination, since the brief gives none.
+// from the destination, since no figures for today are known.
 func Today() Fleet {
 	f := Destination()
 	perUpstream := 24 / f.Upstreams
