Take secrets from the environment only; begin a fleet from nothing

Cause: secrets could be given as flags, which every user of the machine reads from the list of processes.

Ruled out: a separate command that writes the first root to the platform (operators would need the platform's token).

Figures: TestFirstSettings passes: a wrong token is refused as long as the router cannot tell tokens, the bootstrap token writes the first root, and counts no longer afterwards.

--- a/cmd/figstiled/main.go
+++ b/cmd/figstiled/main.go
@@ -17,6 +17,16 @@
 // version is set by the linker in releases.
 var version = "development"
 
+const description = `The figstile router daemon.
+
+Every flag can be given in the environment as well. Secrets are read from the
+environment only: FIGSTILE_PLATFORM_TOKEN, FIGSTILE_FLEET_TOKEN,
+FIGSTILE_BOOTSTRAP_TOKEN, FIGSTILE_TLS_CERT, FIGSTILE_TLS_KEY,
+FIGSTILE_PEER_CERT, FIGSTILE_PEER_KEY and FIGSTILE_PEER_CA (PEM).
+
+Exit codes: 0 stopped as asked, 1 a server failed, 2 unusable settings, 70 the
+scheduler failed.`
+
 // Exit codes.
 const (
 	exitUsage   = 2
@@ -36,9 +46,10 @@
 	var cl commandLine
 	kong.Parse(&cl,
 		kong.Name("figstiled"),
-		kong.Description("The figstile router daemon. Every flag can be given in the environment as well."),
+		kong.Description(description),
 		kong.Vars{"version": version},
 	)
+	cl.Secrets = daemon.SecretsFrom(os.Getenv)
 	if err := cl.Options.Check(); err != nil {
 		fmt.Fprintln(os.Stderr, "figstiled: these settings are not usable:")
 		fmt.Fprintln(os.Stderr, err)
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -235,7 +235,7 @@
 		AdminListen:    loopback,
 		PeerListen:     loopback,
 		Platform:       f.PlatformURL,
-		FleetToken:     fleetToken,
+		Secrets:        daemon.Secrets{FleetToken: fleetToken},
 		MaxConnections: maxConnections,
 		MaxHeaderBytes: maxHeaderBytes,
 		MaxQueued:      maxQueued,
--- a/e2e/orders_test.go
+++ b/e2e/orders_test.go
@@ -27,10 +27,7 @@
 func (f *fleet) want(r *router, models ...state.Model) {
 	f.t.Helper()
 	f.root.Services[0].Upstreams[0].WantedModels = models
-	encoded, err := json.Marshal(f.root)
-	require.NoError(f.t, err)
-	file := filepath.Join(f.t.TempDir(), "root.json")
-	require.NoError(f.t, os.WriteFile(file, encoded, 0o600))
+	file := writeJSON(f.t, f.root)
 	out, code := f.cli(r, operatorToken, "config", "apply", "root", file, "--force")
 	require.Zero(f.t, code, out)
 }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -151,3 +153,46 @@
 	out, code = f.cli(f.all[0], "valle-"+teamToken, "team", "set-share", "valle", "9")
 	require.NotZero(t, code, "a team must not widen its own share: %s", out)
 }
+
+// TestFirstSettings begins a fleet from nothing: an operator with the
+// bootstrap token writes the first root and team, and callers are served. The
+// token counts no longer once there is an operator's of its own.
+func TestFirstSettings(t *testing.T) {
+	f := newFleet(t)
+	_, url := f.standIn("worker-1", "worker", workerOptions{Name: "worker-1", Slots: 2})
+	f.secrets = []string{"FIGSTILE_BOOTSTRAP_TOKEN=first-token"}
+	r := f.startRouter("router-1", "sala-laredo")
+	got := call(t, r, "laredo", "/kiosco-web/page", `{}`)
+	require.Equal(t, int(result.NotReady), got.code, got.body)
+
+	f.root.Teams = []config.TeamShare{{Name: "costa", Share: 1}}
+	f.service(config.Service{
+		Name: "kiosco-web", Kind: config.KindWorker,
+		Upstreams: []config.Upstream{{Name: "worker-1", URL: url, DataCentre: "sala-laredo"}},
+	})
+	subtree := config.Subtree{Team: "costa", Workspaces: []config.Workspace{
+		{Name: "laredo", Weight: 1, Tokens: []string{config.DigestOf("laredo-token").String()}},
+	}}
+	for key, value := range map[string]any{"root": f.root, "teams/costa": subtree} {
+		out, code := f.cli(r, "wrong-token", "config", "apply", key, writeJSON(t, value), "--create")
+		require.Equal(t, 5, code, "a router without settings cannot tell whose token it is: %s", out)
+	}
+	out, code := f.cli(r, "first-token", "config", "apply", "root", writeJSON(t, f.root), "--create")
+	require.Zero(t, code, out)
+	out, code = f.cli(r, operatorToken, "config", "apply", "teams/costa", writeJSON(t, subtree), "--create")
+	require.Zero(t, code, out)
+	f.awaitReady(r)
+	out, code = f.cli(r, "first-token", "status")
+	require.Equal(t, 3, code, out)
+	got = call(t, r, "laredo", "/kiosco-web/page", `{"busy_ms":1}`)
+	require.Equal(t, http.StatusOK, got.status, got.body)
+}
+
+func writeJSON(t *testing.T, value any) string {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "object.json")
+	require.NoError(t, os.WriteFile(file, encoded, 0o600))
+	return file
+}
--- a/transport/daemon/options.go
+++ b/transport/daemon/options.go
@@ -14,6 +14,40 @@
 	"github.com/figstile/figstile/state"
 )
 
+// Secrets come from the environment only: as flags, other users of the machine
+// could read them from the list of processes. Certificates and keys are PEM.
+type Secrets struct {
+	// PlatformToken is shown to the platform, FleetToken to other routers to
+	// read their status.
+	PlatformToken string
+	FleetToken    string
+	// BootstrapToken is an operator's that counts until the first settings
+	// are in force.
+	BootstrapToken string
+	// TLSCert and TLSKey secure the sides towards callers and operators.
+	TLSCert string
+	TLSKey  string
+	// PeerCert and PeerKey secure the links to other routers, whose
+	// certificates PeerCA must have signed.
+	PeerCert string
+	PeerKey  string
+	PeerCA   string
+}
+
+// SecretsFrom reads the secrets from an environment.
+func SecretsFrom(getenv func(string) string) Secrets {
+	return Secrets{
+		PlatformToken:  getenv("FIGSTILE_PLATFORM_TOKEN"),
+		FleetToken:     getenv("FIGSTILE_FLEET_TOKEN"),
+		BootstrapToken: getenv("FIGSTILE_BOOTSTRAP_TOKEN"),
+		TLSCert:        getenv("FIGSTILE_TLS_CERT"),
+		TLSKey:         getenv("FIGSTILE_TLS_KEY"),
+		PeerCert:       getenv("FIGSTILE_PEER_CERT"),
+		PeerKey:        getenv("FIGSTILE_PEER_KEY"),
+		PeerCA:         getenv("FIGSTILE_PEER_CA"),
+	}
+}
+
 // Options are a process's start-up settings, from flags and the environment.
 // They don't change while it runs. The help text of each is its comment.
 type Options struct {
@@ -31,16 +65,7 @@
 	Peers    []string `help:"Peer addresses to join through; one that lives is enough." env:"FIGSTILE_PEERS"`
 	Platform string   `help:"Base URL of the platform's object API." env:"FIGSTILE_PLATFORM" required:""`
 
-	PlatformToken string `help:"Token for the platform." env:"FIGSTILE_PLATFORM_TOKEN" json:"-"`
-	FleetToken    string `help:"Token routers use to read each other's status." env:"FIGSTILE_FLEET_TOKEN" json:"-"`
-
-	BootstrapToken string `help:"Operator's token that counts until the first settings are in force." env:"FIGSTILE_BOOTSTRAP_TOKEN" json:"-"`
-
-	TLSCert  string `help:"PEM certificate towards callers and operators." env:"FIGSTILE_TLS_CERT" json:"-"`
-	TLSKey   string `help:"PEM key of that certificate." env:"FIGSTILE_TLS_KEY" json:"-"`
-	PeerCert string `help:"PEM certificate towards other routers." env:"FIGSTILE_PEER_CERT" json:"-"`
-	PeerKey  string `help:"PEM key of that certificate." env:"FIGSTILE_PEER_KEY" json:"-"`
-	PeerCA   string `help:"PEM certificates of the authorities that sign routers." env:"FIGSTILE_PEER_CA" json:"-"`
+	Secrets `kong:"-" json:"-"`
 
 	MaxConnections int           `help:"Connections from callers held at once." env:"FIGSTILE_MAX_CONNECTIONS" default:"20000"`
 	MaxHeaderBytes int           `help:"Bytes of one request's headers." env:"FIGSTILE_MAX_HEADER_BYTES" default:"32768"`
