Measure the time between tokens; charge by one set of default prices

Cause: the histogram of the time between tokens was never fed, so that the promise of 28 ms could not be watched. And the caller interface had default prices of its own (0.1 for an input token) beside those of the settings (0.25), which never took effect on a router and would have confused the next reader.

Figures: TestWholePath now scrapes a router and wants queue wait, first token, between tokens and total counted for the workspace; it failed on the third before and passes.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -127,12 +127,30 @@
 		})
 	}
 
+	for _, name := range []string{"queue_wait", "first_token", "between_tokens", "request"} {
+		require.Regexp(t, `figstile_`+name+`_seconds_count\{class="[a-z]*",data_centre="sala-laredo",router="router-1",workspace="laredo"\} [1-9]`, scrape(t, f.all[0]))
+	}
+
 	got = call(t, f.all[0], "nobody", drafts, `{}`)
 	require.Equal(t, http.StatusUnauthorized, got.status, got.body)
 	require.Equal(t, "no", got.ran)
 	require.Equal(t, int(result.Unauthorized), got.code)
 }
 
+// scrape reads a router's metrics once they hold finished requests; they are
+// reported once a second.
+func scrape(t *testing.T, r *router) string {
+	t.Helper()
+	var page string
+	eventually(t, "metrics are reported", func() bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+r.admin+"/metrics", nil)
+		require.NoError(t, err)
+		_, page = do(t, req)
+		return strings.Contains(page, "figstile_request_seconds_count")
+	})
+	return page
+}
+
 // TestOperatorChangesShare changes a team's share on one router and sees the
 // new version in force on all.
 func TestOperatorChangesShare(t *testing.T) {
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -134,6 +134,8 @@
 
 func (r records) Finished(rec Record) { r <- rec }
 
+func (r records) Between(state.Workspace, string, time.Duration) {}
+
 // bench is a handler between a scripted scheduler and one upstream.
 type bench struct {
 	*fakeScheduler
--- a/transport/caller/meter.go
+++ b/transport/caller/meter.go
@@ -22,18 +22,6 @@
 	maxBusy = 24 * time.Hour
 )
 
-// defaultWeights apply to a service whose settings name none. Reading a token
-// costs an engine about a tenth of writing one, since prompts are read in
-// parallel.
-var defaultWeights = config.CostWeights{InputToken: 0.1, OutputToken: 1, BusySecond: 1}
-
-func weightsOf(svc config.Service) config.CostWeights {
-	if svc.Cost == (config.CostWeights{}) {
-		return defaultWeights
-	}
-	return svc.Cost
-}
-
 func tokenCost(w config.CostWeights, input, output int64) state.Cost {
 	units := float64(input)*w.InputToken + float64(output)*w.OutputToken
 	return state.Cost(units * float64(state.CostUnit))
@@ -56,7 +44,7 @@
 
 func newMeter(j *job, now time.Time) meter {
 	return meter{
-		weights: weightsOf(j.service),
+		weights: j.service.Cost.WithDefaults(j.service.Kind),
 		engine:  j.engine(),
 		prompt:  j.promptTokens,
 		started: now,
--- a/transport/caller/ports.go
+++ b/transport/caller/ports.go
@@ -78,7 +78,10 @@
 	Cost   state.Cost
 }
 
-// Observer hears of every request once, for metrics. It must not block.
+// Observer hears of requests, for metrics. It must not block.
 type Observer interface {
 	Finished(rec Record)
+	// Between hears the time between two parts of a stream that brought
+	// tokens, once for each later part.
+	Between(ws state.Workspace, class string, gap time.Duration)
 }
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
@@ -46,6 +47,8 @@
 	stream bool
 	passed int64
 	tail   []byte
+	// lastToken is when the last part with tokens came; zero before.
+	lastToken time.Time
 	// begun is set once the head went out, trailers if it announced them.
 	begun    bool
 	trailers bool
@@ -217,18 +220,31 @@
 	if y.events == nil {
 		return
 	}
+	now := y.x.h.opts.Now()
 	if y.stream {
+		before := y.events.tokens
 		y.events.feed(part)
+		y.observeGap(now, y.events.tokens > before)
 	} else {
 		y.events.tokens = y.passed / bytesPerToken
 		y.keepTail(part)
 	}
 	total := y.meter.streamed(y.events.tokens)
-	if cost, due := y.meter.due(total, y.x.h.opts.Now()); due {
+	if cost, due := y.meter.due(total, now); due {
 		y.x.h.opts.Scheduler.Progressed(y.x.id, cost)
 	}
 }
 
+func (y *relay) observeGap(now time.Time, tokens bool) {
+	if !tokens || y.x.h.opts.Observer == nil {
+		return
+	}
+	if !y.lastToken.IsZero() {
+		y.x.h.opts.Observer.Between(y.x.record.Workspace, y.x.record.Class, now.Sub(y.lastToken))
+	}
+	y.lastToken = now
+}
+
 // result states a whole answer's result by its status.
 func (y *relay) result() result.Result {
 	switch status := y.answer.Status; {
--- a/transport/caller/request.go
+++ b/transport/caller/request.go
@@ -213,7 +213,7 @@
 	j.request.Model = c.Model
 	j.request.Prefix = prefixOf(prompt)
 	if limit := c.limit(); limit > 0 {
-		j.request.CostHint = tokenCost(weightsOf(j.service), j.promptTokens, limit)
+		j.request.CostHint = tokenCost(j.service.Cost.WithDefaults(j.service.Kind), j.promptTokens, limit)
 	}
 	return nil
 }
--- a/transport/daemon/callers.go
+++ b/transport/daemon/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
@@ -78,3 +79,8 @@
 		o.metrics.Count("crossed_answers", int64(rec.Crossed))
 	}
 }
+
+// Between records the time between two tokens of a stream.
+func (o observer) Between(ws state.Workspace, class string, gap time.Duration) {
+	o.metrics.For(ws, class).Between(gap)
+}
