Fuzz the scheduler's promises under faults

Cause: the property under random faults was checked on random seeds only; a coverage-guided fuzzer reaches orders of events that seeds miss.

--- a/coordination/scheduler/faults_test.go
+++ b/coordination/scheduler/faults_test.go
@@ -164,54 +164,62 @@
 // most one request, counters never fall, no slot or reservation leaks, and a
 // replay of the same events gives the same actions.
 func TestFaultsKeepThePromises(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		f := newFleet(4, 8, 32, seed, realRouter(time.Second))
-		f.broken = func() Outcome {
-			return []Outcome{0, 0, 0, 0, 0, 0, OutcomeNotSent, OutcomeLost}[f.rng.IntN(8)]
-		}
-		replay := realRouter(time.Second)(Peer{Router: "router-0", DataCentre: centre(0), Incarnation: 1}, seed)
-		c := &checks{charged: map[string]state.Cost{}, started: map[uint64]int{}}
-		f.onStep = func(r *router, ev Event, actions []Action) {
-			c.step(t, r, ev, actions)
-			if r == f.routers[0] && !reflect.DeepEqual(actions, replay.Step(f.now, ev)) {
-				t.Fatalf("a replay differs at %#v", ev)
-			}
+	rapid.Check(t, faultsKeepThePromises)
+}
+
+// FuzzFaults looks for faults in which the promises do not hold, guided by
+// coverage.
+func FuzzFaults(f *testing.F) {
+	f.Fuzz(rapid.MakeFuzz(faultsKeepThePromises))
+}
+
+func faultsKeepThePromises(t *rapid.T) {
+	seed := rapid.Uint64().Draw(t, "seed")
+	f := newFleet(4, 8, 32, seed, realRouter(time.Second))
+	f.broken = func() Outcome {
+		return []Outcome{0, 0, 0, 0, 0, 0, OutcomeNotSent, OutcomeLost}[f.rng.IntN(8)]
+	}
+	replay := realRouter(time.Second)(Peer{Router: "router-0", DataCentre: centre(0), Incarnation: 1}, seed)
+	c := &checks{charged: map[string]state.Cost{}, started: map[uint64]int{}}
+	f.onStep = func(r *router, ev Event, actions []Action) {
+		c.step(t, r, ev, actions)
+		if r == f.routers[0] && !reflect.DeepEqual(actions, replay.Step(f.now, ev)) {
+			t.Fatalf("a replay differs at %#v", ev)
 		}
-		f.boot(f.settings(map[state.Workspace]float64{tenant(0): 0.5, tenant(1): 0.3, tenant(2): 0.2}))
-		var jobs []*job
-		for _, fault := range rapid.SliceOfN(rapid.IntRange(0, 4), 2, 12).Draw(t, "faults") {
-			for range 20 {
-				jobs = append(jobs, f.submit(f.routers[f.rng.IntN(3)], tenant(f.rng.IntN(3))))
-			}
-			switch fault {
-			case 0:
-				f.cut(true)
-			case 1:
-				f.cut(false)
-			case 2:
-				f.deliver(f.routers[3], Drain{})
-			}
-			f.run(time.Duration(f.rng.Int64N(int64(10 * time.Second))))
+	}
+	f.boot(f.settings(map[state.Workspace]float64{tenant(0): 0.5, tenant(1): 0.3, tenant(2): 0.2}))
+	var jobs []*job
+	for _, fault := range rapid.SliceOfN(rapid.IntRange(0, 4), 2, 12).Draw(t, "faults") {
+		for range 20 {
+			jobs = append(jobs, f.submit(f.routers[f.rng.IntN(3)], tenant(f.rng.IntN(3))))
 		}
-		f.cut(false)
-		f.run(10 * time.Minute)
-		for _, j := range jobs {
-			if j.finals != 1 {
-				t.Fatalf("request %d of %s got %d final answers", j.id, j.home.name, j.finals)
-			}
+		switch fault {
+		case 0:
+			f.cut(true)
+		case 1:
+			f.cut(false)
+		case 2:
+			f.deliver(f.routers[3], Drain{})
 		}
-		for _, r := range f.routers {
-			st := r.step.(*Scheduler).Status(f.now)
-			reserved := state.Cost(0)
-			for _, w := range st.Services[0].Workspaces {
-				reserved += w.Reserved
-			}
-			if st.Waiting+st.Running+st.Granted != 0 || reserved != 0 {
-				t.Fatalf("%s still holds %+v", r.name, st)
-			}
+		f.run(time.Duration(f.rng.Int64N(int64(10 * time.Second))))
+	}
+	f.cut(false)
+	f.run(10 * time.Minute)
+	for _, j := range jobs {
+		if j.finals != 1 {
+			t.Fatalf("request %d of %s got %d final answers", j.id, j.home.name, j.finals)
+		}
+	}
+	for _, r := range f.routers {
+		st := r.step.(*Scheduler).Status(f.now)
+		reserved := state.Cost(0)
+		for _, w := range st.Services[0].Workspaces {
+			reserved += w.Reserved
 		}
-	})
+		if st.Waiting+st.Running+st.Granted != 0 || reserved != 0 {
+			t.Fatalf("%s still holds %+v", r.name, st)
+		}
+	}
 }
 
 // checks remembers what must never fall or happen twice.
