Announce only settings that changed

Ruled out: announcements by one router alone (it may be the one that is cut off). A peer that was away is told everything when its session opens.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -44,6 +44,7 @@
 	peers     peerSet
 	adverts   adverts
 	link      *countingLink
+	announced announced
 	claims    *claims.Ledger
 	writer    *settings.Writer
 	started   time.Time
--- a/transport/daemon/gossip.go
+++ b/transport/daemon/gossip.go
@@ -90,19 +90,47 @@
 	d.post(ev)
 }
 
-func (d *Daemon) versions() *peerpb.Envelope {
-	held := d.source.Versions()
-	message := &peerpb.ConfigVersions{}
+// announced is what all live peers have been told of the settings.
+type announced struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+}
+
+// changed returns the versions that are news and takes them for told.
+func (a *announced) changed(held map[string]uint64) map[string]uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	news := make(map[string]uint64)
 	for key, version := range held {
-		message.Versions = append(message.Versions, &peerpb.ConfigVersion{Key: key, Version: version})
+		if a.versions[key] != version {
+			news[key] = version
+		}
 	}
-	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigVersions{ConfigVersions: message}}
+	a.versions = held
+	return news
 }
 
-// announceSettings tells all peers which versions are in force here.
-func (d *Daemon) announceSettings() { d.link.Broadcast(d.versions()) }
+// announceSettings tells all peers which versions have come into force here.
+// With hundreds of teams the whole list at every change would be most of what
+// a change costs; a peer that was away hears all of it when it is back.
+func (d *Daemon) announceSettings() {
+	news := d.announced.changed(d.source.Versions())
+	if len(news) > 0 {
+		d.link.Broadcast(versionsEnvelope(news))
+	}
+}
 
-func (d *Daemon) sendVersions(to state.Router) { d.link.Send(to, d.versions()) }
+func (d *Daemon) sendVersions(to state.Router) {
+	d.link.Send(to, versionsEnvelope(d.source.Versions()))
+}
+
+func versionsEnvelope(versions map[string]uint64) *peerpb.Envelope {
+	message := &peerpb.ConfigVersions{}
+	for key, version := range versions {
+		message.Versions = append(message.Versions, &peerpb.ConfigVersion{Key: key, Version: version})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigVersions{ConfigVersions: message}}
+}
 
 func (d *Daemon) onVersions(from state.Router, message *peerpb.ConfigVersions) {
 	announced := make(map[string]uint64, len(message.GetVersions()))
--- a/transport/daemon/options_test.go
+++ b/transport/daemon/options_test.go
@@ -51,3 +51,13 @@
 	require.ErrorContains(t, err, "FIGSTILE_TLS_CERT")
 	require.ErrorContains(t, err, "FIGSTILE_PEER_CERT")
 }
+
+// A fleet has hundreds of teams, and one of them changes a weight. Every
+// router tells every peer; told with all versions each time, the change would
+// cost as much as all settings.
+func TestOnlyNewsIsAnnounced(t *testing.T) {
+	var a announced
+	require.Equal(t, map[string]uint64{"config/root": 1, "config/teams/a": 2}, a.changed(map[string]uint64{"config/root": 1, "config/teams/a": 2}))
+	require.Equal(t, map[string]uint64{"config/teams/a": 3}, a.changed(map[string]uint64{"config/root": 1, "config/teams/a": 3}))
+	require.Empty(t, a.changed(map[string]uint64{"config/root": 1, "config/teams/a": 3}))
+}
