Crash the engine only once every caller has part of its answer

Cause: TestUpstreamKilledMidAnswer wants exactly four broken answers, but crashed the engine as soon as its slots were busy. A request whose first token had not yet reached the router is tried again elsewhere, which is right, and the count would be three.

Ruled out: accepting fewer broken answers, which would let a cleanly ended part pass. The test waits for 100 tokens of each instead.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -52,6 +52,19 @@
 	return count
 }
 
+// written counts the running requests of which an upstream has generated that
+// many tokens.
+func written(t *testing.T, baseURL string, tokens int) int {
+	t.Helper()
+	count := 0
+	for _, e := range ledger(t, baseURL) {
+		if e.Outcome == upstream.Running && e.Units >= tokens {
+			count++
+		}
+	}
+	return count
+}
+
 // A councillor's long guide is half written when the router's VM is replaced.
 // The platform asks the router to stop; a careless one would close its
 // sockets and the guide would be lost. Two routers of different data centres
@@ -113,8 +126,8 @@
 	for i := range 8 {
 		guides.send(t.Context(), f.all[i%4], "laredo", drafts, guide(i, 4000))
 	}
-	eventually(t, "all slots are busy", func() bool {
-		return running(t, f.engines[0]) == 4 && running(t, f.engines[1]) == 4
+	eventually(t, "all callers have part of their answer", func() bool {
+		return written(t, f.engines[0], 100) == 4 && written(t, f.engines[1], 100) == 4
 	})
 	crash(f.engines[0])
 	broken := 0
