Log the first of a row of refused load reports only

Cause: an engine whose reports cannot be right is polled four times a second, and each report logged a line.

--- a/transport/daemon/orders.go
+++ b/transport/daemon/orders.go
@@ -51,6 +51,8 @@
 	wanted     []state.Model
 	settings   uint64
 	leaving    bool
+	// misreports is set while the engine's load reports cannot be right.
+	misreports bool
 }
 
 // orderTarget is what a controller cannot change while it runs.
@@ -92,7 +94,8 @@
 }
 
 // reported passes a load report on to the engine's controller. A report that
-// cannot be right is dropped: it would bring orders against a sound engine.
+// cannot be right is dropped: it would bring orders against a sound engine. The
+// first of a row is logged, as an engine is polled four times a second.
 func (o *orderDesk) reported(report state.LoadReport) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -100,11 +103,14 @@
 	if e == nil || e.leaving {
 		return
 	}
-	if err := orders.CheckReport(report.Upstream, report); err != nil {
+	err := orders.CheckReport(report.Upstream, report)
+	if err != nil && !e.misreports {
 		o.options.Log.Warn().Err(err).Msg("order_report_refused")
-		return
 	}
-	e.controller.Report(report)
+	e.misreports = err != nil
+	if err == nil {
+		e.controller.Report(report)
+	}
 }
 
 // refresh brings the controllers in line with ownership and settings.
