Let load polls follow an upstream that moves; log the stack of a panic

Cause: the polls were set only when ownership changed. An upstream whose URL changed in the settings kept being polled at the old address: no fresh report, no work. Found by reading; TestPollsFollowAnUpstreamThatMoves shows it on the piece that decides, which did not exist before.

Met on the way: a nil function in the new piece ended the test process with code 70 and no word, because the test's log was discarded. A failed scheduler now logs its stack, and the partition test prints errors.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	host      *host.Host
 	mesh      *peer.Mesh
 	poller    *upstream.Poller
+	polls     polls
 	orders    *orderDesk
 	metrics   *metrics.Metrics
 	peers     peerSet
@@ -98,10 +100,11 @@
 	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(options.router())) }}
 	d.openOrders()
 	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.onPolled)
+	d.polls.set = d.poller.SetTargets
 	d.host = host.New(host.Options{
 		Scheduler: stepper,
 		Peers:     d.link,
-		Poll:      d.pollUpstreams,
+		Poll:      d.onOwned,
 		OnDrained: func() { close(d.drained) },
 		OnPanic:   d.failStop,
 	})
@@ -340,37 +343,16 @@
 
 func (d *Daemon) onSettings(view *config.View) {
 	d.trace.noteVersions(d.self(), d.source.Versions())
+	d.polls.follow(view.Settings())
 	d.post(scheduler.Configured{Settings: view.Settings()})
 	d.orders.onSettings()
 	d.announceSettings()
 }
 
-// pollUpstreams fetches the load of the upstreams this router owns.
-func (d *Daemon) pollUpstreams(owned []state.Upstream) {
-	d.orders.setOwned(owned)
-	view := d.source.View()
-	if view == nil {
-		return
-	}
-	wanted := make(map[state.Upstream]bool, len(owned))
-	for _, name := range owned {
-		wanted[name] = true
-	}
-	var targets []upstream.Target
-	for _, service := range view.Settings().Services {
-		for _, u := range service.Upstreams {
-			if wanted[u.Name] {
-				targets = append(targets, upstream.Target{Upstream: u.Name, BaseURL: u.URL})
-			}
-		}
-	}
-	d.poller.SetTargets(targets)
-}
-
 // failStop ends the process: a scheduler that panicked may have lost track of
 // its grants, and serving on would break promises in silence.
 func (d *Daemon) failStop(err error) {
-	d.log.Error().Err(err).Msg("scheduler failed")
+	d.log.Error().Err(err).Bytes("stack", debug.Stack()).Msg("scheduler failed")
 	os.Exit(exitPanic)
 }
 
--- a/transport/daemon/partition_test.go
+++ b/transport/daemon/partition_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,7 +114,7 @@
 	if len(r.routers) > 0 {
 		options.Peers = []string{r.routers[0].Addresses().Peers}
 	}
-	d, err := New(options, zerolog.Nop())
+	d, err := New(options, zerolog.New(os.Stderr).Level(zerolog.ErrorLevel))
 	require.NoError(r.t, err)
 	r.mu.Lock()
 	r.siteOf[d.Addresses().Peers] = site
--- /dev/null
+++ b/transport/daemon/polls.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+// polls keeps the load polls to the upstreams that this router owns, at the
+// addresses of the settings in force. Ownership and settings change each by
+// themselves: an upstream that only moved to another address keeps its owner,
+// and polled at the old one it would get no work any more.
+type polls struct {
+	// set replaces the targets.
+	set func([]upstream.Target)
+
+	mu       sync.Mutex
+	owned    []state.Upstream
+	settings config.Settings
+}
+
+// own takes the upstreams that the scheduler owns.
+func (p *polls) own(owned []state.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owned = slices.Clone(owned)
+	p.set(p.targets())
+}
+
+// follow takes the settings in force.
+func (p *polls) follow(settings config.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings = settings
+	p.set(p.targets())
+}
+
+func (p *polls) targets() []upstream.Target {
+	var targets []upstream.Target
+	for _, service := range p.settings.Services {
+		for _, u := range service.Upstreams {
+			if slices.Contains(p.owned, u.Name) {
+				targets = append(targets, upstream.Target{Upstream: u.Name, BaseURL: u.URL})
+			}
+		}
+	}
+	return targets
+}
+
+// onOwned follows a change of ownership.
+func (d *Daemon) onOwned(owned []state.Upstream) {
+	d.orders.setOwned(owned)
+	d.polls.own(owned)
+}
--- /dev/null
+++ b/transport/daemon/polls_test.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+// An engine moves to another address and an operator changes its URL. Its
+// owner stays the same, so nothing but the settings says that the polls must
+// move too; at the old address no report comes, and the engine would idle.
+func TestPollsFollowAnUpstreamThatMoves(t *testing.T) {
+	var polled []upstream.Target
+	p := polls{set: func(targets []upstream.Target) { polled = targets }}
+	at := func(url string) config.Settings {
+		return config.Settings{Services: []config.Service{{
+			Name:      "drafts",
+			Upstreams: []config.Upstream{{Name: "engine-1", URL: url}, {Name: "engine-2", URL: "http://10.0.0.9"}},
+		}}}
+	}
+	p.follow(at("http://10.0.0.1"))
+	require.Empty(t, polled)
+	p.own([]state.Upstream{"engine-1"})
+	require.Equal(t, []upstream.Target{{Upstream: "engine-1", BaseURL: "http://10.0.0.1"}}, polled)
+	p.follow(at("http://10.0.0.2"))
+	require.Equal(t, []upstream.Target{{Upstream: "engine-1", BaseURL: "http://10.0.0.2"}}, polled)
+	p.own(nil)
+	require.Empty(t, polled)
+}
