--- a/e2e/orders_test.go
+++ b/e2e/orders_test.go
@@ -27,10 +27,7 @@
 func (f *fleet) want(r *router, models ...state.Model) {
 	f.t.Helper()
 	f.root.Services[0].Upstreams[0].WantedModels = models
-	encoded, err := json.Marshal(f.root)
-	require.NoError(f.t, err)
-	file := filepath.Join(f.t.TempDir(), "root.json")
-	require.NoError(f.t, os.WriteFile(file, encoded, 0o600))
+	file := writeJSON(f.t, f.root)
 	out, code := f.cli(r, operatorToken, "config", "apply", "root", file, "--force")
 	require.Zero(f.t, code, out)
 }
@@ -234,10 +231,7 @@
 	f.startRouter("router-1", "sala-laredo")
 	f.startRouter("router-2", "sala-laredo")
 	for _, r := range f.routers {
-		eventually(t, r.name+" is ready", func() bool {
-			s := status(t, r)
-			return len(s.Versions) == 2 && len(s.Peers) == 1
-		})
+		f.awaitReady(r)
 	}
 	return f
 }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -63,7 +65,7 @@
 }
 
 // awaitReady waits until a router has settings and sees the whole fleet.
-func (f *standardFleet) awaitReady(r *router) {
+func (f *fleet) awaitReady(r *router) {
 	eventually(f.t, r.name+" is ready", func() bool {
 		resp, err := http.Get("http://" + r.admin + "/readyz")
 		if err != nil {
@@ -125,12 +127,30 @@
 		})
 	}
 
+	for _, name := range []string{"queue_wait", "first_token", "between_tokens", "request"} {
+		require.Regexp(t, `figstile_`+name+`_seconds_count\{class="[a-z]*",data_centre="sala-laredo",router="router-1",workspace="laredo"\} [1-9]`, scrape(t, f.all[0]))
+	}
+
 	got = call(t, f.all[0], "nobody", drafts, `{}`)
 	require.Equal(t, http.StatusUnauthorized, got.status, got.body)
 	require.Equal(t, "no", got.ran)
 	require.Equal(t, int(result.Unauthorized), got.code)
 }
 
+// scrape reads a router's metrics once they hold finished requests; they are
+// reported once a second.
+func scrape(t *testing.T, r *router) string {
+	t.Helper()
+	var page string
+	eventually(t, "metrics are reported", func() bool {
+		req, err := http.NewRequest(http.MethodGet, "http://"+r.admin+"/metrics", nil)
+		require.NoError(t, err)
+		_, page = do(t, req)
+		return strings.Contains(page, "figstile_request_seconds_count")
+	})
+	return page
+}
+
 // TestOperatorChangesShare changes a team's share on one router and sees the
 // new version in force on all.
 func TestOperatorChangesShare(t *testing.T) {
@@ -151,3 +171,46 @@
 	out, code = f.cli(f.all[0], "valle-"+teamToken, "team", "set-share", "valle", "9")
 	require.NotZero(t, code, "a team must not widen its own share: %s", out)
 }
+
+// TestFirstSettings begins a fleet from nothing: an operator with the
+// bootstrap token writes the first root and team, and callers are served. The
+// token counts no longer once there is an operator's of its own.
+func TestFirstSettings(t *testing.T) {
+	f := newFleet(t)
+	_, url := f.standIn("worker-1", "worker", workerOptions{Name: "worker-1", Slots: 2})
+	f.secrets = []string{"FIGSTILE_BOOTSTRAP_TOKEN=first-token"}
+	r := f.startRouter("router-1", "sala-laredo")
+	got := call(t, r, "laredo", "/kiosco-web/page", `{}`)
+	require.Equal(t, int(result.NotReady), got.code, got.body)
+
+	f.root.Teams = []config.TeamShare{{Name: "costa", Share: 1}}
+	f.service(config.Service{
+		Name: "kiosco-web", Kind: config.KindWorker,
+		Upstreams: []config.Upstream{{Name: "worker-1", URL: url, DataCentre: "sala-laredo"}},
+	})
+	subtree := config.Subtree{Team: "costa", Workspaces: []config.Workspace{
+		{Name: "laredo", Weight: 1, Tokens: []string{config.DigestOf("laredo-token").String()}},
+	}}
+	for key, value := range map[string]any{"root": f.root, "teams/costa": subtree} {
+		out, code := f.cli(r, "wrong-token", "config", "apply", key, writeJSON(t, value), "--create")
+		require.Equal(t, 5, code, "a router without settings cannot tell whose token it is: %s", out)
+	}
+	out, code := f.cli(r, "first-token", "config", "apply", "root", writeJSON(t, f.root), "--create")
+	require.Zero(t, code, out)
+	out, code = f.cli(r, operatorToken, "config", "apply", "teams/costa", writeJSON(t, subtree), "--create")
+	require.Zero(t, code, out)
+	f.awaitReady(r)
+	out, code = f.cli(r, "first-token", "status")
+	require.Equal(t, 3, code, out)
+	got = call(t, r, "laredo", "/kiosco-web/page", `{"busy_ms":1}`)
+	require.Equal(t, http.StatusOK, got.status, got.body)
+}
+
+func writeJSON(t *testing.T, value any) string {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "object.json")
+	require.NoError(t, os.WriteFile(file, encoded, 0o600))
+	return file
+}
