Lift a returning workspace by counters alone

Its lift was taken from virtual times that hold what other owners are guessed to have granted; at the start of a rush the guesses are far off and differ from owner to owner, and the greatest lift heard of holds for good.

--- a/coordination/fairness/choice.go
+++ b/coordination/fairness/choice.go
@@ -120,11 +120,12 @@
 	if !ok {
 		return
 	}
-	floor := least.key - float64(a.usual)/a.share
-	if floor <= a.key {
+	floor := l.counted(least.account) - float64(a.usual)/a.share
+	own := l.counted(a)
+	if floor <= own {
 		return
 	}
-	l.raise(a, a.lift+state.Cost(floor-a.key))
+	l.raise(a, a.lift+state.Cost(floor-own))
 	a.key = l.virtual(a)
 }
 
--- a/coordination/fairness/fairness_test.go
+++ b/coordination/fairness/fairness_test.go
@@ -189,3 +189,21 @@
 		})
 	}
 }
+
+// A rush begins, and a workspace that asks little comes back from idleness.
+// Lifted to virtual times that hold guesses of what other owners granted, it
+// waited for seconds until all others had caught up with the worst guess.
+func TestLiftLeavesOutGuesses(t *testing.T) {
+	l := twoTenants(1)
+	l.SetPeers(0.25, []Peer{{Origin: Origin{Router: "p", Incarnation: 1}, Share: 0.75}})
+	l.SetBacklog(start, "b", "", false)
+	l.Reserve("a", 100)
+	l.SetBacklog(start.Add(time.Minute), "b", "", true)
+	for _, e := range l.Own() {
+		if e.Workspace == "b" {
+			require.Equal(t, state.Cost(100/0.5), e.Lift, "what a was granted here, at half of the whole")
+			return
+		}
+	}
+	t.Fatal("b was not lifted")
+}
--- a/coordination/fairness/ledger.go
+++ b/coordination/fairness/ledger.go
@@ -112,8 +112,12 @@
 // virtual is the weighted service of an account as this owner sees it; see
 // the package comment.
 func (l *Ledger) virtual(a *account) float64 {
-	served := float64(a.own.total()+a.others) + l.extrapolated(a)
-	return served/a.share + float64(a.lift) - a.forgiven
+	return l.counted(a) + l.extrapolated(a)/a.share
+}
+
+// counted is the part of the virtual time that rests on counters alone.
+func (l *Ledger) counted(a *account) float64 {
+	return float64(a.own.total()+a.others)/a.share + float64(a.lift) - a.forgiven
 }
 
 // extrapolated is what the other owners are taken to have granted since they
