claims: shards as chains of small segments

Cause: every group commit rewrote its whole shard, up to 1 MiB, and a full shard refused claims.

A shard is now a chain of objects claims/<shard>/<slot>. Claims, completions and releases are appended to the last segment by conditional update. The write that brings a segment to 16 KiB seals it as well, and the next is created with expected version 0. A claim in a sealed segment is completed or released by a later entry of its key; the last one in chain order counts.

Ruled out: a seal by a write of its own (one call more for each segment, and no guard more, since the write that fills the segment is conditional too); numbers without end (the platform has no deletion, so a cold start's list would grow for ever; 512 slots are used in turn instead); freeing a key by dropping its entry from the last segment (an older entry of the key in a sealed segment would come back); a pointer object to the chain's end (a second write, which can be lost by itself).

TestFullShard filled an object of 1 MiB to see claims refused. Such a segment is sealed now and the claim goes to the next one, which TestOversizedSegment holds.

Reuse of a slot inside the retention fails TestNoFreeSlot, a gap TestGapRefusesClaims.

--- /dev/null
+++ b/coordination/claims/chain_test.go
@@ -0,0 +1,302 @@
+package claims
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+)
+
+// oneEntry is a segment's size at which every write seals.
+const oneEntry = 60
+
+func sized(name state.Router, segmentBytes int) *router {
+	r := newRouter(name, 1)
+	r.limits.segmentBytes = segmentBytes
+	return r
+}
+
+// TestSealerDies: bookings of a shard stop for good, or run twice. A router is
+// lost between the write that seals a segment and the one that creates the next.
+func TestSealerDies(t *testing.T) {
+	p := &platform{}
+	require.Equal(t, result.OK, sized("pudahuel-1", oneEntry).claim(p, "k", 1).Code)
+	require.Equal(t, 1, p.seals)
+	other := sized("quilicura-1", oneEntry)
+	next := sameShard(other, ShardOf(other.request("k", 0).Digest()))
+	require.Equal(t, result.KeyInProgress, other.claim(p, "k", 1).Code)
+	require.Equal(t, result.OK, other.claim(p, next, 2).Code)
+	require.Equal(t, result.KeyInProgress, sized("sala-1", oneEntry).claim(p, next, 3).Code)
+}
+
+// TestLostAnswersAlongTheChain: a booking runs twice or its key is lost. The
+// answer to an append, to a seal or to a creation is lost; the write landed, got
+// lost, or lands after it was read back, and a resend follows elsewhere.
+func TestLostAnswersAlongTheChain(t *testing.T) {
+	for name, bytes := range map[string]int{"append": 200, "seal": 100, "create": oneEntry} {
+		for _, lands := range []string{"at once", "never", "late"} {
+			t.Run(name+" "+lands, func(t *testing.T) {
+				p := &platform{}
+				r := sized("pudahuel-1", bytes)
+				keys := keysOf(r, 3, 3)
+				require.Equal(t, result.OK, r.claim(p, keys[0], 1).Code)
+				req := r.request(keys[1], 2)
+				r.step(Wanted{Request: req})
+				r.now = r.wake
+				r.step(Tick{})
+				write := r.next().(Write)
+				require.Equal(t, name == "create", write.Slot > 0 && write.Expected == 0)
+				require.Equal(t, name != "append", sealed(write.Value))
+				if lands == "at once" {
+					p.write(write)
+				}
+				r.step(WriteDone{Shard: write.Shard, Outcome: WriteUnknown})
+				r.now = r.wake
+				r.step(Tick{})
+				require.NotContains(t, r.decided, req.Attempt)
+				r.answer(p, r.next())
+				if lands == "late" {
+					p.write(write)
+				}
+				r.settle(p)
+				require.Equal(t, result.OK, r.decided[req.Attempt].Code)
+				require.Equal(t, WriteConflict, p.write(write).Outcome)
+				require.Equal(t, result.KeyInProgress, sized("quilicura-1", bytes).claim(p, keys[1], 3).Code)
+			})
+		}
+	}
+}
+
+// TestPausedWriterMeetsASeal: two escorts for one child. A router is paused
+// within its append; meanwhile the segment is sealed and the same key claimed in
+// a later one. Another has an old view of the chain's end after a partition.
+func TestPausedWriterMeetsASeal(t *testing.T) {
+	p := &platform{}
+	paused, apart, other := sized("pudahuel-1", 150), sized("sala-1", 150), sized("quilicura-1", 150)
+	keys := keysOf(other, 3, 11)
+	require.Equal(t, result.OK, apart.claim(p, keys[0], 1).Code)
+	req := paused.request(keys[10], 1)
+	paused.step(Wanted{Request: req})
+	paused.answer(p, paused.next())
+	for i, key := range keys[1:] {
+		require.Equal(t, result.OK, other.claim(p, key, uint64(i)).Code)
+	}
+	require.GreaterOrEqual(t, p.seals, 3)
+	paused.settle(p)
+	require.Equal(t, result.KeyInProgress, paused.decided[req.Attempt].Code)
+	apart.now = apart.now.Add(time.Second)
+	require.Equal(t, result.KeyInProgress, apart.claim(p, keys[9], 2).Code)
+}
+
+// TestStaleEndOfTheChain: a booking runs again at a router that has just
+// started. Its first read is older than the segments that hold the claim.
+func TestStaleEndOfTheChain(t *testing.T) {
+	for back := range 7 {
+		p := &platform{}
+		r := sized("pudahuel-1", 120)
+		keys := keysOf(r, 3, 6)
+		for i, key := range keys {
+			require.Equal(t, result.OK, r.claim(p, key, uint64(i)).Code)
+		}
+		cold := sized("quilicura-1", 120)
+		req := cold.request(keys[5], 1)
+		cold.step(Wanted{Request: req})
+		cold.step(p.stale(cold.next().(Read), back))
+		cold.settle(p)
+		require.Equal(t, result.KeyInProgress, cold.decided[req.Attempt].Code, "%d writes behind", back)
+	}
+}
+
+// TestWordsOnASealedClaim: a resend hears "in progress" of a booking that was
+// made, or a key stays taken that nobody holds, because the claim's segment
+// takes no more changes. Later entries say what became of it; that a second
+// claim is released must not bring the first one back.
+func TestWordsOnASealedClaim(t *testing.T) {
+	for _, bytes := range []int{oneEntry, 120, SegmentBytes} {
+		p := &platform{}
+		r := sized("pudahuel-1", bytes)
+		done, freed := r.request("done", 1), r.request("freed", 2)
+		for _, req := range []Request{done, freed} {
+			require.Equal(t, result.OK, r.claim(p, req.Key, req.Attempt.Sequence).Code)
+		}
+		r.step(Finished{Request: done, Ran: result.RanYes})
+		r.step(Finished{Request: freed, Ran: result.RanNo})
+		r.settle(p)
+		require.Equal(t, result.KeyCompleted, sized("quilicura-1", bytes).claim(p, "done", 1).Code)
+		for i, name := range []state.Router{"quilicura-1", "sala-1"} {
+			again := sized(name, bytes)
+			req := again.request("freed", 2)
+			require.Equal(t, result.OK, again.claim(p, "freed", 2).Code)
+			r.step(Finished{Request: freed, Ran: result.RanNo})
+			r.settle(p)
+			require.Equal(t, result.KeyInProgress, r.claim(p, "freed", uint64(10+i)).Code, "an old release frees nothing")
+			again.step(Finished{Request: req, Ran: result.RanNo})
+			again.settle(p)
+		}
+		require.Equal(t, result.OK, sized("sala-2", bytes).claim(p, "freed", 1).Code)
+	}
+}
+
+// TestChainGoesRound: the platform fills up with old bookings, or one runs again
+// because a segment inside the retention was overwritten. Slots are reused only
+// once their entries have expired, also by a router that slept all the while.
+func TestChainGoesRound(t *testing.T) {
+	p := &platform{}
+	r, sleeper := sized("pudahuel-1", oneEntry), sized("quilicura-1", oneEntry)
+	for _, each := range []*router{r, sleeper} {
+		each.limits.slots, each.limits.reserved = 8, 1
+	}
+	keys := keysOf(r, 3, 8)
+	require.Equal(t, result.OK, sleeper.claim(p, keys[7], 1).Code)
+	for day := range 10 {
+		for i, key := range keys[:6] {
+			require.Equal(t, result.OK, r.claim(p, key, uint64(100*day+i)).Code, "day %d", day)
+		}
+		sleeper.now = r.now
+		cold := sized("sala-1", oneEntry)
+		cold.limits, cold.now = r.limits, r.now
+		require.Equal(t, result.KeyInProgress, cold.claim(p, keys[0], uint64(day)).Code)
+		require.LessOrEqual(t, len(r.shards[3].chain.records), 8)
+		r.now = r.now.Add(Retention + clockSkew + time.Minute)
+	}
+	require.Equal(t, result.KeyInProgress, sleeper.claim(p, keys[1], 2).Code)
+	before := p.seals
+	full := sized("sala-2", oneEntry)
+	full.limits, full.now = r.limits, sleeper.now
+	require.Equal(t, result.OK, full.claim(p, keys[6], 1).Code)
+	res := full.claim(p, keys[7], 2)
+	require.Equal(t, result.ClaimUnavailable, res.Code, "no slot is free")
+	require.Equal(t, result.RanNo, res.Ran)
+	require.Equal(t, before+1, p.seals)
+	stubs := slices.DeleteFunc(slices.Clone(p.history[3]), func(o Stored) bool {
+		segment, err := Decode(o.Value)
+		return err != nil || len(segment.Entries) > 0
+	})
+	require.NotEmpty(t, stubs, "expired segments are emptied")
+}
+
+// TestNoFreeSlot: a booking runs again because completions of a full shard went
+// on into the slot that holds its claim. They wait until it has expired.
+func TestNoFreeSlot(t *testing.T) {
+	p := &platform{}
+	r := sized("pudahuel-1", oneEntry)
+	r.limits.slots, r.limits.reserved = 4, 1
+	keys := keysOf(r, 3, 4)
+	for i, key := range keys[:3] {
+		require.Equal(t, result.OK, r.claim(p, key, uint64(i)).Code)
+	}
+	require.Equal(t, result.ClaimUnavailable, r.claim(p, keys[3], 3).Code)
+	for i, key := range keys[:2] {
+		r.step(Finished{Request: r.request(key, uint64(i)), Ran: result.RanYes})
+		for range 10 {
+			r.now = latest(r.now, r.wake)
+			r.step(Tick{})
+			for len(r.calls) > 0 {
+				r.answer(p, r.next())
+			}
+		}
+	}
+	require.Equal(t, 1, r.Pending())
+	cold := sized("quilicura-1", oneEntry)
+	cold.limits = r.limits
+	for i, key := range keys[:3] {
+		require.Equal(t, result.ClaimUnavailable, cold.claim(p, key, uint64(i)).Code)
+		cold.now = cold.now.Add(awayFor)
+	}
+	r.now = r.now.Add(Retention + 2*clockSkew)
+	r.settle(p)
+	require.Equal(t, result.OK, r.claim(p, keys[3], 4).Code)
+}
+
+// TestGapRefusesClaims: a booking runs again because the segment that holds its
+// claim was deleted or mixed up. Whatever does not follow refuses claims.
+func TestGapRefusesClaims(t *testing.T) {
+	segment := func(number uint64, sealed bool) []byte {
+		value, err := (&Segment{Number: number, Sealed: sealed}).Encode()
+		require.NoError(t, err)
+		return value
+	}
+	for name, values := range map[string]map[int][]byte{
+		"first missing":  {1: segment(1, false)},
+		"middle missing": {0: segment(0, true), 2: segment(2, false)},
+		"middle open":    {0: segment(0, true), 1: segment(1, false), 2: segment(2, false)},
+		"wrong slot":     {0: segment(1, true), 1: segment(0, true)},
+		"later format":   {0: segment(0, true), 1: []byte("a later format")},
+	} {
+		p := &platform{}
+		r := newRouter("pudahuel-1", 1)
+		for slot, value := range values {
+			p.write(Write{Shard: 3, Slot: slot, Value: value})
+		}
+		before := p.writes
+		require.Equal(t, result.ClaimUnavailable, r.claim(p, keysOf(r, 3, 1)[0], 1).Code, name)
+		require.Equal(t, before, p.writes, name)
+	}
+}
+
+// TestOversizedSegment: bookings of a shard are refused until tomorrow. A router
+// with another size of segments left one open that has no room for a claim.
+func TestOversizedSegment(t *testing.T) {
+	p := &platform{}
+	r := newRouter("pudahuel-1", 1)
+	key := sameShard(r, 3)
+	large := &Segment{}
+	for _, segment := range filled((MaxShardBytes - 60) / entryBytes) {
+		large.Entries = append(large.Entries, segment.Entries...)
+	}
+	value, err := large.Encode()
+	require.NoError(t, err)
+	require.Equal(t, WriteOK, p.write(Write{Shard: 3, Value: value}).Outcome)
+	require.Equal(t, result.OK, r.claim(p, key, 1).Code)
+	kept, err := Decode(p.at(3, 0).Value)
+	require.NoError(t, err)
+	require.True(t, kept.Sealed)
+	require.Equal(t, large.Entries, kept.Entries)
+	require.Equal(t, result.KeyInProgress, newRouter("quilicura-1", 1).claim(p, key, 1).Code)
+}
+
+// BenchmarkMemoryPerKey reports the heap that a sealed key takes.
+func BenchmarkMemoryPerKey(b *testing.B) {
+	for _, keys := range []int{1000, 10_000, maxKeys} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) { benchmarkMemory(b, keys) })
+	}
+}
+
+func benchmarkMemory(b *testing.B, keys int) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := newChain()
+		for _, segment := range filled(keys) {
+			c.fold(segment, 1)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(c)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(keys), "B/key")
+}
+
+// filled returns sealed segments of a shard with so many completed keys.
+func filled(keys int) []*Segment {
+	const perSegment = SegmentBytes / entryBytes
+	var segments []*Segment
+	for i := range keys {
+		if i%perSegment == 0 {
+			segments = append(segments, &Segment{Number: uint64(len(segments)), Sealed: true})
+		}
+		last := segments[len(segments)-1]
+		e := Entry{Claim: state.AttemptID{Router: "old", Incarnation: 1, Sequence: uint64(i)}, Status: StatusCompleted, At: epoch}
+		binary.BigEndian.PutUint64(e.Digest[8:], uint64(i))
+		last.Entries = append(last.Entries, e)
+	}
+	return segments
+}
--- a/coordination/claims/codec.go
+++ b/coordination/claims/codec.go
@@ -11,26 +11,33 @@
 	"github.com/figstile/figstile/state"
 )
 
-// The object of a shard: a magic number, the claimers, the entries in digest
-// order, and a checksum. An entry names its claimer by index, which keeps it
-// at 31 bytes.
-var magic = []byte("fsc1")
+// The object of a segment: a magic number, its number in the chain, a flag, the
+// claimers, the entries in digest order, and a checksum. An entry names its
+// claimer by index, which keeps it at 31 bytes.
+var magic = []byte("fsc2")
 
 const (
 	entryBytes    = digestBytes + 2 + 8 + 1 + 4
 	checksumBytes = 8
+	headerBytes   = 8 + 1
 	// maxClaimers is what an entry's index can name.
 	maxClaimers = 1 << 16
 	// maxNameBytes bounds a router's name in an object.
 	maxNameBytes = 255
 )
 
-// errFormat says that an object is not a shard of this format. It is never
+// The values of a segment's flag.
+const (
+	flagOpen = iota
+	flagSealed
+)
+
+// errFormat says that an object is not a segment of this format. It is never
 // overwritten: what it holds may be claims.
-var errFormat = errors.New("claims: object is not a shard of this format")
+var errFormat = errors.New("claims: object is not a segment of this format")
 
-// errFull says that a shard does not fit its object.
-var errFull = errors.New("claims: shard is full")
+// errFull says that a segment does not fit its object.
+var errFull = errors.New("claims: segment is full")
 
 type claimer struct {
 	router      state.Router
@@ -39,14 +46,16 @@
 
 func claimerOf(a state.AttemptID) claimer { return claimer{a.Router, a.Incarnation} }
 
-// Encode renders the shard.
-func (s *Shard) Encode() ([]byte, error) {
+// Encode renders the segment.
+func (s *Segment) Encode() ([]byte, error) {
 	index, order := s.claimers()
 	if len(order) > maxClaimers {
 		return nil, errFull
 	}
-	buf := make([]byte, 0, len(magic)+len(order)*32+len(s.Entries)*entryBytes+checksumBytes)
+	buf := make([]byte, 0, len(magic)+headerBytes+len(order)*32+len(s.Entries)*entryBytes+checksumBytes)
 	buf = append(buf, magic...)
+	buf = binary.BigEndian.AppendUint64(buf, s.Number)
+	buf = append(buf, s.flag())
 	buf = binary.BigEndian.AppendUint32(buf, uint32(len(order)))
 	for _, c := range order {
 		if len(c.router) > maxNameBytes {
@@ -67,8 +76,15 @@
 	return buf, nil
 }
 
+func (s *Segment) flag() byte {
+	if s.Sealed {
+		return flagSealed
+	}
+	return flagOpen
+}
+
 // claimers numbers the claimers in the order of their first entry.
-func (s *Shard) claimers() (index map[claimer]uint16, order []claimer) {
+func (s *Segment) claimers() (index map[claimer]uint16, order []claimer) {
 	index = make(map[claimer]uint16)
 	for i := range s.Entries {
 		c := claimerOf(s.Entries[i].Claim)
@@ -88,10 +104,10 @@
 	return binary.BigEndian.AppendUint32(buf, uint32(e.At.Unix()))
 }
 
-// Decode reads a shard. An empty value is an empty shard.
-func Decode(value []byte) (*Shard, error) {
+// Decode reads a segment. An empty value is the empty first segment.
+func Decode(value []byte) (*Segment, error) {
 	if len(value) == 0 {
-		return &Shard{}, nil
+		return &Segment{}, nil
 	}
 	body := value[:max(len(value)-checksumBytes, 0)]
 	r := &reader{rest: body}
@@ -101,12 +117,15 @@
 	if binary.BigEndian.Uint64(value[len(body):]) != xxhash.Sum64(body) {
 		return nil, errFormat
 	}
+	segment := &Segment{Number: binary.BigEndian.Uint64(r.take(8))}
+	flag := r.take(1)[0]
+	segment.Sealed = flag == flagSealed
 	claimers := r.claimers()
-	entries := r.entries(claimers)
-	if r.failed || len(r.rest) > 0 {
+	segment.Entries = r.entries(claimers)
+	if r.failed || len(r.rest) > 0 || flag > flagSealed {
 		return nil, errFormat
 	}
-	return &Shard{Entries: entries}, nil
+	return segment, nil
 }
 
 // reader takes fields from a value and remembers the first failure.
@@ -161,7 +180,7 @@
 	e.Claim.Sequence = binary.BigEndian.Uint64(r.take(8))
 	e.Status = Status(r.take(1)[0])
 	e.At = time.Unix(int64(binary.BigEndian.Uint32(r.take(4))), 0).UTC()
-	if by >= len(claimers) || e.Status < StatusRunning || e.Status > StatusUnknown {
+	if by >= len(claimers) || e.Status < StatusRunning || e.Status > StatusReleased {
 		r.failed = true
 		return e
 	}
--- a/coordination/claims/entry.go
+++ b/coordination/claims/entry.go
@@ -8,10 +8,10 @@
 	"github.com/figstile/figstile/state"
 )
 
-// Status is what a shard says of a claimed request.
+// Status is what a chain says of a claimed request.
 type Status uint8
 
-// The values of Status. A released claim leaves the shard.
+// The values of Status.
 const (
 	// StatusRunning: the claimer may have sent the request.
 	StatusRunning Status = iota + 1
@@ -19,9 +19,13 @@
 	StatusCompleted
 	// StatusUnknown: the claimer sent it and cannot tell whether it ran.
 	StatusUnknown
+	// StatusReleased: the claim stands in a sealed segment and was taken
+	// back. It frees the key for later entries only.
+	StatusReleased
 )
 
-// Entry is one claim in a shard.
+// Entry is one claim in a segment, or a later word on a claim that stands in a
+// sealed one. The last entry of a key in chain order counts.
 type Entry struct {
 	Digest Digest
 	Claim  state.AttemptID
@@ -35,16 +39,44 @@
 	return now.Sub(e.At) > Retention+clockSkew
 }
 
-// Shard holds entries in the order of their digests. It is not changed once
-// built: a draft makes the next one.
-type Shard struct {
+// taken says whether the entry keeps its key from being claimed.
+func (e *Entry) taken(now time.Time) bool {
+	return e.Status != StatusReleased && !e.expired(now)
+}
+
+// Segment is one object of a shard's chain. It holds at most one entry of a
+// key, in the order of their digests. It is not changed once built: a draft
+// makes the next one.
+type Segment struct {
+	// Number is the segment's place in the chain.
+	Number uint64
+	// Sealed: it takes no more entries and the next segment may exist.
+	Sealed  bool
 	Entries []Entry
 }
 
+// Shard is the former name of Segment, which the capacity measurements use.
+type Shard = Segment
+
+// expiredEntries counts the entries that are not needed any more.
+func (s *Segment) expiredEntries(now time.Time) int {
+	n := 0
+	for i := range s.Entries {
+		if s.Entries[i].expired(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Segment) expired(now time.Time) bool {
+	return s.expiredEntries(now) == len(s.Entries)
+}
+
 func compareDigest(e Entry, d Digest) int { return bytes.Compare(e.Digest[:], d[:]) }
 
 // Lookup returns the entry of a digest or nil.
-func (s *Shard) Lookup(d Digest) *Entry {
+func (s *Segment) Lookup(d Digest) *Entry {
 	i, found := slices.BinarySearchFunc(s.Entries, d, compareDigest)
 	if !found {
 		return nil
@@ -52,38 +84,58 @@
 	return &s.Entries[i]
 }
 
-// draft collects one round's changes to a shard.
+// draft collects one round's changes to the last segment of a chain.
 type draft struct {
-	base  *Shard
+	base  *Segment
+	chain *chain
 	edits map[Digest]*Entry
 	now   time.Time
 	touch bool
 }
 
-func newDraft(base *Shard, now time.Time) *draft {
-	return &draft{base: base, edits: make(map[Digest]*Entry), now: now}
+func newDraft(base *Segment, sealed *chain, now time.Time) *draft {
+	return &draft{base: base, chain: sealed, edits: make(map[Digest]*Entry), now: now}
 }
 
-// lookup returns the entry as the draft has it, nil if absent or expired.
+// lookup returns the entry that keeps a key taken, nil if it is free.
 func (d *draft) lookup(digest Digest) *Entry {
+	e := d.last(digest)
+	if e == nil || !e.taken(d.now) {
+		return nil
+	}
+	return e
+}
+
+// last returns the last entry of a key in chain order.
+func (d *draft) last(digest Digest) *Entry {
 	if e, edited := d.edits[digest]; edited {
 		return e
 	}
-	e := d.base.Lookup(digest)
-	if e == nil || e.expired(d.now) {
-		return nil
+	if e := d.base.Lookup(digest); e != nil {
+		return e
 	}
-	return e
+	return d.chain.lookup(digest)
 }
 
 func (d *draft) put(e Entry) { d.edits[e.Digest] = &e }
 
-func (d *draft) remove(digest Digest) { d.edits[digest] = nil }
+// release frees the key of an entry. Leaving the entry out of the last segment
+// would bring back an older one of the same key in a sealed segment, and with
+// it a claim that nobody holds; an entry that says so stands in its place. It
+// keeps the claim's time, so that both expire together.
+func (d *draft) release(e Entry) {
+	if d.chain.lookup(e.Digest) == nil {
+		d.edits[e.Digest] = nil
+		return
+	}
+	e.Status = StatusReleased
+	d.put(e)
+}
 
 func (d *draft) changed() bool { return len(d.edits) > 0 || d.touch }
 
-// build merges the changes into the next shard and drops what has expired.
-func (d *draft) build() *Shard {
+// build merges the changes into the segment and drops what has expired.
+func (d *draft) build() *Segment {
 	entries := make([]Entry, 0, len(d.base.Entries)+len(d.edits))
 	for _, e := range d.base.Entries {
 		if _, edited := d.edits[e.Digest]; !edited && !e.expired(d.now) {
@@ -96,5 +148,5 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
-	return &Shard{Entries: entries}
+	return &Segment{Number: d.base.Number, Entries: entries}
 }
--- a/coordination/claims/event.go
+++ b/coordination/claims/event.go
@@ -40,12 +40,22 @@
 	ReadFailed
 )
 
-// ReadDone answers a Read.
+// Stored is a segment as the platform holds it.
+type Stored struct {
+	Slot    int
+	Version Version
+	Value   []byte
+}
+
+// ReadDone answers a Read. Version and Value are those of the slot asked for,
+// which is the first one if the whole chain was.
 type ReadDone struct {
 	Shard   int
 	Outcome ReadOutcome
 	Version Version
 	Value   []byte
+	// Others are the other slots of a whole chain.
+	Others []Stored
 }
 
 // WriteOutcome tells how a conditional write ended.
@@ -93,15 +103,20 @@
 // Action is something the host must do.
 type Action interface{ action() }
 
-// Read fetches a shard's object; the host answers with ReadDone.
+// Read fetches one segment of a shard or its whole chain; the host answers with
+// ReadDone.
 type Read struct {
 	Shard int
+	Slot  int
+	// Whole asks for every slot of the shard as of one version of the store.
+	Whole bool
 }
 
-// Write replaces a shard's object if it has the expected version; the host
-// answers with WriteDone.
+// Write replaces a segment if it has the expected version; the host answers
+// with WriteDone.
 type Write struct {
 	Shard    int
+	Slot     int
 	Expected Version
 	Value    []byte
 }
--- a/coordination/claims/machine.go
+++ b/coordination/claims/machine.go
@@ -25,17 +25,30 @@
 	arrived time.Time
 	// status is what opComplete sets.
 	status Status
-	// fence is the version that the last write with an unknown outcome
-	// expected. Until the object has a later one, that write may yet land.
-	fence Version
-	// fenced says that fence holds, since an object's first write expects 0.
+	// fence is what the last write with an unknown outcome expected. Until
+	// the chain is past it, that write may yet land.
+	fence position
+	// fenced says that fence holds, since a segment's first write expects 0.
 	fenced bool
 	// withdrawn is set on a claim in flight that nobody waits for.
 	withdrawn bool
 }
 
 // settled says whether no write of this op can land any more.
-func (o *op) settled(v Version) bool { return !o.fenced || v > o.fence }
+func (o *op) settled(at position) bool { return !o.fenced || at.after(o.fence) }
+
+// position is a version of one segment of a chain.
+type position struct {
+	number  uint64
+	version Version
+}
+
+// after says whether a write that expects other meets a later version. That
+// holds in the same segment, and where the chain has gone on: its segment was
+// sealed by a write after that version.
+func (p position) after(other position) bool {
+	return p.number > other.number || p.number == other.number && p.version > other.version
+}
 
 type flight uint8
 
@@ -48,9 +61,13 @@
 // shardState is a router's view of one shard and its work on it.
 type shardState struct {
 	index int
-	// copy is the last content known, nil if it must be read.
-	copy    *Shard
-	version Version
+	// chain holds the sealed segments, nil until the whole chain was read.
+	chain *chain
+	// last is the position of the segment after them. Version zero: it does
+	// not exist as far as this router knows.
+	last position
+	// copy is the last segment's content, nil if it must be read.
+	copy *Segment
 	// asOf is a time at which copy was surely current.
 	asOf time.Time
 	// contended is set while other routers write the shard too: reads are
@@ -63,8 +80,12 @@
 	// begun is when the call in flight began.
 	begun time.Time
 	// round are the ops of the write in flight, next what it writes.
-	round  []*op
-	next   *Shard
+	round []*op
+	next  *Segment
+	// emptying is set while the write in flight empties an expired segment.
+	emptying bool
+	// rounds counts those since an expired segment was emptied.
+	rounds int
 	queued bool
 	// urgent puts the shard before others in the queue after a round that
 	// came to nothing. Its claims have waited a whole turn already; with one
@@ -96,11 +117,23 @@
 	settling  int
 	flushing  bool
 	out       []Action
+	limits    limits
+}
+
+// limits are the sizes of chains. Tests take small ones.
+type limits struct {
+	segmentBytes int
+	slots        uint64
+	reserved     int
+	keys         int
 }
 
 // NewMachine returns a machine for one incarnation of a router.
 func NewMachine(router state.Router, incarnation state.Incarnation) *Machine {
-	m := &Machine{self: claimer{router, incarnation}}
+	m := &Machine{
+		self:   claimer{router, incarnation},
+		limits: limits{segmentBytes: SegmentBytes, slots: Slots, reserved: reservedSlots, keys: maxKeys},
+	}
 	m.resize(defaultRouters)
 	for i := range m.shards {
 		m.shards[i].index = i
--- a/coordination/claims/pump.go
+++ b/coordination/claims/pump.go
@@ -104,6 +104,9 @@
 func (m *Machine) startRound(now time.Time, s *shardState) {
 	m.nextRound = latest(m.nextRound, now).Add(m.interval)
 	s.urgent = false
+	if m.emptyOldest(now, s) {
+		return
+	}
 	if s.copy == nil || s.contended {
 		m.read(now, s)
 		return
@@ -115,12 +118,19 @@
 	s.flight = flightRead
 	s.begun = now
 	m.flights++
-	m.emit(Read{Shard: s.index})
+	if s.chain == nil {
+		m.emit(Read{Shard: s.index, Whole: true})
+		return
+	}
+	m.emit(Read{Shard: s.index, Slot: m.slot(s.last.number)})
 }
 
+// slot returns the index of the object that a segment uses.
+func (m *Machine) slot(number uint64) int { return int(number % m.limits.slots) }
+
 // compose applies the waiting ops to the copy and writes what changed.
 func (m *Machine) compose(now time.Time, s *shardState) {
-	d := newDraft(s.copy, now)
+	d := newDraft(s.copy, s.chain, now)
 	waiting := s.waiting
 	s.waiting = nil
 	reread := false
@@ -146,31 +156,92 @@
 	m.queueShard(s)
 }
 
-// write sends the draft. If it does not fit, its claims are refused and the
-// rest is tried without them: claims inside the retention are never forgotten
-// to make room.
+// write sends the draft. Where it does not fit, the segment is sealed without
+// it: claims inside the retention are never forgotten to make room.
 func (m *Machine) write(now time.Time, s *shardState, d *draft) bool {
 	next := d.build()
-	value, err := next.Encode()
+	value, err := m.encode(next)
+	if err != nil && len(d.base.Entries) > 0 {
+		return m.sealAsIs(now, s)
+	}
 	if err != nil {
 		d = m.refuseRound(now, s, d)
 		next = d.build()
-		value, err = next.Encode()
+		value, err = m.encode(next)
 	}
 	if err != nil {
-		s.waiting = append(s.round, s.waiting...)
-		s.round = nil
-		s.notBefore = now.Add(awayFor)
+		m.putOff(now, s)
 		return false
 	}
 	if !d.changed() {
 		return false
 	}
+	s.next = next
+	m.send(now, s, s.last, value)
+	return true
+}
+
+// sealAsIs seals the last segment unchanged. The round waits for the next one.
+func (m *Machine) sealAsIs(now time.Time, s *shardState) bool {
+	sealed := &Segment{Number: s.copy.Number, Sealed: true, Entries: s.copy.Entries}
+	value, err := sealed.Encode()
+	if err != nil {
+		m.putOff(now, s)
+		return false
+	}
+	s.waiting = append(s.round, s.waiting...)
+	s.round = nil
+	s.next = sealed
+	m.send(now, s, s.last, value)
+	return true
+}
+
+// putOff puts a round back that cannot be written.
+func (m *Machine) putOff(now time.Time, s *shardState) {
+	s.waiting = append(s.round, s.waiting...)
+	s.round = nil
+	s.notBefore = now.Add(awayFor)
+}
+
+// encode renders a segment and seals it if it has reached its size. The seal
+// rides in the write that fills the segment: it costs no call, and as that
+// write is conditional, every writer with an older version of the segment
+// meets a conflict and goes on to the next one.
+func (m *Machine) encode(next *Segment) ([]byte, error) {
+	value, err := next.Encode()
+	if err != nil || len(value) < m.limits.segmentBytes {
+		return value, err
+	}
+	next.Sealed = true
+	return next.Encode()
+}
+
+func (m *Machine) send(now time.Time, s *shardState, at position, value []byte) {
 	s.flight = flightWrite
 	s.begun = now
-	s.next = next
 	m.flights++
-	m.emit(Write{Shard: s.index, Expected: s.version, Value: value})
+	m.emit(Write{Shard: s.index, Slot: m.slot(at.number), Expected: at.version, Value: value})
+}
+
+// emptyOldest replaces the oldest sealed segment once all its entries have
+// expired; storage and a cold start's list would grow without end otherwise. It
+// takes a round of its own and frees no key: expired entries count for nothing.
+// Claims go first for some rounds after it, since a router that starts after a
+// quiet day finds hundreds of such segments.
+func (m *Machine) emptyOldest(now time.Time, s *shardState) bool {
+	s.rounds++
+	if s.rounds < emptyEvery || s.chain == nil || s.chain.expiredSegments(now) == 0 {
+		return false
+	}
+	oldest := s.chain.sealed[0]
+	stub := Segment{Number: oldest.number, Sealed: true}
+	value, err := stub.Encode()
+	if err != nil {
+		return false
+	}
+	s.rounds = 0
+	s.emptying = true
+	m.send(now, s, position{oldest.number, oldest.version}, value)
 	return true
 }
 
@@ -179,15 +250,19 @@
 func (m *Machine) refuseRound(now time.Time, s *shardState, d *draft) *draft {
 	round := s.round
 	s.round = nil
-	rest := newDraft(d.base, now)
+	rest := newDraft(d.base, d.chain, now)
 	for _, o := range round {
 		if o.kind != opClaim {
 			m.settle(s, rest, o)
 			continue
 		}
-		res := result.New(result.ClaimUnavailable, "The shard of this key is full.")
-		m.decide(o, res.After(awayFor))
-		m.release(now, s, o)
+		m.refuseFull(now, s, o)
 	}
 	return rest
 }
+
+func (m *Machine) refuseFull(now time.Time, s *shardState, o *op) {
+	res := result.New(result.ClaimUnavailable, "The shard of this key is full.")
+	m.decide(o, res.After(awayFor))
+	m.release(now, s, o)
+}
--- a/transport/claims/host.go
+++ b/transport/claims/host.go
@@ -19,6 +19,9 @@
 	// callTimeout bounds one call to the platform, which answers in
 	// milliseconds. A call that takes this long has most likely been lost.
 	callTimeout = time.Second
+	// wholeTimeout bounds the read of a whole chain, once for each shard after
+	// a start: some megabytes where a shard remembers all that it may.
+	wholeTimeout = 10 * time.Second
 	// patience bounds a caller's wait for its claim: two calls that time
 	// out and a round between them. Then it hears "not run" and may send
 	// again, which serves it better than an open connection.
@@ -205,9 +208,9 @@
 func (h *Host) perform(action claims.Action) {
 	switch a := action.(type) {
 	case claims.Read:
-		h.call(func(ctx context.Context) claims.Event { return h.read(ctx, a) })
+		h.call(readTimeout(a), func(ctx context.Context) claims.Event { return h.read(ctx, a) })
 	case claims.Write:
-		h.call(func(ctx context.Context) claims.Event { return h.write(ctx, a) })
+		h.call(callTimeout, func(ctx context.Context) claims.Event { return h.write(ctx, a) })
 	case claims.Decide:
 		h.answer(a)
 	case claims.Wake:
@@ -216,6 +219,13 @@
 	}
 }
 
+func readTimeout(a claims.Read) time.Duration {
+	if a.Whole {
+		return wholeTimeout
+	}
+	return callTimeout
+}
+
 func (h *Host) stopTimer() {
 	if h.wake != nil {
 		h.wake.Stop()
@@ -232,11 +242,11 @@
 }
 
 // call runs one call to the platform beside the actor.
-func (h *Host) call(do func(context.Context) claims.Event) {
+func (h *Host) call(timeout time.Duration, do func(context.Context) claims.Event) {
 	h.calls.Add(1)
 	go func() {
 		defer h.calls.Done()
-		ctx, cancel := context.WithTimeout(h.ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, timeout)
 		defer cancel()
 		h.send(do(ctx))
 	}()
--- a/transport/claims/host_test.go
+++ b/transport/claims/host_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -40,6 +43,21 @@
 	return object, ctx.Err()
 }
 
+func (m *memory) List(ctx context.Context, prefix string) ([]objectstore.Object, objectstore.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away {
+		return nil, 0, objectstore.ErrUnavailable
+	}
+	var under []objectstore.Object
+	for _, key := range slices.Sorted(maps.Keys(m.objects)) {
+		if strings.HasPrefix(key, prefix) {
+			under = append(under, m.objects[key])
+		}
+	}
+	return under, m.version, ctx.Err()
+}
+
 func (m *memory) Put(_ context.Context, key string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -142,6 +160,22 @@
 	require.NoError(t, h.Close(context.Background()))
 }
 
+// TestForeignObjectRefusesItsShard: one stray object among the segments of a
+// shard stops every booking. Only those of its shard are refused.
+func TestForeignObjectRefusesItsShard(t *testing.T) {
+	first, second := request("a", "k", 1), request("a", "k2", 2)
+	shard := claims.ShardOf(first.Digest())
+	require.NotEqual(t, shard, claims.ShardOf(second.Digest()))
+	for _, name := range []string{"01", "x", "1/2"} {
+		key := shardPrefix(shard) + name
+		store := &memory{objects: map[string]objectstore.Object{key: {Key: key, Version: 1}}, version: 1}
+		h := start(t, store, "a")
+		require.Equal(t, result.ClaimUnavailable, h.Claim(context.Background(), first).Code)
+		require.Equal(t, result.OK, h.Claim(context.Background(), second).Code)
+		require.NoError(t, h.Close(context.Background()))
+	}
+}
+
 // TestHostFailsClosed: two resends of a booking run, because the router went on
 // after a fault in the middle of a step.
 func TestHostFailsClosed(t *testing.T) {
--- a/transport/claims/store.go
+++ b/transport/claims/store.go
@@ -4,34 +4,77 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 
 	"github.com/figstile/figstile/coordination/claims"
 	"github.com/figstile/figstile/transport/objectstore"
 )
 
 // keyPrefix is where the shards lie in the platform. An operator must not
-// delete them: a deleted shard forgets its claims.
+// delete their segments: a deleted one forgets its claims.
 const keyPrefix = "claims/"
 
-func shardKey(shard int) string { return keyPrefix + strconv.Itoa(shard) }
+// foreignSlot stands for the slot of an object that is no segment. It may hold
+// claims, so the machine refuses those of its shard.
+const foreignSlot = -1
+
+func shardPrefix(shard int) string { return keyPrefix + strconv.Itoa(shard) + "/" }
+
+func segmentKey(shard, slot int) string { return shardPrefix(shard) + strconv.Itoa(slot) }
+
+// slotOf returns the slot that a key names.
+func slotOf(shard int, key string) int {
+	slot, err := strconv.Atoi(strings.TrimPrefix(key, shardPrefix(shard)))
+	if err != nil || key != segmentKey(shard, slot) {
+		return foreignSlot
+	}
+	return slot
+}
 
 func (h *Host) read(ctx context.Context, a claims.Read) claims.ReadDone {
-	object, err := h.opts.Store.Get(ctx, shardKey(a.Shard))
-	done := claims.ReadDone{Shard: a.Shard, Outcome: claims.ReadOK}
-	switch {
-	case errors.Is(err, objectstore.ErrNotFound):
-	case err != nil:
-		done.Outcome = claims.ReadFailed
+	get := h.get
+	if a.Whole {
+		get = h.list
+	}
+	done, err := get(ctx, a)
+	if err != nil {
 		h.logFailure("claims-read", a.Shard, err)
-	default:
-		done.Version = claims.Version(object.Version)
-		done.Value = object.Value
+		return claims.ReadDone{Shard: a.Shard, Outcome: claims.ReadFailed}
 	}
+	done.Shard = a.Shard
+	done.Outcome = claims.ReadOK
 	return done
 }
 
+func (h *Host) get(ctx context.Context, a claims.Read) (claims.ReadDone, error) {
+	object, err := h.opts.Store.Get(ctx, segmentKey(a.Shard, a.Slot))
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return claims.ReadDone{}, nil
+	}
+	return claims.ReadDone{Version: claims.Version(object.Version), Value: object.Value}, err
+}
+
+// list reads a whole chain in one call.
+func (h *Host) list(ctx context.Context, a claims.Read) (claims.ReadDone, error) {
+	var done claims.ReadDone
+	objects, _, err := h.opts.Store.List(ctx, shardPrefix(a.Shard))
+	if err != nil {
+		return done, err
+	}
+	for _, object := range objects {
+		slot := slotOf(a.Shard, object.Key)
+		stored := claims.Stored{Slot: slot, Version: claims.Version(object.Version), Value: object.Value}
+		if slot == 0 {
+			done.Version, done.Value = stored.Version, stored.Value
+			continue
+		}
+		done.Others = append(done.Others, stored)
+	}
+	return done, nil
+}
+
 func (h *Host) write(ctx context.Context, a claims.Write) claims.WriteDone {
-	version, err := h.opts.Store.Put(ctx, shardKey(a.Shard), a.Value, objectstore.Version(a.Expected))
+	version, err := h.opts.Store.Put(ctx, segmentKey(a.Shard, a.Slot), a.Value, objectstore.Version(a.Expected))
 	done := claims.WriteDone{Shard: a.Shard, Outcome: writeOutcome(err), Version: claims.Version(version)}
 	if done.Outcome == claims.WriteUnavailable || done.Outcome == claims.WriteUnknown {
 		h.logFailure("claims-write", a.Shard, err)
