--- a/coordination/claims/load_test.go
+++ b/coordination/claims/load_test.go
@@ -111,9 +111,9 @@
 			l.run(t, rate)
 			slices.Sort(l.waits)
 			n := len(l.waits)
-			t.Logf("routers=%d claims/s=%d writes/s=%.1f conflicts/s=%.1f reads/s=%.1f wait p50=%v p99=%v max=%v",
+			t.Logf("routers=%d claims/s=%d writes/s=%.1f conflicts/s=%.1f reads/s=%.1f wait p50=%v p99=%v max=%v written/claim=%d B read/claim=%d B seals=%d",
 				routers, rate, perSecond(l.p.writes), perSecond(l.p.conflicts), perSecond(l.p.reads),
-				l.waits[n/2], l.waits[n*99/100], l.waits[n-1])
+				l.waits[n/2], l.waits[n*99/100], l.waits[n-1], l.p.writtenBytes/n, l.p.readBytes/n, l.p.seals)
 			require.LessOrEqual(t, l.p.writes, FleetRounds*(loadSeconds+3))
 			require.Less(t, l.waits[n-1], decideWithin)
 		}
@@ -121,3 +121,37 @@
 }
 
 func perSecond(count int) float64 { return float64(count) / loadSeconds }
+
+// dayOfKeys is what each shard remembers before the load of TestWritesStaySmall.
+const dayOfKeys = 20_000
+
+// TestWritesStaySmall: by the evening the fleet spends its network on claims,
+// since each write carries the keys of the day. A write carries one segment at
+// most, and each router reads what it has not seen once.
+func TestWritesStaySmall(t *testing.T) {
+	for _, rate := range []int{10, 100, 1000} {
+		l := newLoad(8)
+		l.p.fill(t, dayOfKeys)
+		l.run(t, rate)
+		n := len(l.waits)
+		t.Logf("keys=%d claims/s=%d written/claim=%d B read/claim=%d B cold reads=%d of %d B each writes/s=%.1f reads/s=%.1f",
+			Shards*dayOfKeys, rate, l.p.writtenBytes/n, (l.p.readBytes-l.p.wholeBytes)/n, l.p.wholes, l.p.wholeBytes/l.p.wholes,
+			perSecond(l.p.writes), perSecond(l.p.reads))
+		require.LessOrEqual(t, l.p.writtenBytes, 2*SegmentBytes*l.p.writes)
+		require.LessOrEqual(t, l.p.wholes, 8*Shards, "a chain is read whole once")
+	}
+}
+
+// fill gives each shard a chain of so many keys.
+func (p *platform) fill(t *testing.T, keys int) {
+	t.Helper()
+	segments := filled(keys)
+	for shard := range Shards {
+		for slot, segment := range segments {
+			value, err := segment.Encode()
+			require.NoError(t, err)
+			require.Equal(t, WriteOK, p.write(Write{Shard: shard, Slot: slot, Value: value}).Outcome)
+		}
+	}
+	p.writes, p.writtenBytes, p.seals = 0, 0, 0
+}
