claims: bound a cold start's list by one caller's patience

Cause: review of the segments. The list of a whole chain had ten seconds. A router that starts while the platform does not answer would have let callers wait their three seconds one after the other for that long, before it refuses at once.

Ruled out: the second of the other calls, which some megabytes may exceed on a slow platform; then a full shard could never be read.

--- a/coordination/claims/chain_test.go
+++ b/coordination/claims/chain_test.go
@@ -114,11 +114,11 @@
 	}
 }
 
-// TestWordsOnASealedClaim: a resend hears "in progress" of a booking that was
+// TestLaterStatesOfASealedClaim: a resend hears "in progress" of a booking that was
 // made, or a key stays taken that nobody holds, because the claim's segment
 // takes no more changes. Later entries say what became of it; that a second
 // claim is released must not bring the first one back.
-func TestWordsOnASealedClaim(t *testing.T) {
+func TestLaterStatesOfASealedClaim(t *testing.T) {
 	for _, bytes := range []int{oneEntry, 120, SegmentBytes} {
 		p := &platform{}
 		r := sized("pudahuel-1", bytes)
--- a/coordination/claims/entry.go
+++ b/coordination/claims/entry.go
@@ -24,7 +24,7 @@
 	StatusReleased
 )
 
-// Entry is one claim in a segment, or a later word on a claim that stands in a
+// Entry is one claim in a segment, or a later state of a claim that stands in a
 // sealed one. The last entry of a key in chain order counts.
 type Entry struct {
 	Digest Digest
@@ -69,6 +69,7 @@
 	return n
 }
 
+// expired says whether no entry is needed any more.
 func (s *Segment) expired(now time.Time) bool {
 	return s.expiredEntries(now) == len(s.Entries)
 }
--- a/transport/claims/host.go
+++ b/transport/claims/host.go
@@ -19,13 +19,15 @@
 	// callTimeout bounds one call to the platform, which answers in
 	// milliseconds. A call that takes this long has most likely been lost.
 	callTimeout = time.Second
-	// wholeTimeout bounds the read of a whole chain, once for each shard after
-	// a start: some megabytes where a shard remembers all that it may.
-	wholeTimeout = 10 * time.Second
 	// patience bounds a caller's wait for its claim: two calls that time
 	// out and a round between them. Then it hears "not run" and may send
 	// again, which serves it better than an open connection.
 	patience = 3 * time.Second
+	// wholeTimeout bounds the read of a whole chain, once for each shard after
+	// a start: some megabytes where a shard remembers all that it may. While
+	// a platform that does not answer is not known to be away, every caller
+	// waits in vain, hence no longer than one of them would.
+	wholeTimeout = patience
 )
 
 // Options wire a Host.
