Work out claims in segments in the capacity model

Cause: the model took a claim round to read and write a whole shard of up to a megabyte. With segments it is half a segment in the mean, the room is bounded by the keys remembered, and their memory is that of a machine that has read the chain rather than of encoded entries.

--- a/capacity/calc.go
+++ b/capacity/calc.go
@@ -94,7 +94,10 @@
 func (c *calc) claimed() float64 { return c.Requests * c.Claimed }
 
 // shardRoom is the claims that all shards hold together.
-func (c *calc) shardRoom() float64 { return claims.Shards * shardCapacity(c.slopes[WireShard]) }
+func (c *calc) shardRoom() float64 { return claims.Shards * claims.MaxKeys }
+
+// open is the mean number of entries in an open segment.
+func (c *calc) open() float64 { return openEntries(c.slopes[WireShard]) }
 
 // inShard is the claims in one shard after a day, as far as they fit.
 func (c *calc) inShard() float64 {
--- a/capacity/measure_deciders.go
+++ b/capacity/measure_deciders.go
@@ -81,7 +81,7 @@
 		timed(DemandLines, "lines", []int{1, 10, 100, 630}, hearingDemand),
 		timed(MembershipTick, "routers", routers, membershipTick),
 		timed(MembershipBeat, "routers", routers, membershipBeat),
-		timed(ClaimsRound, "claims in the shard", []int{1000, 10_000, 30_000}, claimsRound),
+		timed(ClaimsRound, "entries in the open segment", openSizes, claimsRound),
 		timed(VMsDecode, "VMs", []int{100, 1000, 10_000}, decodingVMs),
 		{name: DeadOrigins, unit: "incarnations", against: "incarnations that were heard", sizes: []int{1000, 2000, 4000}, value: deadOrigins},
 	}
@@ -319,11 +319,15 @@
 	return float64(len(l.Dead())), nil
 }
 
-// claimsRound reads, extends and writes one shard, as a contended round does.
+// openSizes are the entries an open segment may hold.
+var openSizes = []int{50, 250, 500}
+
+// claimsRound reads, extends and writes an open segment, as a contended round
+// does.
 func claimsRound(entries int) func() {
-	shard := shardOf(entries)
+	segment := segmentOf(entries)
 	return func() {
-		value, err := shard.Encode()
+		value, err := segment.Encode()
 		if err != nil {
 			panic(err)
 		}
@@ -333,19 +337,60 @@
 	}
 }
 
-// shardOf holds claims of some hundred incarnations, as a day in a large
+// claimsRemembered is a machine that has read a shard's chain of sealed
+// segments.
+func claimsRemembered(n int) any {
+	const perSegment = 500
+	m := claims.NewMachine("router-0001", rigIncarnation)
+	now := time.Unix(1_800_000_000, 0)
+	attempt := state.AttemptID{Router: "router-0001", Incarnation: rigIncarnation, Sequence: 1}
+	actions := m.Step(now, claims.Wanted{Request: claims.Request{
+		Workspace: workspaceNamed(0), Service: serviceNamed(0), Key: "key", Attempt: attempt,
+	}})
+	for _, a := range actions {
+		if read, ok := a.(claims.Read); ok {
+			m.Step(now, chainOf(read.Shard, n, perSegment))
+		}
+	}
+	return m
+}
+
+// chainOf answers the read of a whole chain.
+func chainOf(shard, entries, perSegment int) claims.ReadDone {
+	done := claims.ReadDone{Shard: shard, Outcome: claims.ReadOK}
+	all := segmentOf(entries).Entries
+	for number := 0; number*perSegment < entries; number++ {
+		segment := &claims.Segment{
+			Number:  uint64(number),
+			Sealed:  true,
+			Entries: all[number*perSegment : min((number+1)*perSegment, entries)],
+		}
+		value, err := segment.Encode()
+		if err != nil {
+			panic(err)
+		}
+		if number == 0 {
+			done.Version, done.Value = 1, value
+			continue
+		}
+		done.Others = append(done.Others, claims.Stored{Slot: number, Version: 1, Value: value})
+	}
+	return done
+}
+
+// segmentOf holds claims of some hundred incarnations, as a day in a large
 // fleet leaves them.
-func shardOf(entries int) *claims.Shard {
+func segmentOf(entries int) *claims.Segment {
 	const claimers = 256
-	shard := &claims.Shard{}
+	segment := &claims.Segment{}
 	for i := range entries {
 		var digest claims.Digest
 		copy(digest[:], fmt.Sprintf("%016d", i))
 		peer := peerNamed(i % claimers)
-		shard.Entries = append(shard.Entries, claims.Entry{
+		segment.Entries = append(segment.Entries, claims.Entry{
 			Digest: digest, Status: claims.StatusCompleted, At: time.Unix(1_800_000_000, 0),
 			Claim: state.AttemptID{Router: peer.Router, Incarnation: peer.Incarnation, Sequence: uint64(i)},
 		})
 	}
-	return shard
+	return segment
 }
--- a/capacity/measure_memory.go
+++ b/capacity/measure_memory.go
@@ -43,7 +43,7 @@
 			return []any{tree, tree.View()}
 		}),
 		held(MemorySeries, "pairs of workspace and class", []int{32, 128, 512}, seriesOf),
-		held(MemoryShard, "claims in the shard", []int{1000, 10_000, 30_000}, func(n int) any { return shardOf(n) }),
+		held(MemoryShard, "claims in the shard", []int{1000, 10_000, 30_000}, claimsRemembered),
 	}
 }
 
--- a/capacity/measure_traffic.go
+++ b/capacity/measure_traffic.go
@@ -232,7 +232,7 @@
 }
 
 func emptyShard() []byte {
-	value, err := (&claims.Shard{}).Encode()
+	value, err := (&claims.Segment{}).Encode()
 	if err != nil {
 		panic(err)
 	}
--- a/capacity/measure_wire.go
+++ b/capacity/measure_wire.go
@@ -72,9 +72,9 @@
 			value: func(_ context.Context, n int) (float64, error) { return float64(len(vmList(n))), nil },
 		},
 		{
-			name: WireShard, unit: "B", against: "claims in the shard", sizes: []int{1000, 10_000, 30_000},
+			name: WireShard, unit: "B", against: "entries in the open segment", sizes: openSizes,
 			value: func(_ context.Context, n int) (float64, error) {
-				value, err := shardOf(n).Encode()
+				value, err := segmentOf(n).Encode()
 				return float64(len(value)), err
 			},
 		},
@@ -145,7 +145,7 @@
 	return encoded(answer)
 }
 
-// shardCapacity is how many claims fit one shard's object.
-func shardCapacity(bytes Slope) float64 {
-	return (claims.MaxShardBytes - bytes.Base) / bytes.Rate
+// openEntries is the mean number of entries in an open segment.
+func openEntries(bytes Slope) float64 {
+	return max(0, claims.SegmentBytes-bytes.Base) / bytes.Rate / 2
 }
--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -270,7 +270,7 @@
 	rounds := math.Min(claims.FleetRounds, own)
 	perRouter := rounds / c.Routers
 	return load{
-		core:   nanosecond * perRouter * c.at(ClaimsRound, held),
+		core:   nanosecond * perRouter * c.at(ClaimsRound, c.open()),
 		mb:     shards / c.Routers * c.at(MemoryShard, held) / megabyte,
 		writes: rounds,
 	}
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -100,15 +100,16 @@
 	}
 }
 
-// claimWriter keeps a copy of every shard and writes it in rounds.
+// claimWriter remembers the keys of every shard and writes open segments in
+// rounds.
 func (c *calc) claimWriter() load {
 	rounds := c.rounds() / c.Routers
 	held := c.inShard()
 	return load{
 		messages: 2 * rounds,
-		core:     nanosecond * rounds * c.at(ClaimsRound, held),
+		core:     nanosecond * rounds * c.at(ClaimsRound, c.open()),
 		mb:       claims.Shards * c.at(MemoryShard, held) / megabyte,
-		kb:       2 * rounds * onPlatform(c.at(WireShard, held)) / kilobyte,
+		kb:       2 * rounds * onPlatform(c.at(WireShard, c.open())) / kilobyte,
 		reads:    c.rounds(),
 		writes:   c.rounds(),
 	}
@@ -240,7 +241,7 @@
 		{Owner, "fairness bound", "s of own part", func(c *calc) float64 { return c.bound(c.stale()) }, nil, "extrapolated counters"},
 	},
 	Claims: {
-		{Claims, "claims remembered", "claims", func(c *calc) float64 { return c.claimed() * retained }, (*calc).shardRoom, "shards of limited size"},
+		{Claims, "claims remembered", "claims", func(c *calc) float64 { return c.claimed() * retained }, (*calc).shardRoom, "keys remembered by every router"},
 		{Claims, "mean wait, all shards in use", "s", func(c *calc) float64 { return c.at(ClaimWait, c.Routers) }, func(c *calc) float64 { return c.MaxFirst }, "rounds shared by all routers"},
 	},
 	Watcher: {
--- a/coordination/claims/chain_test.go
+++ b/coordination/claims/chain_test.go
@@ -264,7 +264,7 @@
 
 // BenchmarkMemoryPerKey reports the heap that a sealed key takes.
 func BenchmarkMemoryPerKey(b *testing.B) {
-	for _, keys := range []int{1000, 10_000, maxKeys} {
+	for _, keys := range []int{1000, 10_000, MaxKeys} {
 		b.Run(fmt.Sprint(keys), func(b *testing.B) { benchmarkMemory(b, keys) })
 	}
 }
--- a/coordination/claims/entry.go
+++ b/coordination/claims/entry.go
@@ -55,8 +55,6 @@
 	Entries []Entry
 }
 
-// Shard is the former name of Segment, which the capacity measurements use.
-type Shard = Segment
 
 // expiredEntries counts the entries that are not needed any more.
 func (s *Segment) expiredEntries(now time.Time) int {
--- a/coordination/claims/limits.go
+++ b/coordination/claims/limits.go
@@ -16,18 +16,18 @@
 	SegmentBytes = 16 << 10
 	// Slots is the number of objects that a chain uses in turn. The platform
 	// has no deletion, so that without an end to the names a cold start's
-	// list would grow for ever. It holds five entries for each of maxKeys,
+	// list would grow for ever. It holds five entries for each of MaxKeys,
 	// where a claim and its completion need two. Every router must agree on
 	// the number: with another one a chain would have gaps.
 	Slots = 512
 	// reservedSlots are kept from claims, so that a full shard still takes
 	// completions and releases.
 	reservedSlots = Slots / 8
-	// maxKeys bounds the keys of a shard that a router remembers, at some 70
+	// MaxKeys bounds the keys of a shard that a router remembers, at some 70
 	// bytes each: 16 shards of them take less than half of the 128 MB that a
 	// router may spend on control. Beyond it claims are refused, since to
 	// forget one would run it twice.
-	maxKeys = 50_000
+	MaxKeys = 50_000
 	// Retention is how long a key is remembered. Callers that send again
 	// after more than a day are taken for new.
 	Retention = 24 * time.Hour
--- a/coordination/claims/machine.go
+++ b/coordination/claims/machine.go
@@ -132,7 +132,7 @@
 func NewMachine(router state.Router, incarnation state.Incarnation) *Machine {
 	m := &Machine{
 		self:   claimer{router, incarnation},
-		limits: limits{segmentBytes: SegmentBytes, slots: Slots, reserved: reservedSlots, keys: maxKeys},
+		limits: limits{segmentBytes: SegmentBytes, slots: Slots, reserved: reservedSlots, keys: MaxKeys},
 	}
 	m.resize(defaultRouters)
 	for i := range m.shards {
