Check every load report in one place

Cause: load reports were decoded twice, by the poller without a check and by the orders with one. The poller took negative counts and any number of slots: an upstream that reports nonsense would have won all work. Both now use one reader, in transport/upstream, with its fuzz target.

Ruled out: none of the checks is dropped; the orders keep theirs for reports handed to them.

--- a/transport/daemon/orders.go
+++ b/transport/daemon/orders.go
@@ -15,6 +15,7 @@
 	"github.com/figstile/figstile/transport/objectstore"
 	"github.com/figstile/figstile/transport/orders"
 	"github.com/figstile/figstile/transport/settings"
+	"github.com/figstile/figstile/transport/upstream"
 )
 
 // orderDesk runs a controller of orders for each engine that this router owns
@@ -95,7 +96,7 @@
 
 // reported passes a load report on to the engine's controller. A report that
 // cannot be right is dropped: it would bring orders against a sound engine. The
-// first of a row is logged, as an engine is polled four times a second.
+// first of a row is logged, as an engine is polled once a second.
 func (o *orderDesk) reported(report state.LoadReport) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -103,7 +104,7 @@
 	if e == nil || e.leaving {
 		return
 	}
-	err := orders.CheckReport(report.Upstream, report)
+	err := upstream.CheckReport(report.Upstream, report)
 	if err != nil && !e.misreports {
 		o.options.Log.Warn().Err(err).Msg("order_report_refused")
 	}
--- a/transport/daemon/orders_test.go
+++ b/transport/daemon/orders_test.go
@@ -20,6 +20,7 @@
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/transport/objectstore"
 	"github.com/figstile/figstile/transport/orders"
+	poll "github.com/figstile/figstile/transport/upstream"
 )
 
 // deskBench is one router's orders before one engine whose loads last until
@@ -87,7 +88,7 @@
 
 // poll hands the engine's load to the orders.
 func (b *deskBench) poll() {
-	report, err := orders.FetchReport(b.t.Context(), http.DefaultClient, b.url, "engine-1")
+	report, err := poll.FetchReport(b.t.Context(), http.DefaultClient, b.url, "engine-1")
 	require.NoError(b.t, err)
 	b.desk.reported(report)
 }
--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -19,6 +19,7 @@
 	"github.com/figstile/figstile/standin/upstream"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/transport/objectstore"
+	poll "github.com/figstile/figstile/transport/upstream"
 )
 
 // patience bounds waits on conditions; no outcome depends on it.
@@ -176,7 +177,7 @@
 	go func() { ended <- c.Run(ctx) }()
 	c.Want(&fencing.Wish{Models: []state.Model{"m"}}, 1)
 	require.Eventually(t, func() bool {
-		report, err := FetchReport(ctx, http.DefaultClient, url, "engine")
+		report, err := poll.FetchReport(ctx, http.DefaultClient, url, "engine")
 		require.NoError(t, err)
 		c.Report(report)
 		models := e.Models()
--- a/transport/upstream/poller.go
+++ b/transport/upstream/poller.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -27,8 +24,6 @@
 	// pollTimeout bounds one poll. An upstream too busy to answer for a
 	// second is no place for new work.
 	pollTimeout = time.Second
-	// reportBytes bounds a load report: a few hundred model names.
-	reportBytes = 64 << 10
 )
 
 // Target is one upstream whose load report is fetched.
@@ -146,34 +141,8 @@
 	return scheduler.Reported{Report: report}
 }
 
-// fetch takes a report only from the upstream it was asked of: after an
-// address is reused, another upstream answers there, and its free slots would
-// earn grants for the one that is gone.
 func (p *Poller) fetch(ctx context.Context, t Target) (state.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	var report state.LoadReport
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.BaseURL+"/load", nil)
-	if err != nil {
-		return report, err
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return report, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return report, fmt.Errorf("upstream: load report has status %d", resp.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
-	if err != nil {
-		return report, err
-	}
-	if err := json.Unmarshal(body, &report); err != nil {
-		return report, err
-	}
-	if report.Upstream != t.Upstream {
-		return report, fmt.Errorf("upstream: load report of %q where %q was expected", report.Upstream, t.Upstream)
-	}
-	return report, nil
+	return FetchReport(ctx, p.client, t.BaseURL, t.Upstream)
 }
--- a/transport/orders/report.go
+++ b/transport/upstream/report.go
@@ -1,4 +1,4 @@
-package orders
+package upstream
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 
 // Error names the upstream and the reason.
 func (e *ReportError) Error() string {
-	text := fmt.Sprintf("orders: load report of %s: %s", e.Upstream, e.Reason)
+	text := fmt.Sprintf("upstream: load report of %s: %s", e.Upstream, e.Reason)
 	if e.Cause != nil {
 		text += ": " + e.Cause.Error()
 	}
@@ -73,7 +73,7 @@
 	return report, nil
 }
 
-// CheckReport returns a *ReportError if orders must not go by the report.
+// CheckReport returns a *ReportError if nothing may go by the report.
 func CheckReport(upstream state.Upstream, report state.LoadReport) error {
 	if reason := faultOf(upstream, report); reason != "" {
 		return &ReportError{Upstream: upstream, Reason: reason}
--- a/transport/orders/report_test.go
+++ b/transport/upstream/report_test.go
@@ -1,4 +1,4 @@
-package orders
+package upstream
 
 import (
 	"encoding/json"
