Choose among own upstreams without a walk over those of other owners

Cause: byLoad, noteUsable and repeatLeaving walked (or sorted) every known upstream on each request, report and tick, and refreshShares did at each exchange, although a router owns some 14 of 10,000.

A service now lists its own upstreams in the order of the settings, counts those of other owners that are to get work, and holds those of them that announced a departure. Announcements grow old without an event; a set that is looked through only when every upstream is in it needs no timer. Shares are worked out again only after a change of owners, peers or slots, which are all that they depend on.

Ruled out: a count of usable own upstreams. Freshness and cool-down end with time alone, so it would need timers, and walking 14 is cheap.

Of a request, the names of 729 owners that are sorted anew are still left.

--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -47,8 +47,8 @@
 // byLoad lists the owned upstreams with a free slot, the emptiest first.
 func (s *Scheduler) byLoad(svc *service) []*upstream {
 	var free []*upstream
-	for _, u := range svc.upstreams {
-		if u.owner == s.self.Router && s.accepts(u) && u.tracker.FreeAhead(s.now) > 0 {
+	for _, u := range svc.owned {
+		if s.accepts(u) && u.tracker.FreeAhead(s.now) > 0 {
 			free = append(free, u)
 		}
 	}
--- /dev/null
+++ b/coordination/scheduler/large_test.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/config"
+)
+
+// largeRouters and largeUpstreams are the destination; its 25 data centres
+// make a router own about 14 upstreams.
+const (
+	largeRouters   = 730
+	largeUpstreams = 10_000
+	largeCentres   = 25
+)
+
+func largePeers(n int) []Peer {
+	list := make([]Peer, 0, n)
+	for i := range n {
+		dc := state.DataCentre(fmt.Sprintf("dc-%02d", i%largeCentres))
+		list = append(list, Peer{Router: state.Router(fmt.Sprintf("router-%04d", i)), DataCentre: dc, Incarnation: 1})
+	}
+	return list
+}
+
+func largeSettings(upstreams int) Configured {
+	svc := config.Service{Name: "draft"}
+	for i := range upstreams {
+		dc := state.DataCentre(fmt.Sprintf("dc-%02d", i%largeCentres))
+		svc.Upstreams = append(svc.Upstreams, config.Upstream{Name: state.Upstream(fmt.Sprintf("vm-%05d", i)), DataCentre: dc})
+	}
+	return Configured{Settings: config.Settings{Services: []config.Service{svc}}}
+}
+
+// newLarge returns a router of a large fleet and what it owns.
+func newLarge(now time.Time, upstreams int) (*Scheduler, []state.Upstream) {
+	all := largePeers(largeRouters)
+	s := New(Options{Self: all[0]})
+	s.Step(now, PeersChanged{Peers: all})
+	owned := only[Owned](s.Step(now, largeSettings(upstreams)))
+	return s, owned[0].Upstreams
+}
+
+func bySize(b *testing.B, run func(b *testing.B, upstreams int)) {
+	for _, n := range []int{1000, largeUpstreams} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { run(b, n) })
+	}
+}
+
+// BenchmarkLargeRequest is a request that an own upstream serves at once.
+func BenchmarkLargeRequest(b *testing.B) {
+	bySize(b, func(b *testing.B, upstreams int) {
+		now := time.Unix(1000, 0)
+		s, owned := newLarge(now, upstreams)
+		for _, u := range owned {
+			s.Step(now, Reported{Report: state.LoadReport{Upstream: u, Boot: "1", Slots: 8}})
+		}
+		id := state.RequestID(0)
+		for b.Loop() {
+			id++
+			s.Step(now, Arrived{Request: Request{ID: id, Service: "draft", Workspace: "w"}})
+			s.Step(now, Ended{ID: id, Cost: 1, Outcome: OutcomeServed})
+		}
+	})
+}
+
+// BenchmarkLargeTick is the mean of ticks with exchanges and housekeeping.
+func BenchmarkLargeTick(b *testing.B) {
+	bySize(b, func(b *testing.B, upstreams int) {
+		now := time.Unix(1000, 0)
+		s, _ := newLarge(now, upstreams)
+		for b.Loop() {
+			now = now.Add(TickInterval)
+			s.Step(now, Tick{})
+		}
+	})
+}
+
+// BenchmarkLargePeers is a change of peers: a router restarts, and one leaves
+// and joins again.
+func BenchmarkLargePeers(b *testing.B) {
+	now := time.Unix(1000, 0)
+	all := largePeers(largeRouters)
+	b.Run("restart", func(b *testing.B) {
+		s, _ := newLarge(now, largeUpstreams)
+		for b.Loop() {
+			all[1].Incarnation++
+			s.Step(now, PeersChanged{Peers: all})
+		}
+	})
+	b.Run("leave-and-join", func(b *testing.B) {
+		s, _ := newLarge(now, largeUpstreams)
+		for b.Loop() {
+			s.Step(now, PeersChanged{Peers: all[:len(all)-1]})
+			s.Step(now, PeersChanged{Peers: all})
+		}
+	})
+}
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -94,6 +94,8 @@
 		s.do(Owned{Upstreams: owned})
 	}
 	for _, svc := range s.sortedServices() {
+		s.sortOut(svc)
+		svc.sharesStale = true
 		s.refreshShares(svc)
 		s.refreshBelieved(svc)
 		s.noteUsable(svc)
@@ -103,6 +105,10 @@
 
 // refreshShares tells the ledger which part of the slots each router has.
 func (s *Scheduler) refreshShares(svc *service) {
+	if !svc.sharesStale {
+		return
+	}
+	svc.sharesStale = false
 	total := 0.0
 	byOwner := make(map[state.Router]float64)
 	usual := usualSlots(svc.upstreams)
--- a/coordination/scheduler/settings.go
+++ b/coordination/scheduler/settings.go
@@ -21,10 +21,20 @@
 	// configured is false while only peers speak of the service.
 	configured bool
 	upstreams  []*upstream
-	ledger     *fairness.Ledger
-	demand     *demand.Book
+	// owned are the upstreams of this router, in the order of upstreams.
+	owned []*upstream
+	// elsewhere counts the upstreams of other owners that are to get work, and
+	// departed holds those of them that announced a departure. One whose
+	// announcement has grown old stays in it until usableElsewhere looks.
+	elsewhere int
+	departed  map[*upstream]struct{}
+	ledger    *fairness.Ledger
+	demand    *demand.Book
 	// shares are the routers' parts of the service's slots.
 	shares map[state.Router]float64
+	// sharesStale says that owners, peers or slots changed since shares were
+	// worked out.
+	sharesStale bool
 	// believed is what other owners take to be waiting here.
 	believed map[state.Router]map[demand.Key]int
 	// changed are lines to compare with believed at the next batch, urgent
@@ -63,14 +73,16 @@
 		return nil
 	}
 	svc := &service{
-		name:       name,
-		ledger:     fairness.New(s.seed),
-		demand:     demand.New(),
-		shares:     make(map[state.Router]float64),
-		believed:   make(map[state.Router]map[demand.Key]int),
-		changed:    make(map[demand.Key]struct{}),
-		urgent:     make(map[demand.Key]struct{}),
-		unanswered: make(map[demand.Key]struct{}),
+		name:        name,
+		departed:    make(map[*upstream]struct{}),
+		ledger:      fairness.New(s.seed),
+		demand:      demand.New(),
+		shares:      make(map[state.Router]float64),
+		sharesStale: true,
+		believed:    make(map[state.Router]map[demand.Key]int),
+		changed:     make(map[demand.Key]struct{}),
+		urgent:      make(map[demand.Key]struct{}),
+		unanswered:  make(map[demand.Key]struct{}),
 	}
 	s.services[name] = svc
 	return svc
@@ -149,13 +161,49 @@
 	return m == "" || len(svc.settings.Models) == 0 || slices.Contains(svc.settings.Models, m)
 }
 
-// ownedBy lists the service's upstreams of one owner.
-func (svc *service) ownedBy(r state.Router) []*upstream {
-	var owned []*upstream
+// sortOut tells own upstreams from those of others.
+//
+// Made for large fleets: a router owns some fourteen of thousands of
+// upstreams, and a choice on each request and tick must not walk all of them.
+func (s *Scheduler) sortOut(svc *service) {
+	svc.owned = nil
+	svc.elsewhere = 0
+	clear(svc.departed)
 	for _, u := range svc.upstreams {
-		if u.owner == r {
-			owned = append(owned, u)
+		if u.owner == s.self.Router {
+			svc.owned = append(svc.owned, u)
+		}
+		if s.countsElsewhere(u) {
+			svc.elsewhere++
+		}
+		s.noteDeparture(svc, u)
+	}
+}
+
+func (s *Scheduler) countsElsewhere(u *upstream) bool {
+	return u.owner != "" && u.owner != s.self.Router && !u.settings.Draining
+}
+
+// noteDeparture follows what is announced of an upstream.
+func (s *Scheduler) noteDeparture(svc *service, u *upstream) {
+	if s.countsElsewhere(u) && u.tracker.LeftLately(s.now) {
+		svc.departed[u] = struct{}{}
+		return
+	}
+	delete(svc.departed, u)
+}
+
+// usableElsewhere reports whether some other owner may have a usable upstream.
+// Of those, this router only knows announced departures. It walks them only
+// when every single one is announced.
+func (s *Scheduler) usableElsewhere(svc *service) bool {
+	if svc.elsewhere > len(svc.departed) {
+		return true
+	}
+	for u := range svc.departed {
+		if !u.tracker.LeftLately(s.now) {
+			delete(svc.departed, u)
 		}
 	}
-	return owned
+	return svc.elsewhere > len(svc.departed)
 }
--- a/coordination/scheduler/status.go
+++ b/coordination/scheduler/status.go
@@ -74,10 +74,8 @@
 	for _, svc := range s.sortedServices() {
 		st.Services = append(st.Services, s.serviceStatus(svc))
 	}
-	for _, u := range s.sortedUpstreams() {
-		if u.owner == s.self.Router {
-			st.Owned = append(st.Owned, u.status(now))
-		}
+	for _, name := range s.owned {
+		st.Owned = append(st.Owned, s.upstreams[name].status(now))
 	}
 	for _, p := range sortedPeers(s.peers) {
 		st.Peers = append(st.Peers, PeerStatus(p))
--- a/coordination/scheduler/upstream.go
+++ b/coordination/scheduler/upstream.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figstile/figstile/coordination/quarantine"
@@ -13,6 +14,7 @@
 		return
 	}
 	boot := u.tracker.Boot()
+	slots := u.tracker.Slots()
 	leaving := u.tracker.Leaving()
 	if u.tracker.Report(s.now, r) {
 		s.fallen(u, boot)
@@ -20,6 +22,10 @@
 	if u.tracker.Leaving() && !leaving && u.owner == s.self.Router {
 		s.do(SendLeaving{Upstream: u.name, Boot: r.Boot})
 	}
+	if u.tracker.Slots() != slots {
+		u.service.sharesStale = true
+	}
+	s.noteDeparture(u.service, u)
 	s.noteUsable(u.service)
 	s.touch(u.service.name)
 }
@@ -40,14 +46,16 @@
 		return
 	}
 	u.tracker.Leave(s.now, e.Boot)
+	s.noteDeparture(u.service, u)
 	s.noteUsable(u.service)
 }
 
 // repeatLeaving keeps others from taking a draining upstream for usable once
 // their memory of the announcement ends.
 func (s *Scheduler) repeatLeaving() {
-	for _, u := range s.sortedUpstreams() {
-		if _, fresh := u.tracker.Last(s.now); fresh && u.owner == s.self.Router && u.tracker.Leaving() {
+	for _, name := range s.owned {
+		u := s.upstreams[name]
+		if _, fresh := u.tracker.Last(s.now); fresh && u.tracker.Leaving() {
 			s.do(SendLeaving{Upstream: u.name, Boot: u.tracker.Boot()})
 		}
 	}
@@ -58,27 +66,17 @@
 	return !u.settings.Draining && u.tracker.Usable(s.now) && !u.outlier.Cooling(s.now)
 }
 
-// noteUsable keeps track of since when a service has no usable upstream. Of
-// upstreams that others own this router only knows announced departures.
+// noteUsable keeps track of since when a service has no usable upstream.
 func (s *Scheduler) noteUsable(svc *service) {
-	for _, u := range svc.upstreams {
-		if s.mayBeUsable(u) {
-			svc.unusableSince = time.Time{}
-			return
-		}
+	if s.usableElsewhere(svc) || slices.ContainsFunc(svc.owned, s.accepts) {
+		svc.unusableSince = time.Time{}
+		return
 	}
 	if svc.unusableSince.IsZero() {
 		svc.unusableSince = s.now
 	}
 }
 
-func (s *Scheduler) mayBeUsable(u *upstream) bool {
-	if u.owner == s.self.Router {
-		return s.accepts(u)
-	}
-	return u.owner != "" && !u.settings.Draining && !u.tracker.LeftLately(s.now)
-}
-
 // watch judges an owned upstream by how dispatches end.
 //
 // Made for an upstream that fails at once: it always looks idle and would
@@ -101,13 +99,12 @@
 }
 
 func (s *Scheduler) canSpare(u *upstream) bool {
-	owned := u.service.ownedBy(s.self.Router)
-	for _, other := range owned {
+	for _, other := range u.service.owned {
 		if other != u && s.accepts(other) {
 			return true
 		}
 	}
-	return len(owned) == 1 && len(u.service.upstreams) > 1
+	return len(u.service.owned) == 1 && len(u.service.upstreams) > 1
 }
 
 // suspect tells all peers that the connection of a request was lost: they
