Keep the other owners of a service in order instead of sorting them per request

The set changes only with the owners, so the sorted list is made there.

Ruled out: iterating the map without order. The same events would not give the same actions.

--- a/coordination/scheduler/demand.go
+++ b/coordination/scheduler/demand.go
@@ -69,14 +69,13 @@
 
 // firstOwners picks owners in turn.
 func (s *Scheduler) firstOwners(svc *service) []state.Router {
-	owners := sortedRouters(svc.believed)
-	if len(owners) <= firstAsked {
-		return owners
+	if len(svc.owners) <= firstAsked {
+		return svc.owners
 	}
 	svc.turn++
 	var chosen []state.Router
 	for i := range firstAsked {
-		chosen = append(chosen, owners[(svc.turn*firstAsked+i)%len(owners)])
+		chosen = append(chosen, svc.owners[(svc.turn*firstAsked+i)%len(svc.owners)])
 	}
 	return chosen
 }
@@ -89,7 +88,7 @@
 		}
 		keys := sortedKeys(svc.unanswered)
 		clear(svc.unanswered)
-		s.sendDemand(svc, sortedRouters(svc.believed), keys, isNews)
+		s.sendDemand(svc, svc.owners, keys, isNews)
 	}
 }
 
@@ -102,7 +101,7 @@
 		}
 		keys := sortedKeys(svc.changed)
 		clear(svc.changed)
-		s.sendDemand(svc, sortedRouters(svc.believed), keys, differsMuch)
+		s.sendDemand(svc, svc.owners, keys, differsMuch)
 	}
 }
 
@@ -135,7 +134,7 @@
 // refreshDemand repeats the whole demand to owners who have heard of any.
 func (s *Scheduler) refreshDemand() {
 	for _, svc := range s.sortedServices() {
-		for _, owner := range sortedRouters(svc.believed) {
+		for _, owner := range svc.owners {
 			if len(svc.believed[owner]) > 0 {
 				s.sendAllDemand(svc, owner)
 			}
@@ -172,6 +171,7 @@
 			s.sendAllDemand(svc, r)
 		}
 	}
+	svc.owners = sortedRouters(svc.believed)
 }
 
 func believe(believed map[demand.Key]int, k demand.Key, waiting int) {
--- a/coordination/scheduler/settings.go
+++ b/coordination/scheduler/settings.go
@@ -37,6 +37,8 @@
 	sharesStale bool
 	// believed is what other owners take to be waiting here.
 	believed map[state.Router]map[demand.Key]int
+	// owners are the routers of believed in order of name.
+	owners []state.Router
 	// changed are lines to compare with believed at the next batch, urgent
 	// those of this step.
 	changed map[demand.Key]struct{}
