Follow owners from one set of routers to the next

Cause: refreshOwners sorted all upstreams and looked each up among all routers on every PeersChanged, also when a router had only restarted or been told of again.

Nothing moves now while the routers that may own are the same. If one joins or leaves, an owner that stayed is compared with those that joined only, and an owner that left is looked up anew. New settings work out everything. Shares and what owners believe are still gone through, because they depend on peers' incarnations as well.

Ruled out: a hash of our own beside the library's. With more than 16 that joined, half of a data centre's routers, the look-up stays; the bound was not measured.

--- a/coordination/ownership/ownership.go
+++ b/coordination/ownership/ownership.go
@@ -12,6 +12,12 @@
 	"github.com/figstile/figstile/state"
 )
 
+// maxJoined is how many routers may join a ring at once before owners are
+// looked up anew instead of compared with those that joined: half of a data
+// centre's 29 routers at the destination, beyond which a comparison is hardly
+// shorter than the look-up. A rack of ten is below it.
+const maxJoined = 16
+
 // Candidate is a live router that may own upstreams.
 type Candidate struct {
 	Router     state.Router
@@ -21,8 +27,8 @@
 
 // Table maps upstreams to owners for one set of live routers.
 type Table struct {
-	byCentre map[state.DataCentre]*rendezvous.Rendezvous
-	all      *rendezvous.Rendezvous
+	byCentre map[state.DataCentre]*ring
+	all      *ring
 }
 
 // New builds the table. Draining routers own nothing, unless no other router
@@ -39,9 +45,9 @@
 		names[c.DataCentre] = append(names[c.DataCentre], string(c.Router))
 		all = append(all, string(c.Router))
 	}
-	t := &Table{byCentre: make(map[state.DataCentre]*rendezvous.Rendezvous, len(names)), all: hashRing(all)}
+	t := &Table{byCentre: make(map[state.DataCentre]*ring, len(names)), all: newRing(all)}
 	for dc, routers := range names {
-		t.byCentre[dc] = hashRing(routers)
+		t.byCentre[dc] = newRing(routers)
 	}
 	return t
 }
@@ -50,15 +56,33 @@
 // of the upstream's data centre come first, because a partition that cuts
 // data centres apart then leaves upstream and owner on the same side.
 func (t *Table) Owner(upstream state.Upstream, dc state.DataCentre) state.Router {
-	ring, ok := t.byCentre[dc]
-	if !ok {
-		ring = t.all
+	return t.ring(dc).owner(upstream)
+}
+
+func (t *Table) ring(dc state.DataCentre) *ring {
+	if r, ok := t.byCentre[dc]; ok {
+		return r
 	}
-	return state.Router(ring.Lookup(string(upstream)))
+	return t.all
+}
+
+// ring is the rendezvous hash over one set of routers.
+type ring struct {
+	names []string
+	hash  *rendezvous.Rendezvous
 }
 
-// hashRing sorts the names, so that equal hashes are settled alike everywhere.
-func hashRing(names []string) *rendezvous.Rendezvous {
+// newRing sorts the names, so that equal hashes are settled alike everywhere.
+func newRing(names []string) *ring {
 	slices.Sort(names)
-	return rendezvous.New(names, xxhash.Sum64String)
+	return &ring{names: names, hash: rendezvous.New(names, xxhash.Sum64String)}
+}
+
+func (r *ring) owner(upstream state.Upstream) state.Router {
+	return state.Router(r.hash.Lookup(string(upstream)))
+}
+
+func (r *ring) has(router state.Router) bool {
+	_, found := slices.BinarySearch(r.names, string(router))
+	return found
 }
--- a/coordination/scheduler/demand.go
+++ b/coordination/scheduler/demand.go
@@ -155,23 +155,16 @@
 
 // refreshBelieved follows a change of owners: new ones hear everything.
 func (s *Scheduler) refreshBelieved(svc *service) {
-	owners := make(map[state.Router]struct{})
-	for _, u := range svc.upstreams {
-		if u.owner != s.self.Router && u.owner != "" {
-			owners[u.owner] = struct{}{}
-		}
-	}
 	for r := range svc.believed {
-		if _, ok := owners[r]; !ok {
+		if _, ok := slices.BinarySearch(svc.owners, r); !ok {
 			delete(svc.believed, r)
 		}
 	}
-	for _, r := range sortedRouters(owners) {
+	for _, r := range svc.owners {
 		if _, ok := svc.believed[r]; !ok {
 			s.sendAllDemand(svc, r)
 		}
 	}
-	svc.owners = sortedRouters(svc.believed)
 }
 
 func believe(believed map[demand.Key]int, k demand.Key, waiting int) {
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -69,38 +69,89 @@
 	}
 }
 
-// refreshOwners works out anew who owns what, after a change of routers or of
-// upstreams.
+// refreshOwners follows a change of routers or of upstreams.
 func (s *Scheduler) refreshOwners() {
+	moved := s.reassign()
+	s.sendOwned()
+	for _, svc := range s.sortedServices() {
+		if moved {
+			s.sortOut(svc)
+		}
+		svc.sharesStale = true
+		s.refreshShares(svc)
+		s.refreshBelieved(svc)
+		s.noteUsable(svc)
+		s.touch(svc.name)
+	}
+}
+
+// reassign works out who owns what and reports whether that may have changed.
+//
+// Made for large fleets, where hundreds of routers restart or end every day: a
+// restart that is seen as one change moves no upstream, and any other change
+// few of them.
+func (s *Scheduler) reassign() bool {
+	before := s.table
+	candidates := s.ownerCandidates()
+	if before != nil && slices.Equal(candidates, s.candidates) {
+		return false
+	}
+	s.candidates = candidates
+	s.table = ownership.New(candidates)
+	if before == nil {
+		s.assignAll()
+		return true
+	}
+	return s.follow(ownership.NewChange(before, s.table))
+}
+
+func (s *Scheduler) ownerCandidates() []ownership.Candidate {
 	candidates := []ownership.Candidate{{Router: s.self.Router, DataCentre: s.self.DataCentre, Draining: s.draining}}
 	for _, p := range sortedPeers(s.peers) {
 		candidates = append(candidates, ownership.Candidate{Router: p.Router, DataCentre: p.DataCentre, Draining: p.Draining})
 	}
-	table := ownership.New(candidates)
+	return candidates
+}
+
+func (s *Scheduler) assignAll() {
+	for _, u := range s.listed {
+		u.assign(s.table.Owner(u.name, u.settings.DataCentre))
+	}
+}
+
+// follow moves the upstreams whose owner left or lost to one that joined.
+func (s *Scheduler) follow(change *ownership.Change) bool {
+	if change.None() {
+		return false
+	}
+	for _, u := range s.listed {
+		u.assign(change.Owner(u.name, u.settings.DataCentre, u.owner))
+	}
+	return true
+}
+
+func (u *upstream) assign(owner state.Router) {
+	if owner == u.owner {
+		return
+	}
+	u.owner = owner
+	u.tracker.Distrust()
+}
+
+// sendOwned tells the host whose load reports to fetch.
+func (s *Scheduler) sendOwned() {
 	var owned []state.Upstream
-	for _, u := range s.sortedUpstreams() {
-		owner := table.Owner(u.name, u.settings.DataCentre)
-		if owner == s.self.Router {
+	for _, u := range s.listed {
+		if u.owner == s.self.Router {
 			owned = append(owned, u.name)
 		}
-		if owner != u.owner {
-			u.tracker.Distrust()
-		}
-		u.owner = owner
 	}
-	if !s.ownedSent || !slices.Equal(owned, s.owned) {
-		s.owned = owned
-		s.ownedSent = true
-		s.do(Owned{Upstreams: owned})
-	}
-	for _, svc := range s.sortedServices() {
-		s.sortOut(svc)
-		svc.sharesStale = true
-		s.refreshShares(svc)
-		s.refreshBelieved(svc)
-		s.noteUsable(svc)
-		s.touch(svc.name)
+	if s.ownedSent && slices.Equal(owned, s.owned) {
+		return
 	}
+	s.owned = owned
+	s.ownedSent = true
+	s.do(Owned{Upstreams: owned})
 }
 
 // refreshShares tells the ledger which part of the slots each router has.
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 	"github.com/figstile/figstile/coordination/estimate"
 	"github.com/figstile/figstile/coordination/grants"
+	"github.com/figstile/figstile/coordination/ownership"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/queue"
 	"github.com/figstile/figstile/coordination/retry"
@@ -33,7 +34,13 @@
 	settings   config.Settings
 	services   map[state.Service]*service
 	upstreams  map[state.Upstream]*upstream
-	peers      map[state.Router]Peer
+	// listed are the upstreams in order of name.
+	listed []*upstream
+	peers  map[state.Router]Peer
+	// candidates and table are what the present owners follow from; table is
+	// nil if upstreams changed since.
+	candidates []ownership.Candidate
+	table      *ownership.Table
 	owned      []state.Upstream
 	ownedSent  bool
 
@@ -252,8 +259,8 @@
 	return list
 }
 
-func (s *Scheduler) sortedUpstreams() []*upstream {
-	list := slices.Collect(maps.Values(s.upstreams))
+func sortedUpstreams(upstreams map[state.Upstream]*upstream) []*upstream {
+	list := slices.Collect(maps.Values(upstreams))
 	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.name, b.name) })
 	return list
 }
--- a/coordination/scheduler/settings.go
+++ b/coordination/scheduler/settings.go
@@ -37,7 +37,7 @@
 	sharesStale bool
 	// believed is what other owners take to be waiting here.
 	believed map[state.Router]map[demand.Key]int
-	// owners are the routers of believed in order of name.
+	// owners are the other owners in order of name.
 	owners []state.Router
 	// changed are lines to compare with believed at the next batch, urgent
 	// those of this step.
@@ -108,6 +108,8 @@
 	for _, cs := range settings.Services {
 		s.configureService(cs, known)
 	}
+	s.listed = sortedUpstreams(s.upstreams)
+	s.table = nil
 	s.refreshOwners()
 }
 
@@ -168,18 +170,22 @@
 // Made for large fleets: a router owns some fourteen of thousands of
 // upstreams, and a choice on each request and tick must not walk all of them.
 func (s *Scheduler) sortOut(svc *service) {
+	owners := make(map[state.Router]struct{})
 	svc.owned = nil
 	svc.elsewhere = 0
 	clear(svc.departed)
 	for _, u := range svc.upstreams {
 		if u.owner == s.self.Router {
 			svc.owned = append(svc.owned, u)
+		} else if u.owner != "" {
+			owners[u.owner] = struct{}{}
 		}
 		if s.countsElsewhere(u) {
 			svc.elsewhere++
 		}
 		s.noteDeparture(svc, u)
 	}
+	svc.owners = sortedRouters(owners)
 }
 
 func (s *Scheduler) countsElsewhere(u *upstream) bool {
