Split counters into messages that fit a frame

Cause: all counters of a router or of a gone incarnation went into one message. Longer than a control frame of 256 KiB, it was never sent: neither the repeat that makes up for lost messages nor what a router that starts is told.

A message now has at most 400 counters, which fit a frame with the longest names. Receivers add up whatever parts come, and each part brings the virtual times of its own workspaces, so that their order does not matter.

Full: receivers of today do not look at it, but the protocol says that the sender has no other counter. No part of several says so, the last neither, since it does not name the counters of the others. One message that holds all says so as before. The messages' format is the same.

Ruled out: the frame's length as the measure. A decider does not know the encoding, and the protocol's layer lies above it.

go test -run xxx -bench LargeIntroduce -benchtime 100x ./coordination/scheduler, 6,300 workspaces and one gone incarnation, one run each on a machine that others used:

before after longest message 6,300 entries 400 entries introduction 5.79 ms 6.45 ms

Conclusion: no message outgrows a frame. Whether the 11 % more time is noise was not measured; it is paid only when a router starts. Goldens are as before. That only one peer tells the counters of a gone incarnation is not done: told late, they would move the virtual times that a cold router has already taken over.

--- a/coordination/scheduler/large_test.go
+++ b/coordination/scheduler/large_test.go
@@ -99,3 +99,24 @@
 		}
 	})
 }
+
+// BenchmarkLargeIntroduce tells a router that starts the counters of 6,300
+// workspaces; the longest message is counted in entries.
+func BenchmarkLargeIntroduce(b *testing.B) {
+	now := time.Unix(1000, 0)
+	s := New(Options{Self: Peer{Router: "a", Incarnation: 1}})
+	heard := UsageHeard{Origin: "gone", Incarnation: 1}
+	for i := range 6300 {
+		heard.Entries = append(heard.Entries, UsageEntry{Service: "draft", Workspace: state.Workspace(fmt.Sprint("w", i)), Charged: 1})
+	}
+	s.Step(now, heard)
+	longest := 0
+	starting := Peer{Router: "b"}
+	for b.Loop() {
+		starting.Incarnation++
+		for _, m := range only[SendUsage](s.Step(now, PeersChanged{Peers: []Peer{starting}})) {
+			longest = max(longest, len(m.Entries))
+		}
+	}
+	b.ReportMetric(float64(longest), "entries/message")
+}
--- a/coordination/scheduler/options.go
+++ b/coordination/scheduler/options.go
@@ -37,6 +37,10 @@
 	// lost with a connection is made up for.
 	demandRefresh = 5 * time.Second
 	usageRefresh  = 30 * time.Second
+	// maxUsageEntries bounds the counters of one message. The longest names of
+	// service and workspace and five numbers take 580 bytes, a control frame
+	// of the routers' protocol 256 KiB, and a longer one is not sent at all.
+	maxUsageEntries = 400
 	// leaveRepeat keeps other routers' memory of a draining upstream alive.
 	leaveRepeat = 10 * time.Second
 	// trimInterval is the period of housekeeping.
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -233,7 +233,7 @@
 		own = append(own, usageEntries(svc.name, svc.ledger.Own())...)
 	}
 	for _, o := range order {
-		s.do(SendUsage{To: r, Origin: o.Router, Incarnation: o.Incarnation, Entries: relayed[o]})
+		s.sendUsage(SendUsage{To: r, Origin: o.Router, Incarnation: o.Incarnation, Entries: relayed[o]})
 	}
-	s.do(SendUsage{To: r, Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: own, Full: true})
+	s.sendUsage(SendUsage{To: r, Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: own, Full: true})
 }
--- a/coordination/scheduler/usage.go
+++ b/coordination/scheduler/usage.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/figstile/figstile/coordination/fairness"
 	"github.com/figstile/figstile/state"
 )
@@ -29,7 +31,26 @@
 	}
 	// Without changes the message still says that nothing was granted, or
 	// the others would take this owner to grant as they do.
-	s.do(SendUsage{Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: entries, Full: full})
+	s.sendUsage(SendUsage{Origin: s.self.Router, Incarnation: s.self.Incarnation, Entries: entries, Full: full})
+}
+
+// sendUsage sends counters in messages of at most maxUsageEntries.
+//
+// Made for thousands of workspaces: the message of all of them was longer than
+// a frame and never left, so that a lost counter was never made up for and a
+// cold router heard of none. No part claims to be full, or a receiver could
+// take the counters of the other parts for zero.
+func (s *Scheduler) sendUsage(all SendUsage) {
+	if len(all.Entries) <= maxUsageEntries {
+		s.do(all)
+		return
+	}
+	for entries := range slices.Chunk(all.Entries, maxUsageEntries) {
+		part := all
+		part.Entries = entries
+		part.Full = false
+		s.do(part)
+	}
 }
 
 func withoutVirtual(entries []fairness.Entry) []fairness.Entry {
