Send no work to an engine that has not loaded a model yet

Cause: an engine that reports no models was taken to hold all of them. After a restart it holds none, and a request sent there fails with an error of the engine's own, which is a final answer. Found by reading.

Ruled out: treating a missing list as none everywhere; services that list no models, and workers, have engines that report none and serve all.

Before and after: TestEngineWithoutModelsGetsNoWork dispatches before the change and waits for the report after it.

--- a/coordination/claims/entry.go
+++ b/coordination/claims/entry.go
@@ -55,7 +55,6 @@
 	Entries []Entry
 }
 
-
 // expiredEntries counts the entries that are not needed any more.
 func (s *Segment) expiredEntries(now time.Time) int {
 	n := 0
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -63,13 +63,20 @@
 }
 
 // heldModels lists what work an upstream may take; nil means all. A request
-// that names no model runs anywhere.
+// that names no model runs on any engine that holds one.
+//
+// Where the settings list a service's models, an engine that reports none holds
+// none: it has just started, and work sent there would come back as an error
+// that the caller takes for the final answer.
 func (s *Scheduler) heldModels(u *upstream) []state.Model {
 	r, _ := u.tracker.Last(s.now)
-	if len(r.Models) == 0 {
-		return nil
+	if len(r.Models) > 0 {
+		return append([]state.Model{""}, r.Models...)
+	}
+	if len(u.service.settings.Models) > 0 {
+		return []state.Model{}
 	}
-	return append([]state.Model{""}, r.Models...)
+	return nil
 }
 
 // oldest finds the router and line with a workspace's oldest request, or one
