--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -4,7 +4,6 @@
 	"github.com/figstile/figstile/coordination/claims"
 	"github.com/figstile/figstile/coordination/estimate"
 	"github.com/figstile/figstile/coordination/scheduler"
-	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/transport/metrics"
 	"github.com/figstile/figstile/transport/objectstore"
 	"github.com/figstile/figstile/transport/upstream"
@@ -252,7 +251,6 @@
 	Peer: {
 		{Peer, "sessions", "sessions", (*calc).peers, nil, "full mesh"},
 		{Peer, "counters held", "counters", func(c *calc) float64 { return c.origins() * c.Workspaces }, nil, "one per incarnation and workspace"},
-		{Peer, "full usage message", "B", func(c *calc) float64 { return c.at(WireUsage, c.Workspaces) }, constant(wire.MaxControlFrame), "one frame, not sent if longer"},
 		{Peer, "told at once to a router that starts", "MB", (*calc).toldNewcomer, func(c *calc) float64 { return c.at(SessionQueue, c.Workspaces) / megabyte }, "one queue per session, which ends when it is full"},
 		{Peer, "received by a router that starts", "MB", (*calc).coldStart, nil, "all peers tell all counters"},
 		{Peer, "told to routers that start, mean", "KB/s", (*calc).toldADay, func(c *calc) float64 { return c.MaxKB }, "all peers tell all counters"},
