Allow the frame that opens the bulk stream among counted messages

Cause: TestSessionsAreCountedWithoutHeartbeats failed now and then under load with 12.012 instead of 12 bytes: over 1,000 messages that is one further frame of 12 bytes, exactly. A session has a control and a bulk stream, and the frame that opens the second may be read after the count began.

Ruled out: heartbeats (the clock of the test never ticks) and a tolerance, which would hide a frame per message. The test wants none or exactly one further frame; any other number still fails.

--- a/capacity/measure_sessions.go
+++ b/capacity/measure_sessions.go
@@ -152,6 +152,10 @@
 // cost is what one message takes at both ends together.
 type cost struct{ bytes, cpu float64 }
 
+// countedMessages are so many that a frame of the session's own among them,
+// such as the one that opens the bulk stream, is a thousandth of the result.
+const countedMessages = 1000
+
 // messageCost sends one usage message after the other, since those that wait
 // together share a yamux frame. The receiver counts a message's bytes before it
 // is heard of, the sender perhaps later.
@@ -161,7 +165,6 @@
 		return cost{}, err
 	}
 	defer m.stop()
-	const messages = 1000
 	usage := scheduler.SendUsage{Origin: "router-0000", Incarnation: rigIncarnation, Entries: usageOf(counters, 1e9)}
 	frame, err := frameBytes(envelope(usage))
 	if err != nil {
@@ -169,12 +172,12 @@
 	}
 	m.send(usage)
 	bytes, cpu := m.list[1].Stats().Total.BytesIn, processTime()
-	for range messages {
+	for range countedMessages {
 		m.send(usage)
 	}
 	used := processTime() - cpu
-	sentBytes := float64(m.list[1].Stats().Total.BytesIn-bytes) / messages
-	return cost{bytes: sentBytes - frame, cpu: float64(used.Nanoseconds()) / messages}, nil
+	sentBytes := float64(m.list[1].Stats().Total.BytesIn-bytes) / countedMessages
+	return cost{bytes: sentBytes - frame, cpu: float64(used.Nanoseconds()) / countedMessages}, nil
 }
 
 // send sends one message and waits until its receiver has decoded it.
--- a/capacity/measure_test.go
+++ b/capacity/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -46,7 +47,9 @@
 func TestSessionsAreCountedWithoutHeartbeats(t *testing.T) {
 	cost, err := messageCost(context.Background(), 10)
 	require.NoError(t, err)
-	require.InDelta(t, 12, cost.bytes, 0.001, "yamux puts 12 bytes before each message")
+	const header = 12.0
+	further := (cost.bytes - header) * countedMessages / header
+	require.Contains(t, []float64{0, 1}, math.Round(further*1e6)/1e6, "yamux puts 12 bytes before each message, and opens the bulk stream once")
 }
 
 // A router that starts is told everything at once. What a session's queue does
