Wait in one place; read a file and its object in one place

Cause: six packages had the same wait for a duration or a context, under three names, and two commands the same steps to read a file beside the object in force. Found by a search for repeated lines.

Ruled out: changing the injected waits of tests; they keep their signatures.

--- a/cmd/figstile/internal/cli/cli.go
+++ b/cmd/figstile/internal/cli/cli.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/figstile/figstile/transport/pause"
 )
 
 // Environment is what the command line takes from its process.
@@ -107,7 +109,7 @@
 		e.Random = rand.Text
 	}
 	if e.Sleep == nil {
-		e.Sleep = sleep
+		e.Sleep = func(ctx context.Context, d time.Duration) { _ = pause.For(ctx, d) }
 	}
 	return e
 }
@@ -137,15 +139,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // report prints an error and returns its exit code.
 func report(w io.Writer, err error) int {
 	if err == nil {
--- a/cmd/figstile/internal/cli/config.go
+++ b/cmd/figstile/internal/cli/config.go
@@ -183,16 +183,21 @@
 	}}
 }
 
+// withPresent returns the file's content and the object in force, if any.
+func (f fileArgs) withPresent(a *app) (data []byte, present admin.ObjectDocument, err error) {
+	if data, err = f.read(); err != nil {
+		return nil, present, err
+	}
+	present, err = a.objectOrNone(f.Key)
+	return data, present, err
+}
+
 type configValidate struct {
 	fileArgs
 }
 
 func (c configValidate) Run(a *app) error {
-	data, err := c.read()
-	if err != nil {
-		return err
-	}
-	present, err := a.objectOrNone(c.Key)
+	data, present, err := c.withPresent(a)
 	if err != nil {
 		return err
 	}
--- a/cmd/figstile/internal/cli/diff.go
+++ b/cmd/figstile/internal/cli/diff.go
@@ -12,11 +12,7 @@
 }
 
 func (c configDiff) Run(a *app) error {
-	data, err := c.read()
-	if err != nil {
-		return err
-	}
-	present, err := a.objectOrNone(c.Key)
+	data, present, err := c.withPresent(a)
 	if err != nil {
 		return err
 	}
--- a/devfleet/once.go
+++ b/devfleet/once.go
@@ -14,6 +14,7 @@
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/transport/admin"
+	"github.com/figstile/figstile/transport/pause"
 )
 
 // Trial is a load on a fleet and what came of it.
@@ -61,12 +62,12 @@
 
 // letEngineLeave has the first engine ask for no new work until the end.
 func (f *Fleet) letEngineLeave(ctx context.Context, from, to time.Duration) Leaving {
-	if !pause(ctx, from) {
+	if pause.For(ctx, from) != nil {
 		return Leaving{}
 	}
 	leaving := Leaving{Upstream: f.urls[f.options.Sample.Engines][0].Name, From: time.Now()}
 	f.engines[0].SetDraining(true)
-	pause(ctx, to-from)
+	_ = pause.For(ctx, to-from)
 	leaving.To = time.Now()
 	f.engines[0].SetDraining(false)
 	return leaving
@@ -78,7 +79,7 @@
 
 func (f *Fleet) changeSettings(ctx context.Context, after time.Duration) Change {
 	change := Change{Key: config.RootKey}
-	if !pause(ctx, after) {
+	if pause.For(ctx, after) != nil {
 		return change
 	}
 	began := time.Now()
@@ -89,7 +90,7 @@
 	}
 	change.Written = written
 	for !f.allHave(config.RootKey, written) && time.Since(began) <= changeWithin {
-		if !pause(ctx, readyInterval) {
+		if pause.For(ctx, readyInterval) != nil {
 			break
 		}
 	}
@@ -141,15 +142,3 @@
 	}
 	return all
 }
-
-// pause returns false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/pause"
 )
 
 // Options are one run.
@@ -154,31 +155,15 @@
 	defer giveUp()
 	var group sync.WaitGroup
 	for _, call := range calls {
-		if !sleepUntil(ctx, r.started.Add(call.At)) {
+		if pause.For(ctx, time.Until(r.started.Add(call.At))) != nil {
 			break
 		}
 		group.Go(func() { r.send(waiting, call) })
 	}
 	// A run without late arrivals still lasts its time: what an idle fleet
 	// exchanges would be measured over the few arrivals only.
-	sleepUntil(ctx, r.started.Add(r.workload.length()))
+	_ = pause.For(ctx, time.Until(r.started.Add(r.workload.length())))
 	stop := time.AfterFunc(grace, giveUp)
 	defer stop.Stop()
 	group.Wait()
 }
-
-// sleepUntil returns false if the context ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/objectstore/watcher.go
+++ b/transport/objectstore/watcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/figstile/figstile/transport/pause"
 )
 
 // Defaults of WatcherOptions.
@@ -87,7 +89,7 @@
 		opts.Now = time.Now
 	}
 	if opts.Sleep == nil {
-		opts.Sleep = sleep
+		opts.Sleep = pause.For
 	}
 	if opts.Rand == nil {
 		opts.Rand = rand.Float64
@@ -108,17 +110,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Health returns how the watcher is doing. It may be called at any time.
 func (w *Watcher) Health() Health {
 	w.mu.Lock()
--- a/transport/settings/writer.go
+++ b/transport/settings/writer.go
@@ -11,6 +11,7 @@
 
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/transport/objectstore"
+	"github.com/figstile/figstile/transport/pause"
 )
 
 // Bounds on one write.
@@ -44,7 +45,7 @@
 // NewWriter returns a Writer.
 func NewWriter(options WriterOptions) *Writer {
 	if options.Sleep == nil {
-		options.Sleep = sleep
+		options.Sleep = func(ctx context.Context, d time.Duration) { _ = pause.For(ctx, d) }
 	}
 	return &Writer{options: options}
 }
@@ -241,13 +242,3 @@
 	}
 	return conflict
 }
-
-// sleep waits by the machine's clock.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/transport/upstream/poller.go
+++ b/transport/upstream/poller.go
@@ -9,6 +9,7 @@
 
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/pause"
 )
 
 const (
@@ -60,7 +61,7 @@
 // may still be passed on shortly after its target was removed.
 func NewPoller(opts PollerOptions, emit func(scheduler.Event)) *Poller {
 	if opts.Wait == nil {
-		opts.Wait = sleep
+		opts.Wait = pause.For
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Poller{
