Open a daemon's parts in named steps

Cause: daemon.New had grown to fifty lines in which an error path stood between the wiring of four parts. No behaviour changes.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -37,6 +37,8 @@
 	source    *settings.Source
 	follower  *settings.Follower
 	scheduler *scheduler.Scheduler
+	// stepper is the scheduler, recorded or not.
+	stepper   host.Stepper
 	host      *host.Host
 	mesh      *peer.Mesh
 	poller    *upstream.Poller
@@ -78,42 +80,52 @@
 		drained:     make(chan struct{}),
 		started:     time.Now(),
 	}
-	d.store = objectstore.NewClient(objectstore.ClientOptions{BaseURL: options.Platform, Token: options.PlatformToken})
+	d.openSettings()
+	for _, open := range []func() error{d.openScheduler, d.listen, d.openHost, d.openClaims} {
+		if err := open(); err != nil {
+			d.close()
+			return nil, err
+		}
+	}
+	d.serve()
+	return d, nil
+}
+
+// openSettings prepares to follow and change the tree of settings.
+func (d *Daemon) openSettings() {
+	d.store = objectstore.NewClient(objectstore.ClientOptions{BaseURL: d.options.Platform, Token: d.options.PlatformToken})
 	d.source = settings.NewSource(settings.SourceOptions{OnChange: d.onSettings, Log: d.log})
 	d.writer = settings.NewWriter(settings.WriterOptions{Store: d.store, Source: d.source, Log: d.log})
 	d.follower = settings.NewFollower(settings.FollowerOptions{Store: d.store, Source: d.source, Log: d.log})
-	decisions := scheduler.Options{
+}
+
+// openScheduler starts the decisions, recorded if the options ask for it.
+func (d *Daemon) openScheduler() error {
+	options := scheduler.Options{
 		Self:   d.self(),
 		Seed:   uint64(d.incarnation),
-		Queues: queue.Limits{Requests: options.MaxQueued, Bytes: options.MaxQueuedBytes},
-	}
-	d.scheduler = scheduler.New(decisions)
-	stepper, err := d.openTrace(decisions)
-	if err != nil {
-		d.close()
-		return nil, err
+		Queues: queue.Limits{Requests: d.options.MaxQueued, Bytes: d.options.MaxQueuedBytes},
 	}
-	if err := d.listen(); err != nil {
-		d.close()
-		return nil, err
-	}
-	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(options.router())) }}
+	d.scheduler = scheduler.New(options)
+	var err error
+	d.stepper, err = d.openTrace(options)
+	return err
+}
+
+// openHost puts the scheduler between peers, callers and upstreams.
+func (d *Daemon) openHost() error {
+	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(d.options.router())) }}
 	d.openOrders()
 	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.onPolled)
 	d.polls.set = d.poller.SetTargets
 	d.host = host.New(host.Options{
-		Scheduler: stepper,
+		Scheduler: d.stepper,
 		Peers:     d.link,
 		Poll:      d.onOwned,
 		OnDrained: func() { close(d.drained) },
 		OnPanic:   d.failStop,
 	})
-	if err := d.openClaims(); err != nil {
-		d.close()
-		return nil, err
-	}
-	d.serve()
-	return d, nil
+	return nil
 }
 
 // openClaims starts the record of idempotency keys.
