Test that a router holds no more than its limit

Cause: the bound on all requests of a router was tested on the queue alone; no test with real processes showed what callers hear. It also showed that the limit counts running requests, which the flag's help did not say.

Ruled out: a bound on waiting ones only; bodies of running requests are kept too, until they are final.

--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/figstile/figstile/standin/platform"
@@ -163,3 +164,31 @@
 		require.Equal(t, http.StatusOK, got.status, got.body)
 	}
 }
+
+// Callers send more to one router than its memory is meant for, over all
+// workspaces. Without a bound on the whole it would be killed for want of
+// memory and everybody would lose their answers; it must refuse what is too
+// much, at once and truthfully, and serve what it took.
+func TestRouterHoldsNoMoreThanItsLimit(t *testing.T) {
+	const limit = 20
+	f := startStandardFleet(t)
+	small := f.startRouter("router-5", "sala-laredo", "--max-queued", strconv.Itoa(limit))
+	f.awaitReady(small)
+	var flood flight
+	for i := range 300 {
+		flood.send(t.Context(), small, []string{"laredo", "castro", "ramales"}[i%3], drafts, guide(i, 50))
+	}
+	served, refused := 0, 0
+	for _, got := range flood.land() {
+		if got.code == int(result.OK) {
+			served++
+			continue
+		}
+		refused++
+		require.Equal(t, int(result.TooManyRequests), got.code, got.body)
+		require.Equal(t, "no", got.ran)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+	}
+	require.Positive(t, refused)
+	require.GreaterOrEqual(t, served, limit)
+}
--- a/transport/daemon/options.go
+++ b/transport/daemon/options.go
@@ -69,7 +69,7 @@
 
 	MaxConnections int           `help:"Connections from callers held at once." env:"FIGSTILE_MAX_CONNECTIONS" default:"20000"`
 	MaxHeaderBytes int           `help:"Bytes of one request's headers." env:"FIGSTILE_MAX_HEADER_BYTES" default:"32768"`
-	MaxQueued      int           `help:"Requests waiting on this router at once." env:"FIGSTILE_MAX_QUEUED" default:"50000"`
+	MaxQueued      int           `help:"Requests held at once, waiting or running." env:"FIGSTILE_MAX_QUEUED" default:"50000"`
 	MaxQueuedBytes int64         `help:"Bytes of bodies held at once." env:"FIGSTILE_MAX_QUEUED_BYTES" default:"268435456"`
 	DrainTimeout   time.Duration `help:"How long a stop may take; 0 waits for the last request." env:"FIGSTILE_DRAIN_TIMEOUT" default:"0"`
 
