Log why an upstream's load reports are not taken

Cause: when the poller took over the check of load reports, a refused report became an upstream that cannot be reached, without a word. The orders' own log line could not appear any more, and an operator saw an idle engine and no reason. Found by reading the change once more.

Ruled out: a line per poll (3,600 an hour for each broken upstream). The first of a row of failures is logged with its reason, and the end of the row.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -116,7 +116,7 @@
 func (d *Daemon) openHost() error {
 	d.link = &countingLink{mesh: d.mesh, peers: func() int { return len(d.peers.others(d.options.router())) }}
 	d.openOrders()
-	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation)}, d.onPolled)
+	d.poller = upstream.NewPoller(upstream.PollerOptions{Seed: uint64(d.incarnation), Log: d.log}, d.onPolled)
 	d.polls.set = d.poller.SetTargets
 	d.host = host.New(host.Options{
 		Scheduler: d.stepper,
--- a/transport/upstream/poller.go
+++ b/transport/upstream/poller.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/transport/pause"
@@ -39,6 +41,7 @@
 	Wait func(ctx context.Context, d time.Duration) error
 	// Seed makes the jitter repeatable.
 	Seed uint64
+	Log  zerolog.Logger
 }
 
 // Poller fetches the load report of a changing set of upstreams, each in a
@@ -47,6 +50,7 @@
 	client *http.Client
 	emit   func(scheduler.Event)
 	wait   func(ctx context.Context, d time.Duration) error
+	log    zerolog.Logger
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -68,6 +72,7 @@
 		client: &http.Client{Transport: newTransport(ClientOptions{Dial: plainDial}), CheckRedirect: noRedirect},
 		emit:   emit,
 		wait:   opts.Wait,
+		log:    opts.Log,
 		random: rand.New(rand.NewPCG(opts.Seed, 0)),
 		ctx:    ctx,
 		cancel: cancel,
@@ -115,18 +120,32 @@
 
 func (p *Poller) run(ctx context.Context, t Target) {
 	defer p.done.Done()
+	failing := false
 	for {
-		event := p.poll(ctx, t)
+		report, err := p.fetch(ctx, t)
 		if ctx.Err() != nil {
 			return
 		}
-		p.emit(event)
+		p.logChange(t, failing, err)
+		failing = err != nil
+		p.emit(eventOf(t, report, err))
 		if p.wait(ctx, p.interval()) != nil {
 			return
 		}
 	}
 }
 
+// logChange logs the first of a row of failures, and its end. An upstream whose
+// reports are refused gets no work, and nothing else would say why.
+func (p *Poller) logChange(t Target, failing bool, err error) {
+	switch {
+	case err != nil && !failing:
+		p.log.Warn().Err(err).Str("upstream", string(t.Upstream)).Msg("load_report_missing")
+	case err == nil && failing:
+		p.log.Info().Str("upstream", string(t.Upstream)).Msg("load_report_back")
+	}
+}
+
 func (p *Poller) interval() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -134,8 +153,7 @@
 	return time.Duration(float64(PollInterval) * spread)
 }
 
-func (p *Poller) poll(ctx context.Context, t Target) scheduler.Event {
-	report, err := p.fetch(ctx, t)
+func eventOf(t Target, report state.LoadReport, err error) scheduler.Event {
 	if err != nil {
 		return scheduler.Unreachable{Upstream: t.Upstream}
 	}
--- a/transport/upstream/poller_test.go
+++ b/transport/upstream/poller_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/figstile/figstile/coordination/scheduler"
@@ -55,3 +57,36 @@
 	poller.SetTargets([]Target{{Upstream: "worker-3", BaseURL: url + "/missing"}})
 	require.Equal(t, scheduler.Unreachable{Upstream: "worker-3"}, <-events)
 }
+
+// An engine reports nonsense and gets no work. An operator who looks for the
+// reason must find one line of it in the log, not four thousand an hour.
+func TestRefusedReportsAreLoggedOnce(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"upstream":"u","boot":"1","running":-1}`))
+	}))
+	defer server.Close()
+	var log strings.Builder
+	events := make(chan scheduler.Event)
+	p := NewPoller(PollerOptions{
+		Log:  zerolog.New(&log),
+		Wait: func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
+	}, func(ev scheduler.Event) {
+		select {
+		case events <- ev:
+		case <-t.Context().Done():
+		}
+	})
+	p.SetTargets([]Target{{Upstream: "u", BaseURL: server.URL}})
+	for range 3 {
+		require.Equal(t, scheduler.Unreachable{Upstream: "u"}, <-events)
+	}
+	p.SetTargets(nil)
+	go func() {
+		for range events {
+		}
+	}()
+	p.Close()
+	close(events)
+	require.Equal(t, 1, strings.Count(log.String(), "load_report_missing"), log.String())
+	require.Contains(t, log.String(), "negative count")
+}
