Find owned upstreams in one place; say why a lift leaves out guesses

Cause: the polls and the orders each walked the settings for the upstreams that the router owns.

Ruled out: one loop for the doubling of reservations at both ends of a grant, and one case less in retry; both would change what happens at an edge, so they stay for a change with a test of its own.

--- a/coordination/fairness/choice.go
+++ b/coordination/fairness/choice.go
@@ -109,6 +109,11 @@
 // usual request below the least virtual time of the others. Without that one,
 // a workspace that asks rarely would wait after each request for the others
 // to catch up with it. It cannot add up: the floor counts all past service.
+//
+// Both sides of the comparison leave out what is extrapolated. At the start of
+// a rush that is far above or below the truth and differs from owner to owner,
+// and as the greatest lift heard of holds for good, the workspace with the
+// worst guess waited until all others had caught up with it.
 func (l *Ledger) wake(now time.Time, a *account) {
 	a.key = l.virtual(a)
 	lost := a.lost
--- a/transport/daemon/orders.go
+++ b/transport/daemon/orders.go
@@ -135,15 +135,9 @@
 	if view == nil || o.closed {
 		return wishes, version
 	}
-	owned := make(map[state.Upstream]bool, len(o.owned))
-	for _, name := range o.owned {
-		owned[name] = true
-	}
-	for _, service := range view.Settings().Services {
-		for _, u := range service.Upstreams {
-			if owned[u.Name] && len(u.WantedModels) > 0 {
-				wishes[u.Name] = wishOf(u)
-			}
+	for _, u := range ownedOf(view.Settings(), o.owned) {
+		if len(u.WantedModels) > 0 {
+			wishes[u.Name] = wishOf(u)
 		}
 	}
 	return wishes, version
--- a/transport/daemon/polls.go
+++ b/transport/daemon/polls.go
@@ -40,14 +40,23 @@
 
 func (p *polls) targets() []upstream.Target {
 	var targets []upstream.Target
-	for _, service := range p.settings.Services {
+	for _, u := range ownedOf(p.settings, p.owned) {
+		targets = append(targets, upstream.Target{Upstream: u.Name, BaseURL: u.URL})
+	}
+	return targets
+}
+
+// ownedOf returns the settings of the upstreams that a router owns.
+func ownedOf(settings config.Settings, owned []state.Upstream) []config.Upstream {
+	var found []config.Upstream
+	for _, service := range settings.Services {
 		for _, u := range service.Upstreams {
-			if slices.Contains(p.owned, u.Name) {
-				targets = append(targets, upstream.Target{Upstream: u.Name, BaseURL: u.URL})
+			if slices.Contains(owned, u.Name) {
+				found = append(found, u)
 			}
 		}
 	}
-	return targets
+	return found
 }
 
 // onOwned follows a change of ownership.
