--- a/cmd/figstiled/main.go
+++ b/cmd/figstiled/main.go
@@ -34,31 +34,44 @@
 )
 
 type commandLine struct {
-	daemon.Options
+	Serve   serveCommand     `cmd:"" default:"withargs" help:"Run a router that is set up by flags and the settings tree."`
+	Edge    edgeCommand      `cmd:"" help:"Run a router on the users' platform, set up by its settings file."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
+// serveCommand runs a router with the project's own interface.
+type serveCommand struct {
+	daemon.Options
+}
+
 func main() {
 	os.Exit(run())
 }
 
 func run() int {
 	var cl commandLine
-	kong.Parse(&cl,
+	parsed := kong.Parse(&cl,
 		kong.Name("figstiled"),
 		kong.Description(description),
 		kong.Vars{"version": version},
 	)
-	cl.Secrets = daemon.SecretsFrom(os.Getenv)
-	if err := cl.Options.Check(); err != nil {
+	if parsed.Command() == "edge" {
+		return cl.Edge.run()
+	}
+	return cl.Serve.run()
+}
+
+func (c *serveCommand) run() int {
+	c.Secrets = daemon.SecretsFrom(os.Getenv)
+	if err := c.Check(); err != nil {
 		fmt.Fprintln(os.Stderr, "figstiled: these settings are not usable:")
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	log := logging.New(os.Stderr, cl.LogLevel)
+	log := logging.New(os.Stderr, c.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := daemon.New(cl.Options, log)
+	d, err := daemon.New(c.Options, log)
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailure
--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,144 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/state"
+)
+
+const (
+	// onTime is the part of its latency target within which a request's
+	// answer must be expected. The rest covers what the estimate cannot see:
+	// the placements of peers since they last told of theirs.
+	onTime = 0.85
+	// overShare is the part of its target that a request of a workspace
+	// beyond its fair share may wait. It is small, so that such requests
+	// fill idle capacity but build no queue before the others.
+	overShare = 0.15
+	// least is the part of its target that a request may wait even if its
+	// own prompt takes the rest. Long prompts would otherwise never be
+	// admitted, however idle the engines.
+	least = 0.25
+	// returned is the part of the remaining patience that a request may wait
+	// which was refused before and is late already: to refuse it again costs
+	// its caller the answer, to serve it late does not.
+	returned = 0.3
+	// minRetryAfter keeps a refused caller from coming back into the same
+	// backlog.
+	minRetryAfter = 200 * time.Millisecond
+	// noUpstreamRetry is when to come back while a service has no upstream:
+	// a restart takes seconds.
+	noUpstreamRetry = time.Second
+	// patienceShare is the part of the remaining time that a caller is
+	// willing to wait before it comes back.
+	patienceShare = 1.0 / 3
+	// spreadShare spreads the returns of callers refused together.
+	spreadShare = 0.5
+)
+
+// Reason says why a request was refused.
+type Reason uint8
+
+// Reasons.
+const (
+	// Admitted requests were not refused.
+	Admitted Reason = iota
+	// NoUpstream: the service has no upstream that takes work.
+	NoUpstream
+	// Overload: the request's answer could not begin in time.
+	Overload
+	// OverShare: the workspace has its fair share already and others wait.
+	OverShare
+)
+
+// String returns the reason's name in logs.
+func (r Reason) String() string {
+	names := [...]string{"admitted", "no-upstream", "overload", "over-share"}
+	if int(r) >= len(names) {
+		return "invalid"
+	}
+	return names[r]
+}
+
+// Request is what admission needs to know.
+type Request struct {
+	placement.Work
+	Workspace state.Workspace
+	// Cost is the request's expected cost in cost units.
+	Cost float64
+	// Target is the latency within which the answer is on time, counted from
+	// the caller's first attempt; zero means none.
+	Target time.Duration
+	// Elapsed is the time since the caller's first attempt.
+	Elapsed time.Duration
+	// Patience is how long the caller will wait from now.
+	Patience time.Duration
+}
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	Reason Reason
+	// Estimate is of the chosen upstream; it explains a refusal for overload.
+	Estimate placement.Estimate
+	// Limit is the wait that the request would have been admitted at.
+	Limit time.Duration
+	// Standing of the workspace to its fair share.
+	Standing shares.Standing
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// Admit says whether the request is to be sent.
+func (v Verdict) Admit() bool { return v.Reason == Admitted }
+
+// Decide judges a request on the estimate of its best upstream; found is false
+// if it has none. Spread is drawn evenly from [0, 1).
+func Decide(r Request, best placement.Estimate, found bool, standing shares.Standing, spread float64) Verdict {
+	v := Verdict{Estimate: best, Standing: standing}
+	if !found {
+		v.Reason = NoUpstream
+		v.RetryAfter = retryAfter(r, noUpstreamRetry, spread)
+		return v
+	}
+	v.Limit = waitLimit(r, best)
+	if standing.Limited {
+		v.Limit = min(v.Limit, share(r.Target, overShare))
+	}
+	if best.Free || best.Wait <= v.Limit {
+		return v
+	}
+	v.Reason = Overload
+	if standing.Limited {
+		v.Reason = OverShare
+	}
+	v.RetryAfter = retryAfter(r, best.Wait-v.Limit, spread)
+	return v
+}
+
+// waitLimit returns how long a request may wait at its upstream.
+func waitLimit(r Request, best placement.Estimate) time.Duration {
+	if r.Target <= 0 {
+		return share(r.Patience, returned)
+	}
+	left := r.Target - r.Elapsed
+	if left <= 0 {
+		return share(r.Patience, returned)
+	}
+	limit := share(left, onTime) - best.Own
+	return min(max(limit, share(r.Target, least)), share(r.Patience, onTime))
+}
+
+// retryAfter returns when a backlog will have drained, spread out so that
+// callers refused together don't come back together, and within the time that
+// the caller is willing to wait.
+func retryAfter(r Request, backlog time.Duration, spread float64) time.Duration {
+	after := max(backlog, minRetryAfter)
+	after += time.Duration(spread * spreadShare * float64(after))
+	return min(after, share(r.Patience, patienceShare))
+}
+
+func share(d time.Duration, part float64) time.Duration {
+	return time.Duration(float64(d) * part)
+}
--- /dev/null
+++ b/coordination/placement/host.go
@@ -0,0 +1,91 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/coordination/prefix"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+)
+
+const (
+	// peerExpiry is the age at which a peer's load no longer counts: it
+	// would have told anew several times.
+	peerExpiry = 2 * time.Second
+	// defaultSlots is assumed of an upstream that does not tell its slots.
+	defaultSlots = 16
+	// cacheShare is the part of an engine's memory that is believed to hold
+	// prompt parts; the rest is taken by running requests.
+	cacheShare = 0.6
+)
+
+// host is the picture of one upstream.
+type host struct {
+	directory.Upstream
+	hash  uint64
+	cache *prefix.Cache
+
+	running int
+	unread  int
+	peers   map[state.Router]peerLoad
+
+	// speed is this engine's reading rate over the service's usual one.
+	speed float64
+	// hold is the mean time that a request holds a slot; 0 before the first.
+	hold       float64
+	failures   float64
+	doubtUntil time.Time
+	doubt      time.Duration
+}
+
+type peerLoad struct {
+	Load
+	heard time.Time
+}
+
+func newHost(u directory.Upstream, engine routing.Engine) *host {
+	return &host{
+		Upstream: u,
+		hash:     hashOf(u.ID),
+		cache:    prefix.New(int64(float64(engine.CacheTokens) * cacheShare)),
+		peers:    make(map[state.Router]peerLoad),
+		speed:    1,
+	}
+}
+
+// load adds up what all routers have at the upstream.
+func (h *host) load(now time.Time) (running, unread int) {
+	running, unread = h.running, h.unread
+	for router, peer := range h.peers {
+		if now.Sub(peer.heard) > peerExpiry {
+			delete(h.peers, router)
+			continue
+		}
+		running += peer.Running
+		unread += peer.Unread
+	}
+	return running, unread
+}
+
+func (h *host) slots(engine routing.Engine) int {
+	switch {
+	case h.Slots > 0:
+		return h.Slots
+	case engine.Slots > 0:
+		return engine.Slots
+	default:
+		return defaultSlots
+	}
+}
+
+func (h *host) rate(service float64) float64 {
+	return min(max(service*h.speed, minRate), maxRate)
+}
+
+func (h *host) holdTime(fallback time.Duration) time.Duration {
+	if h.hold > 0 {
+		return time.Duration(h.hold)
+	}
+	return fallback
+}
--- /dev/null
+++ b/coordination/placement/observe.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/state"
+)
+
+// Ticket follows one request at one upstream.
+type Ticket struct {
+	upstream state.Upstream
+	born     int64
+	service  state.Service
+	placed   time.Time
+	unread   int
+	// ahead is what the upstream had to read at placing, this request's own
+	// part included.
+	ahead   int
+	pending bool
+	ended   bool
+	host    *host
+}
+
+// Upstream returns where the request runs.
+func (t *Ticket) Upstream() state.Upstream { return t.upstream }
+
+// Place notes that a request is sent to an estimate's upstream.
+func (p *Picture) Place(now time.Time, w Work, e Estimate) *Ticket {
+	t := &Ticket{
+		upstream: e.Upstream, born: e.Born, service: w.Service, placed: now,
+		unread: e.Unread, pending: true,
+	}
+	h := p.hosts[e.Upstream]
+	if h == nil {
+		t.pending = false
+		return t
+	}
+	t.host = h
+	_, unread := h.load(now)
+	t.ahead = unread + e.Unread
+	h.running++
+	h.unread += e.Unread
+	h.cache.Touch(w.Prompt)
+	return t
+}
+
+// FirstOutput notes the first event of an engine's answer, which ends the
+// reading of its prompt and teaches the engine's rate.
+func (p *Picture) FirstOutput(now time.Time, t *Ticket) {
+	if !t.pending {
+		return
+	}
+	t.pending = false
+	t.host.unread -= t.unread
+	if t.ahead < minLesson {
+		return
+	}
+	took := now.Sub(t.placed) - startup
+	if took <= 0 {
+		return
+	}
+	seen := min(max(float64(t.ahead)/took.Seconds(), minRate), maxRate)
+	usual := p.rate(t.service)
+	p.rates[t.service] = usual + learning*(seen-usual)
+	ratio := seen / usual
+	t.host.speed = min(max(t.host.speed+learning*(ratio-t.host.speed), minSpeed), 1)
+}
+
+// minSpeed bounds how slow an engine may look next to the others, so that it
+// is still tried and can show that it has recovered.
+const minSpeed = 0.1
+
+// Outcome says how a request ended at an upstream.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Answered: a whole answer of the upstream's own.
+	Answered Outcome = iota
+	// Rejected: the upstream did not run the request.
+	Rejected
+	// Failed: an error of the upstream's, or a broken answer.
+	Failed
+	// Unreachable: no connection, or one that broke.
+	Unreachable
+	// Withdrawn: the caller left or its time was up.
+	Withdrawn
+)
+
+// End notes the end of a request at its upstream. It may be called once more
+// without effect.
+func (p *Picture) End(now time.Time, t *Ticket, outcome Outcome) {
+	if t.ended || t.host == nil {
+		return
+	}
+	t.ended = true
+	h := t.host
+	h.running--
+	if t.pending {
+		t.pending = false
+		h.unread -= t.unread
+	}
+	switch outcome {
+	case Answered:
+		h.succeed()
+		p.learnWork(now.Sub(t.placed), t)
+	case Failed:
+		h.failures += failureWeight * (1 - h.failures)
+	case Unreachable:
+		h.failures += failureWeight * (1 - h.failures)
+		h.suspect(now)
+	case Rejected:
+		h.doubtUntil = now.Add(rejection)
+	case Withdrawn:
+	}
+}
+
+// rejection is how long an upstream that rejected a request is passed over
+// while others are free: some requests' time at a plain worker.
+const rejection = 100 * time.Millisecond
+
+func (h *host) succeed() {
+	h.failures -= failureWeight * h.failures
+	h.doubt = 0
+}
+
+// suspect passes the upstream over for a while, longer each time.
+func (h *host) suspect(now time.Time) {
+	if now.Before(h.doubtUntil) {
+		return
+	}
+	h.doubt = min(max(2*h.doubt, doubt), maxDoubt)
+	h.doubtUntil = now.Add(h.doubt)
+}
+
+// holdLearning averages some fifty requests' times.
+const holdLearning = 0.02
+
+func (p *Picture) learnWork(took time.Duration, t *Ticket) {
+	usual := float64(p.workTime(t.service))
+	p.work[t.service] = usual + holdLearning*(float64(took)-usual)
+	if t.host.hold == 0 {
+		t.host.hold = float64(took)
+	}
+	t.host.hold += holdLearning * (float64(took) - t.host.hold)
+}
+
+// Own returns what this router has at each upstream, to be told to peers.
+func (p *Picture) Own() map[state.Upstream]Load {
+	loads := make(map[state.Upstream]Load)
+	for id, h := range p.hosts {
+		if h.running > 0 || h.unread > 0 {
+			loads[id] = Load{Running: h.running, Unread: h.unread}
+		}
+	}
+	return loads
+}
+
+// Heard takes a peer's loads in place of what it told before.
+func (p *Picture) Heard(now time.Time, from state.Router, loads map[state.Upstream]Load) {
+	for id, h := range p.hosts {
+		load, ok := loads[id]
+		if !ok {
+			delete(h.peers, from)
+			continue
+		}
+		h.peers[from] = peerLoad{Load: load, heard: now}
+	}
+}
+
+// PeerGone forgets a peer's loads.
+func (p *Picture) PeerGone(from state.Router) {
+	for _, h := range p.hosts {
+		delete(h.peers, from)
+	}
+}
+
+// Run names the run of the upstream that the request was sent to.
+func (t *Ticket) Run() quarantine.Run {
+	return quarantine.Run{Upstream: t.upstream, Boot: strconv.FormatInt(t.born, 10)}
+}
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,309 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figstile/figstile/coordination/prefix"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+)
+
+const (
+	// candidates is how many engines a shared part is spread over before any
+	// other engine is considered. Two would pile the requests of a popular
+	// part on a pair; each further one reads the part once more.
+	candidates = 3
+	// distance is the handicap of another data centre: the round trip
+	// between data centres is 2 ms, and what crosses is paid for by the byte.
+	distance = 8 * time.Millisecond
+	// startup is the time to a first token beyond reading: a step of the
+	// batch, the engine's own overhead and the way there and back.
+	startup = 45 * time.Millisecond
+	// initialWork is assumed for a plain request until answers have taught
+	// better.
+	initialWork = 50 * time.Millisecond
+	// initialRate is the reading rate of an engine, in tokens a second, until
+	// answers have taught better; between the slowest and the fastest known.
+	initialRate = 40000
+	// minRate and maxRate bound what answers may teach, so that one odd
+	// answer does not make an engine look dead or free.
+	minRate = 5000
+	maxRate = 400000
+	// learning is the weight of a new observation. A fiftieth averages a few
+	// seconds of an engine's answers.
+	learning = 0.02
+	// minLesson is the least number of tokens ahead from which a rate is
+	// learned: below it the startup dominates.
+	minLesson = 1500
+	// doubt is how long an upstream that failed to take a request is passed
+	// over while others live. Heartbeats show within seconds whether it is gone.
+	doubt = 1500 * time.Millisecond
+	// maxDoubt bounds the doubling of doubt of an upstream that fails again
+	// and again.
+	maxDoubt = 6 * time.Second
+	// failureWeight is the weight of one answer in an upstream's failure
+	// rate: it follows within some ten answers.
+	failureWeight = 0.08
+	// failurePenalty is the handicap of an upstream that fails all its
+	// requests; one that fails a fifth gets a fifth of it.
+	failurePenalty = 400 * time.Millisecond
+)
+
+// Work is what placing needs to know of a request.
+type Work struct {
+	Service state.Service
+	// Prompt is empty for plain requests.
+	Prompt []prefix.Part
+	// Output is the expected number of generated tokens.
+	Output int
+	// Excluded are upstreams that failed or rejected this request.
+	Excluded []state.Upstream
+}
+
+// affinity is the part that requests share most specifically: the one before
+// the last, which is the request's own.
+func (w Work) affinity() (uint64, bool) {
+	switch len(w.Prompt) {
+	case 0:
+		return 0, false
+	case 1:
+		return w.Prompt[0].ID, true
+	default:
+		return w.Prompt[len(w.Prompt)-2].ID, true
+	}
+}
+
+// Estimate is what one upstream would do with a request.
+type Estimate struct {
+	Upstream state.Upstream
+	Address  string
+	Born     int64
+	// Wait is the time until the upstream turns to the request, Own the time
+	// it then takes to the first token or the answer.
+	Wait time.Duration
+	Own  time.Duration
+	// Unread is the number of prompt tokens the upstream would read.
+	Unread int
+	// Free is set while less than half of the upstream's slots are taken and
+	// nothing waits there.
+	Free bool
+	// score is the time that candidates are compared by.
+	score time.Duration
+}
+
+// Total is the expected time to the first token or the answer.
+func (e Estimate) Total() time.Duration { return e.Wait + e.Own }
+
+// Load is what one router has at one upstream.
+type Load struct {
+	// Running counts the requests sent and not ended.
+	Running int
+	// Unread is the sum of prompt tokens not read yet.
+	Unread int
+}
+
+// Picture is what is known of all upstreams. It is not safe for concurrent
+// use.
+type Picture struct {
+	self     state.DataCentre
+	engines  map[state.Service]routing.Engine
+	services map[state.Service][]*host
+	hosts    map[state.Upstream]*host
+	work     map[state.Service]float64
+	rates    map[state.Service]float64
+}
+
+// New returns an empty picture of a router in a data centre.
+func New(self state.DataCentre) *Picture {
+	return &Picture{
+		self:     self,
+		engines:  make(map[state.Service]routing.Engine),
+		services: make(map[state.Service][]*host),
+		hosts:    make(map[state.Upstream]*host),
+		work:     make(map[state.Service]float64),
+		rates:    make(map[state.Service]float64),
+	}
+}
+
+// SetServices takes the services of a configuration.
+func (p *Picture) SetServices(services []routing.Service) {
+	for _, service := range services {
+		if service.Engine != nil {
+			p.engines[service.Name] = *service.Engine
+		}
+	}
+}
+
+// SetUpstream adds or changes an upstream. All that was known of an earlier
+// run under the same id is void.
+func (p *Picture) SetUpstream(u directory.Upstream) {
+	h := p.hosts[u.ID]
+	if h != nil && (h.Born != u.Born || h.Address != u.Address || h.Service != u.Service) {
+		p.RemoveUpstream(u.ID)
+		h = nil
+	}
+	if h == nil {
+		h = newHost(u, p.engines[u.Service])
+		p.hosts[u.ID] = h
+		p.services[u.Service] = append(p.services[u.Service], h)
+	}
+	h.Upstream = u
+}
+
+// RemoveUpstream forgets an upstream that is gone.
+func (p *Picture) RemoveUpstream(id state.Upstream) {
+	h := p.hosts[id]
+	if h == nil {
+		return
+	}
+	delete(p.hosts, id)
+	p.services[h.Service] = slices.DeleteFunc(p.services[h.Service], func(o *host) bool { return o == h })
+}
+
+// Usable counts the upstreams of a service that take new work.
+func (p *Picture) Usable(service state.Service) int {
+	n := 0
+	for _, h := range p.services[service] {
+		if !h.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Choose returns the best upstream for a request, or false if the service has
+// none.
+func (p *Picture) Choose(now time.Time, w Work) (Estimate, bool) {
+	pool := p.pool(now, w)
+	if len(pool) == 0 {
+		return Estimate{}, false
+	}
+	key, shared := w.affinity()
+	if !shared {
+		return p.best(now, w, pool), true
+	}
+	rank(pool, key)
+	first := p.best(now, w, pool[:min(candidates, len(pool))])
+	if len(pool) <= candidates {
+		return first, true
+	}
+	rest := p.best(now, w, pool[candidates:])
+	// Another engine reads the shared parts anew and displaces others'. That
+	// pays only if the candidates are far behind.
+	if rest.score+spread < first.score {
+		return rest, true
+	}
+	return first, true
+}
+
+// spread is how much later the candidates of a shared part must be before
+// another engine takes the request: about the time to read a long shared part.
+const spread = 150 * time.Millisecond
+
+// pool returns the upstreams that may take a request: all that do not leave,
+// without those under doubt if any others are left.
+func (p *Picture) pool(now time.Time, w Work) []*host {
+	var sound, doubtful []*host
+	for _, h := range p.services[w.Service] {
+		switch {
+		case h.Leaving || slices.Contains(w.Excluded, h.ID):
+		case now.Before(h.doubtUntil):
+			doubtful = append(doubtful, h)
+		default:
+			sound = append(sound, h)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return doubtful
+}
+
+// rank orders upstreams by rendezvous hash of a key, highest first.
+func rank(pool []*host, key uint64) {
+	slices.SortFunc(pool, func(a, b *host) int {
+		x, y := mix(a.hash, key), mix(b.hash, key)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// mix combines an upstream's hash with a key by the finalizer of splitmix64.
+func mix(upstream, key uint64) uint64 {
+	z := upstream ^ key*0x9e3779b97f4a7c15
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+func (p *Picture) best(now time.Time, w Work, pool []*host) Estimate {
+	best := Estimate{score: math.MaxInt64}
+	for _, h := range pool {
+		if e := p.estimate(now, h, w); e.score < best.score {
+			best = e
+		}
+	}
+	return best
+}
+
+func (p *Picture) estimate(now time.Time, h *host, w Work) Estimate {
+	e := Estimate{Upstream: h.ID, Address: h.Address, Born: h.Born}
+	running, unread := h.load(now)
+	engine, isEngine := p.engines[w.Service]
+	slots := h.slots(engine)
+	if isEngine {
+		e.Unread = h.cache.Unread(w.Prompt)
+		rate := h.rate(p.rate(w.Service))
+		e.Wait = seconds(float64(unread) / rate)
+		e.Own = seconds(float64(e.Unread)/rate) + startup
+	} else {
+		e.Own = p.workTime(w.Service)
+	}
+	if slots > 0 && running >= slots {
+		e.Wait += seconds(float64(running-slots+1) / float64(slots) * h.holdTime(p.workTime(w.Service)).Seconds())
+	}
+	e.Free = running*2 < slots && unread == 0
+	e.score = e.Total() + time.Duration(h.failures*float64(failurePenalty))
+	if h.DataCentre != p.self {
+		e.score += distance
+	}
+	// Among upstreams that would answer equally soon the less busy one
+	// generates faster.
+	if slots > 0 {
+		e.score += time.Duration(float64(crowding) * float64(running) / float64(slots))
+	}
+	return e
+}
+
+// crowding is the handicap of an upstream with all slots taken: a full batch
+// takes some three times as long for a step as an empty one.
+const crowding = 60 * time.Millisecond
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (p *Picture) rate(service state.Service) float64 {
+	if rate, ok := p.rates[service]; ok {
+		return rate
+	}
+	return initialRate
+}
+
+func (p *Picture) workTime(service state.Service) time.Duration {
+	if work, ok := p.work[service]; ok {
+		return time.Duration(work)
+	}
+	return initialWork
+}
+
+func hashOf(id state.Upstream) uint64 { return xxhash.Sum64String(string(id)) }
--- /dev/null
+++ b/coordination/shares/shares.go
@@ -0,0 +1,199 @@
+// Package shares decides which workspaces ask for more than their max-min fair
+// share of the fleet's throughput. It counts cost over a sliding window at
+// this router, takes the peers' counts as last heard, and knows no clock.
+package shares
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figstile/figstile/state"
+)
+
+const (
+	// Window is the time over which shares are measured. Operators judge
+	// shares over a few seconds; a shorter window would refuse a burst that
+	// is within its share, a longer one let a flood run on.
+	Window = 4 * time.Second
+	// step is the width of a bucket: a sixteenth of the window, so that the
+	// count falls smoothly.
+	step    = Window / buckets
+	buckets = 16
+	// PeerExpiry is the age at which a peer's counts no longer say what it
+	// does: the window has passed.
+	PeerExpiry = Window
+)
+
+// Usage is the cost of one workspace at one router over the window.
+type Usage struct {
+	// Asked counts all requests once, Admitted those that were dispatched.
+	Asked    float64
+	Admitted float64
+}
+
+type bucket struct {
+	slot  int64
+	usage Usage
+}
+
+type meter [buckets]bucket
+
+func (m *meter) at(now time.Time) *bucket {
+	slot := now.UnixNano() / int64(step)
+	b := &m[slot%buckets]
+	if b.slot != slot {
+		*b = bucket{slot: slot}
+	}
+	return b
+}
+
+func (m *meter) sum(now time.Time) Usage {
+	newest := now.UnixNano() / int64(step)
+	var total Usage
+	for _, b := range m {
+		if b.slot > newest-buckets && b.slot <= newest {
+			total.Asked += b.usage.Asked
+			total.Admitted += b.usage.Admitted
+		}
+	}
+	return total
+}
+
+type peerUsage struct {
+	heard time.Time
+	usage map[state.Workspace]Usage
+}
+
+// Ledger counts what workspaces ask for and get. It is not safe for concurrent
+// use.
+type Ledger struct {
+	own   map[state.Workspace]*meter
+	peers map[state.Router]peerUsage
+	// level is the max-min share over the window; recomputed when stale.
+	level    float64
+	limited  bool
+	total    map[state.Workspace]Usage
+	computed time.Time
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{own: make(map[state.Workspace]*meter), peers: make(map[state.Router]peerUsage)}
+}
+
+func (l *Ledger) meter(ws state.Workspace) *meter {
+	m := l.own[ws]
+	if m == nil {
+		m = &meter{}
+		l.own[ws] = m
+	}
+	return m
+}
+
+// Asked counts a request that arrived.
+func (l *Ledger) Asked(now time.Time, ws state.Workspace, cost float64) {
+	l.meter(ws).at(now).usage.Asked += cost
+}
+
+// Admitted counts a request that was dispatched.
+func (l *Ledger) Admitted(now time.Time, ws state.Workspace, cost float64) {
+	l.meter(ws).at(now).usage.Admitted += cost
+	if l.total != nil {
+		u := l.total[ws]
+		u.Admitted += cost
+		l.total[ws] = u
+	}
+}
+
+// Own returns this router's counts, to be told to peers.
+func (l *Ledger) Own(now time.Time) map[state.Workspace]Usage {
+	usage := make(map[state.Workspace]Usage, len(l.own))
+	for ws, m := range l.own {
+		sum := m.sum(now)
+		if sum == (Usage{}) {
+			delete(l.own, ws)
+			continue
+		}
+		usage[ws] = sum
+	}
+	return usage
+}
+
+// Heard takes a peer's counts in place of what it told before.
+func (l *Ledger) Heard(now time.Time, from state.Router, usage map[state.Workspace]Usage) {
+	l.peers[from] = peerUsage{heard: now, usage: usage}
+}
+
+// Gone forgets a peer.
+func (l *Ledger) Gone(from state.Router) { delete(l.peers, from) }
+
+// refresh recomputes the level. It is done a few times a second: the level
+// moves with the window, not with single requests.
+func (l *Ledger) refresh(now time.Time, throughput float64) {
+	if l.total != nil && now.Sub(l.computed) < refreshEvery && !now.Before(l.computed) {
+		return
+	}
+	total := l.Own(now)
+	for router, peer := range l.peers {
+		if now.Sub(peer.heard) > PeerExpiry {
+			delete(l.peers, router)
+			continue
+		}
+		for ws, usage := range peer.usage {
+			sum := total[ws]
+			sum.Asked += usage.Asked
+			sum.Admitted += usage.Admitted
+			total[ws] = sum
+		}
+	}
+	asked := make([]float64, 0, len(total))
+	for _, usage := range total {
+		asked = append(asked, usage.Asked)
+	}
+	l.level, l.limited = Level(asked, throughput*Window.Seconds())
+	l.total = total
+	l.computed = now
+}
+
+// refreshEvery bounds the work of recomputing the level to ten times a second.
+const refreshEvery = 100 * time.Millisecond
+
+// Standing says how a workspace stands to its fair share.
+type Standing struct {
+	// Limited is set if all workspaces together ask for more than the fleet
+	// produces and this one got its max-min share already.
+	Limited bool
+	// Use is what the workspace got over its max-min share; 0 if the
+	// fleet is not short.
+	Use float64
+}
+
+// Standing judges a workspace at a throughput in cost units a second; zero or
+// less means unknown and limits nobody.
+func (l *Ledger) Standing(now time.Time, ws state.Workspace, throughput float64) Standing {
+	if throughput <= 0 {
+		return Standing{}
+	}
+	l.refresh(now, throughput)
+	if !l.limited || l.level <= 0 {
+		return Standing{}
+	}
+	use := l.total[ws].Admitted / l.level
+	return Standing{Limited: use >= 1, Use: use}
+}
+
+// Level returns the max-min share: the greatest amount such that everybody
+// gets what it asks for up to it and the sum stays within the capacity.
+// Limited is false if the capacity serves all.
+func Level(asked []float64, capacity float64) (level float64, limited bool) {
+	slices.Sort(asked)
+	left := capacity
+	for i, amount := range asked {
+		even := left / float64(len(asked)-i)
+		if amount > even {
+			return even, true
+		}
+		left -= amount
+	}
+	return 0, false
+}
--- a/loadgen/send.go
+++ b/loadgen/send.go
@@ -16,6 +16,7 @@
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/transport/caller"
+	"github.com/figstile/figstile/transport/problem"
 )
 
 // sender sends one call and reads its answer.
@@ -121,12 +122,12 @@
 
 func (s *sender) readProblem(response *http.Response) error {
 	defer func() { _ = response.Body.Close() }()
-	var problem caller.Problem
-	if err := json.NewDecoder(response.Body).Decode(&problem); err != nil {
+	var document problem.Document
+	if err := json.NewDecoder(response.Body).Decode(&document); err != nil {
 		return err
 	}
-	s.record.Code = problem.Code
-	s.record.Ran = problem.Ran
+	s.record.Code = document.Code
+	s.record.Ran = document.Ran
 	return nil
 }
 
@@ -158,9 +159,9 @@
 		return
 	}
 	for _, header := range []http.Header{response.Header, response.Trailer} {
-		if code, err := strconv.Atoi(header.Get(caller.HeaderResult)); err == nil {
+		if code, err := strconv.Atoi(header.Get(problem.HeaderResult)); err == nil {
 			s.record.Code = result.Code(code)
-			s.record.Ran = header.Get(caller.HeaderRan)
+			s.record.Ran = header.Get(problem.HeaderRan)
 		}
 	}
 }
--- a/state/result/result.go
+++ b/state/result/result.go
@@ -54,6 +54,8 @@
 	NoUpstream       Code = 2007
 	ClaimUnavailable Code = 2008
 	TooManyRequests  Code = 2009
+	Overloaded       Code = 2010
+	OverShare        Code = 2011
 
 	UpstreamUnreachable Code = 3001
 	UpstreamLost        Code = 3002
@@ -112,6 +114,8 @@
 	{NoUpstream, "no-upstream", http.StatusServiceUnavailable, RanNo, true, "No upstream of the service accepts work."},
 	{ClaimUnavailable, "claim-unavailable", http.StatusServiceUnavailable, RanNo, true, "The platform could not record the idempotency key, so the request was not run."},
 	{TooManyRequests, "too-many-requests", http.StatusTooManyRequests, RanNo, true, "The router holds as many requests as its memory allows."},
+	{Overloaded, "overloaded", http.StatusServiceUnavailable, RanNo, true, "The answer could not begin in time."},
+	{OverShare, "over-share", http.StatusTooManyRequests, RanNo, true, "The workspace has its fair share already and others wait."},
 	{UpstreamUnreachable, "upstream-unreachable", http.StatusBadGateway, RanNo, true, "No connection to an upstream could be made."},
 	{UpstreamLost, "upstream-lost", http.StatusBadGateway, RanUnknown, false, "The upstream went away before it answered."},
 	{AnswerTruncated, "answer-truncated", http.StatusBadGateway, RanYes, false, "The answer broke off; what was received is not whole."},
--- /dev/null
+++ b/state/routing/doc.go
@@ -0,0 +1,3 @@
+// Package routing holds one version of the operators' routes, services,
+// workspaces and limits as plain data, and looks requests up in it.
+package routing
--- /dev/null
+++ b/state/routing/table.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/figstile/figstile/state"
+)
+
+// Table is a Config prepared for lookups. It is immutable.
+type Table struct {
+	config   Config
+	hosts    map[string][]*Route
+	services map[state.Service]*Service
+	keys     map[string]state.Workspace
+}
+
+// NewTable indexes a configuration. The caller leaves it unchanged afterwards.
+func NewTable(config Config) *Table {
+	t := &Table{
+		config:   config,
+		hosts:    make(map[string][]*Route),
+		services: make(map[state.Service]*Service),
+		keys:     make(map[string]state.Workspace),
+	}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range config.Services {
+		t.services[config.Services[i].Name] = &config.Services[i]
+	}
+	for _, workspace := range config.Workspaces {
+		for _, key := range workspace.Keys {
+			t.keys[key] = workspace.Name
+		}
+	}
+	return t
+}
+
+// Version returns the configuration's version.
+func (t *Table) Version() uint64 { return t.config.Version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Services returns the services; the caller must not change them.
+func (t *Table) Services() []Service { return t.config.Services }
+
+// HasWorkspaces says whether routes that are not public need a key.
+func (t *Table) HasWorkspaces() bool { return len(t.config.Workspaces) > 0 }
+
+// Route returns the route with the longest prefix that begins the path, among
+// those of the host. A port in the host is ignored.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name state.Service) (*Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// Workspace returns the workspace that holds a key.
+func (t *Table) Workspace(key string) (state.Workspace, bool) {
+	workspace, ok := t.keys[key]
+	return workspace, ok
+}
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -10,6 +10,7 @@
 
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/problem"
 	"github.com/figstile/figstile/transport/upstream"
 )
 
@@ -165,7 +166,7 @@
 func (x *exchange) refuse(res result.Result) result.Result {
 	res = x.truthful(res)
 	x.extendWrite()
-	writeProblem(x.w, res)
+	problem.Write(x.w, res)
 	return res
 }
 
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -20,6 +20,7 @@
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/problem"
 	"github.com/figstile/figstile/transport/upstream"
 )
 
@@ -210,8 +211,8 @@
 	resp, body, err := b.call(t, "/drafts/v1/chat/completions", prompt, HeaderClass, "long")
 	require.NoError(t, err)
 	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
-	require.Equal(t, "0", resp.Trailer.Get(HeaderResult))
-	require.Equal(t, "yes", resp.Trailer.Get(HeaderRan))
+	require.Equal(t, "0", resp.Trailer.Get(problem.HeaderResult))
+	require.Equal(t, "yes", resp.Trailer.Get(problem.HeaderRan))
 	rec := <-b.records
 	outcomes, cost := b.heard()
 	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeServed}, outcomes)
@@ -257,7 +258,7 @@
 			require.Error(t, err)
 			require.Contains(t, body, "event: error\n")
 			require.Contains(t, body, `"code":3003`)
-			require.Empty(t, resp.Trailer.Get(HeaderResult))
+			require.Empty(t, resp.Trailer.Get(problem.HeaderResult))
 			<-b.records
 			outcomes, _ := b.heard()
 			require.Equal(t, []scheduler.Outcome{scheduler.OutcomeTruncated}, outcomes)
@@ -276,7 +277,7 @@
 	}{
 		"held": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderBusy, "250")
-			w.Header().Set(HeaderResult, "9999")
+			w.Header().Set(problem.HeaderResult, "9999")
 			w.WriteHeader(http.StatusCreated)
 			_, _ = io.WriteString(w, "seat 4A")
 		}, 201, "0", false, scheduler.OutcomeServed},
@@ -304,7 +305,7 @@
 			resp, body, err := b.call(t, "/bookings/seats?flight=12", "4A")
 			require.Equal(t, c.broken, err != nil)
 			require.Equal(t, c.status, resp.StatusCode)
-			code := resp.Header.Get(HeaderResult) + resp.Trailer.Get(HeaderResult)
+			code := resp.Header.Get(problem.HeaderResult) + resp.Trailer.Get(problem.HeaderResult)
 			require.Equal(t, c.code, code)
 			<-b.records
 			outcomes, cost := b.heard()
@@ -338,8 +339,8 @@
 			b := newBench(t, nil, scheduler.Refuse{ID: 1, Result: result.New(result.QueueFull, "").After(1500e6)})
 			resp, body, err := b.call(t, c.path, c.body, c.pairs...)
 			require.NoError(t, err)
-			require.Equal(t, c.code, resp.Header.Get(HeaderResult), body)
-			require.Equal(t, "no", resp.Header.Get(HeaderRan))
+			require.Equal(t, c.code, resp.Header.Get(problem.HeaderResult), body)
+			require.Equal(t, "no", resp.Header.Get(problem.HeaderRan))
 			require.Equal(t, "application/problem+json", resp.Header.Get("Content-Type"))
 			if c.code == "2001" {
 				require.Equal(t, "2", resp.Header.Get("Retry-After"))
@@ -356,7 +357,7 @@
 	b := newBench(t, lose, dispatch("dead"), dispatch("one"), scheduler.Refuse{ID: 1, Result: result.New(result.NoUpstream, "")})
 	resp, _, err := b.call(t, "/bookings/seats", "4A")
 	require.NoError(t, err)
-	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+	require.Equal(t, "unknown", resp.Header.Get(problem.HeaderRan))
 	outcomes, _ := b.heard()
 	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeNotSent, scheduler.OutcomeLost}, outcomes)
 }
@@ -377,7 +378,7 @@
 	b := newBench(t, worker, first, second)
 	resp, _, err := b.call(t, "/drafts/v1/chat/completions", prompt)
 	require.NoError(t, err)
-	require.Equal(t, "0", resp.Trailer.Get(HeaderResult))
+	require.Equal(t, "0", resp.Trailer.Get(problem.HeaderResult))
 	outcomes, _ := b.heard()
 	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeLost, scheduler.OutcomeServed}, outcomes)
 
@@ -385,8 +386,8 @@
 	b = newBench(t, worker, first, second)
 	resp, _, err = b.call(t, "/bookings/seats", "4A")
 	require.NoError(t, err)
-	require.Equal(t, "3007", resp.Header.Get(HeaderResult))
-	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+	require.Equal(t, "3007", resp.Header.Get(problem.HeaderResult))
+	require.Equal(t, "unknown", resp.Header.Get(problem.HeaderRan))
 	require.EqualValues(t, 1, calls.Load())
 }
 
@@ -401,7 +402,7 @@
 	b := newBench(t, lose, dispatch("one"), dispatch("one"))
 	resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
 	require.NoError(t, err)
-	require.Equal(t, "3002", resp.Header.Get(HeaderResult))
+	require.Equal(t, "3002", resp.Header.Get(problem.HeaderResult))
 	require.EqualValues(t, 1, runs.Load())
 	<-b.records
 	require.Len(t, b.claims.claimed, 1)
@@ -422,7 +423,7 @@
 		b := newBench(t, ok, dispatch("dead"), scheduler.Refuse{ID: 1, Result: result.New(result.UpstreamUnreachable, "")})
 		resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
 		require.NoError(t, err)
-		require.Equal(t, "no", resp.Header.Get(HeaderRan))
+		require.Equal(t, "no", resp.Header.Get(problem.HeaderRan))
 		<-b.records
 		require.Equal(t, []result.Ran{result.RanNo}, b.claims.completed)
 	})
@@ -431,7 +432,7 @@
 		b.claims.answer = result.New(result.KeyCompleted, "")
 		resp, _, err := b.call(t, "/bookings/seats", "4A", HeaderIdempotencyKey, "k1")
 		require.NoError(t, err)
-		require.Equal(t, "yes", resp.Header.Get(HeaderRan))
+		require.Equal(t, "yes", resp.Header.Get(problem.HeaderRan))
 		<-b.records
 		require.Empty(t, b.claims.completed)
 		outcomes, _ := b.heard()
@@ -526,12 +527,12 @@
 	}, dispatch("one"))
 	resp, _, err := b.call(t, "/bookings/x", "")
 	require.NoError(t, err)
-	require.Equal(t, "3006", resp.Header.Get(HeaderResult))
-	require.Equal(t, "unknown", resp.Header.Get(HeaderRan))
+	require.Equal(t, "3006", resp.Header.Get(problem.HeaderResult))
+	require.Equal(t, "unknown", resp.Header.Get(problem.HeaderRan))
 
 	b = newBench(t, nil, dispatch("one"))
 	resp, _, err = b.call(t, "/bookings/x", "", HeaderDeadline, "0")
 	require.NoError(t, err)
-	require.Equal(t, "2004", resp.Header.Get(HeaderResult))
-	require.Equal(t, "no", resp.Header.Get(HeaderRan))
+	require.Equal(t, "2004", resp.Header.Get(problem.HeaderResult))
+	require.Equal(t, "no", resp.Header.Get(problem.HeaderRan))
 }
--- a/transport/caller/headers.go
+++ b/transport/caller/headers.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/figstile/figstile/transport/endtoend"
 )
 
 // The headers of the caller API.
@@ -13,8 +15,6 @@
 	HeaderDeadline       = "Figstile-Deadline"
 	HeaderClass          = "Figstile-Class"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderResult         = "Figstile-Result"
-	HeaderRan            = "Figstile-Ran"
 	HeaderBusy           = "Figstile-Busy-Ms"
 )
 
@@ -123,47 +123,12 @@
 	return strings.TrimSpace(token)
 }
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection":          true,
-	"Expect":              true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Content-Length":      true,
-}
-
-// ownPrefix marks headers that only the project's own processes set. They are
-// dropped on the way through, so that a caller cannot pose as a router nor an
-// upstream state a result.
-const ownPrefix = "Figstile-"
-
-// copyEndToEnd copies the headers that are meant for the other end.
-func copyEndToEnd(to, from http.Header) {
-	for name, values := range from {
-		if hopHeaders[name] || strings.HasPrefix(name, ownPrefix) {
-			continue
-		}
-		to[name] = values
-	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(strings.TrimSpace(name))
-		}
-	}
-}
-
 // upstreamHeader returns what an upstream sees of the caller's headers. The
 // fleet's token is not its business. Engines are asked for plain text, because
 // tokens cannot be counted in a compressed stream.
 func upstreamHeader(from http.Header, engine bool) http.Header {
 	to := make(http.Header, len(from))
-	copyEndToEnd(to, from)
+	endtoend.Copy(to, from)
 	delete(to, "Authorization")
 	if engine {
 		delete(to, "Accept-Encoding")
--- a/transport/caller/keys.go
+++ b/transport/caller/keys.go
@@ -7,6 +7,7 @@
 
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/problem"
 )
 
 // KeysPath is where callers fetch idempotency keys.
@@ -38,11 +39,11 @@
 func (h *KeysHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key, res := h.issue(r)
 	if res.Code != result.OK {
-		writeProblem(w, res)
+		problem.Write(w, res)
 		return
 	}
 	header := w.Header()
-	setResult(header, res.WithRan(result.RanNo))
+	problem.SetResult(header, res.WithRan(result.RanNo))
 	header.Set("Content-Type", "application/json")
 	header.Set("Cache-Control", "no-store")
 	_ = json.NewEncoder(w).Encode(key)
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -14,6 +14,8 @@
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/endtoend"
+	"github.com/figstile/figstile/transport/problem"
 	"github.com/figstile/figstile/transport/upstream"
 )
 
@@ -123,8 +125,8 @@
 		return errTooLong
 	}
 	header := y.x.w.Header()
-	copyEndToEnd(header, y.answer.Header)
-	setResult(header, y.result())
+	endtoend.Copy(header, y.answer.Header)
+	problem.SetResult(header, y.result())
 	y.setLength(header, len(body))
 	y.begun = true
 	y.x.extendWrite()
@@ -157,8 +159,8 @@
 // caller's HTTP library notices a missing end.
 func (y *relay) begin() {
 	header := y.x.w.Header()
-	copyEndToEnd(header, y.answer.Header)
-	header.Set("Trailer", HeaderResult+", "+HeaderRan)
+	endtoend.Copy(header, y.answer.Header)
+	header.Set("Trailer", problem.HeaderResult+", "+problem.HeaderRan)
 	y.begun = true
 	y.trailers = true
 	y.x.extendWrite()
@@ -286,7 +288,7 @@
 func (y *relay) whole(total state.Cost) result.Result {
 	res := y.result()
 	if y.trailers {
-		setResult(y.x.w.Header(), res)
+		problem.SetResult(y.x.w.Header(), res)
 	}
 	outcome := scheduler.OutcomeServed
 	if res.Code != result.OK {
@@ -318,8 +320,8 @@
 	var event bytes.Buffer
 	event.WriteString("\n\nevent: error\ndata: ")
 	_ = json.NewEncoder(&event).Encode(struct {
-		Error Problem `json:"error"`
-	}{newProblem(res)})
+		Error problem.Document `json:"error"`
+	}{problem.NewDocument(res)})
 	event.WriteString("\n")
 	return event.Bytes()
 }
--- /dev/null
+++ b/transport/edge/catalogue.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+)
+
+// returnGrace is how long after the store's return an upstream whose entry
+// lapsed while the store was away is still used: it registers again within
+// about two seconds if it lives.
+const returnGrace = 2200 * time.Millisecond
+
+// catalogue holds the newest known objects of the store, whoever told them:
+// the store or a peer. Revisions only rise.
+type catalogue struct {
+	platform Platform
+	desk     *desk
+	log      zerolog.Logger
+	now      func() time.Time
+
+	mu       sync.Mutex
+	config   Object
+	version  uint64
+	objects  map[string]Object
+	upstream *directory.Directory
+	// lapsed are upstreams whose entries went while the store was away, and
+	// when that counts.
+	lapsed map[state.Upstream]time.Time
+	// awaySince is set while the store does not answer; returned is when it
+	// last came back.
+	away     bool
+	returned time.Time
+}
+
+func newCatalogue(platform Platform, desk *desk, log zerolog.Logger, now func() time.Time) *catalogue {
+	return &catalogue{
+		platform: platform, desk: desk, log: log, now: now,
+		objects:  make(map[string]Object),
+		upstream: directory.New(),
+		lapsed:   make(map[state.Upstream]time.Time),
+	}
+}
+
+// take applies an object and says whether it was news. Source is for the log.
+func (c *catalogue) take(kind Kind, o Object, source string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if kind == KindConfig {
+		return c.takeConfig(o, source)
+	}
+	return c.takeUpstream(o, source)
+}
+
+func (c *catalogue) takeConfig(o Object, source string) bool {
+	if o.Removed || o.Revision <= c.config.Revision {
+		return false
+	}
+	config, err := c.platform.DecodeConfig(o.Spec)
+	if err != nil {
+		c.log.Error().Err(err).Uint64("revision", o.Revision).Str("source", source).Msg("configuration refused")
+		return false
+	}
+	c.config = o
+	if config.Version < c.version {
+		c.log.Warn().Uint64("version", config.Version).Uint64("held", c.version).Msg("configuration older than the one in force")
+		return false
+	}
+	c.version = config.Version
+	c.desk.setTable(routing.NewTable(config))
+	c.log.Info().Uint64("version", config.Version).Uint64("revision", o.Revision).Str("source", source).
+		Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("configuration taken")
+	return true
+}
+
+func (c *catalogue) takeUpstream(o Object, source string) bool {
+	id := state.Upstream(o.Name)
+	entry := directory.Entry{Revision: o.Revision}
+	if !o.Removed {
+		decoded, err := c.platform.DecodeUpstream(o.Name, o.Spec)
+		if err != nil {
+			c.log.Debug().Err(err).Str("upstream", o.Name).Msg("entry names no upstream")
+		}
+		entry.Present, entry.Upstream = err == nil, decoded
+	}
+	before, _ := c.upstream.Entry(id)
+	if !c.upstream.Apply(id, entry) {
+		return false
+	}
+	c.objects[o.Name] = o
+	c.show(id, before, entry, source)
+	return true
+}
+
+// show tells the desk of a changed entry.
+func (c *catalogue) show(id state.Upstream, before, entry directory.Entry, source string) {
+	if before.Present == entry.Present && before.Upstream == entry.Upstream {
+		return
+	}
+	if !entry.Present && before.Present && !before.Upstream.Leaving && c.mayHaveLapsed() {
+		c.lapsed[id] = c.returned.Add(returnGrace)
+		c.log.Info().Str("upstream", string(id)).Str("source", source).Msg("upstream may have lapsed")
+		return
+	}
+	delete(c.lapsed, id)
+	c.desk.setUpstream(id, entry.Upstream, entry.Present)
+	c.log.Info().Str("upstream", string(id)).Str("service", string(entry.Upstream.Service)).
+		Str("address", entry.Upstream.Address).Bool("present", entry.Present).Bool("leaving", entry.Upstream.Leaving).
+		Uint64("revision", entry.Revision).Str("source", source).Msg("upstream changed")
+}
+
+// mayHaveLapsed says whether an entry that is gone may only have lapsed while
+// the store was away.
+func (c *catalogue) mayHaveLapsed() bool {
+	return !c.returned.IsZero() && c.now().Sub(c.returned) < returnGrace
+}
+
+// settleLapsed drops upstreams that did not register again in time.
+func (c *catalogue) settleLapsed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for id, due := range c.lapsed {
+		if now.Before(due) {
+			continue
+		}
+		delete(c.lapsed, id)
+		c.desk.setUpstream(id, directory.Upstream{}, false)
+		c.log.Info().Str("upstream", string(id)).Msg("upstream gone after the store's return")
+	}
+}
+
+// replace takes a whole list: what it lacks is gone.
+func (c *catalogue) replace(objects []Object, revision uint64, source string) []Object {
+	var news []Object
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Name] = true
+		if c.take(KindUpstream, o, source) {
+			news = append(news, o)
+		}
+	}
+	for _, name := range c.missing(listed, revision) {
+		gone := Object{Name: name, Revision: revision, Removed: true}
+		if c.take(KindUpstream, gone, source) {
+			news = append(news, gone)
+		}
+	}
+	return news
+}
+
+func (c *catalogue) missing(listed map[string]bool, revision uint64) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for id, entry := range c.upstream.Entries() {
+		if entry.Present && !listed[string(id)] && entry.Revision <= revision {
+			names = append(names, string(id))
+		}
+	}
+	return names
+}
+
+// reached and unreached note whether the store answers.
+func (c *catalogue) reached() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away {
+		c.away = false
+		c.returned = c.now()
+		c.log.Info().Msg("store regained")
+	}
+}
+
+func (c *catalogue) unreached(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.away {
+		c.away = true
+		c.log.Warn().Err(err).Msg("store lost")
+	}
+}
+
+// all returns every object held, for a peer that starts from nothing.
+func (c *catalogue) all() map[Kind][]Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := make(map[Kind][]Object)
+	if c.config.Revision > 0 {
+		held[KindConfig] = []Object{c.config}
+	}
+	for _, o := range c.objects {
+		held[KindUpstream] = append(held[KindUpstream], o)
+	}
+	return held
+}
--- /dev/null
+++ b/transport/edge/desk.go
@@ -0,0 +1,249 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/budget"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/ingress"
+)
+
+// currentWithin is how long after the last word of the store, or of a peer
+// that reads it, this router still claims to hold the newest configuration.
+const currentWithin = 3 * time.Second
+
+// desk hosts the decisions behind one lock: each takes microseconds, and all
+// need the same picture.
+type desk struct {
+	settings Settings
+	now      func() time.Time
+
+	mu       sync.Mutex
+	table    *routing.Table
+	picture  *placement.Picture
+	ledger   *shares.Ledger
+	budgets  map[state.Service]*budget.Budget
+	blocked  *quarantine.List
+	longest  map[string]time.Duration
+	routers  int
+	heard    time.Time
+	draining time.Time
+	onLost   func(f state.Fingerprint, run quarantine.Run)
+}
+
+func newDesk(settings Settings, now func() time.Time) *desk {
+	return &desk{
+		settings: settings,
+		now:      now,
+		picture:  placement.New(settings.DataCentre),
+		ledger:   shares.New(),
+		budgets:  make(map[state.Service]*budget.Budget),
+		blocked:  quarantine.New(quarantine.DefaultCapacity),
+		longest:  make(map[string]time.Duration),
+		routers:  1,
+		onLost:   func(state.Fingerprint, quarantine.Run) {},
+	}
+}
+
+var _ ingress.Desk = (*desk)(nil)
+
+// Table implements ingress.Desk.
+func (d *desk) Table() *routing.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table
+}
+
+// Current implements ingress.Desk.
+func (d *desk) Current() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.heard.IsZero() && d.now().Sub(d.heard) <= currentWithin
+}
+
+// Admit implements ingress.Desk.
+func (d *desk) Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if !repeat {
+		d.budget(r.Service).Request(now, d.retryLimits())
+		d.ledger.Asked(now, r.Workspace, r.Cost)
+	}
+	best, found := d.picture.Choose(now, r.Work)
+	verdict := d.judge(now, r, best, found, repeat)
+	if !verdict.Admit() {
+		return verdict, nil
+	}
+	if !repeat {
+		d.ledger.Admitted(now, r.Workspace, r.Cost)
+	}
+	return verdict, d.picture.Place(now, r.Work, best)
+}
+
+// judge lets a request that was admitted before go to any upstream there is.
+func (d *desk) judge(now time.Time, r admission.Request, best placement.Estimate, found, repeat bool) admission.Verdict {
+	if repeat && found {
+		return admission.Verdict{Estimate: best}
+	}
+	standing := shares.Standing{}
+	if r.Cost > 0 && d.table != nil {
+		standing = d.ledger.Standing(now, r.Workspace, d.table.Limits().Throughput)
+	}
+	return admission.Decide(r, best, found, standing, rand.Float64())
+}
+
+// FirstOutput implements ingress.Desk.
+func (d *desk) FirstOutput(t *placement.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.FirstOutput(d.now(), t)
+}
+
+// Told implements ingress.Desk.
+func (d *desk) Told(*placement.Ticket, ingress.Load) {}
+
+// End implements ingress.Desk.
+func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.End(d.now(), t, outcome)
+}
+
+func (d *desk) budget(service state.Service) *budget.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		b = &budget.Budget{}
+		d.budgets[service] = b
+	}
+	return b
+}
+
+func (d *desk) retryLimits() budget.Limits {
+	return budget.Limits{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow}
+}
+
+// Repeat implements ingress.Desk.
+func (d *desk) Repeat(service state.Service) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Repeat(d.now(), d.retryLimits(), d.routers)
+}
+
+// elapsedNoise is the difference of deadlines that says nothing: callers count
+// whole milliseconds, and the way here takes some.
+const elapsedNoise = 20 * time.Millisecond
+
+// Elapsed implements ingress.Desk. Callers of one route wait equally long, so
+// one that waits less than others have done has spent the difference already.
+func (d *desk) Elapsed(route *routing.Route, deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	longest := d.longest[route.Name]
+	if deadline >= longest {
+		d.longest[route.Name] = deadline
+		return 0
+	}
+	if elapsed := longest - deadline; elapsed > elapsedNoise {
+		return elapsed
+	}
+	return 0
+}
+
+// Blocked implements ingress.Desk.
+func (d *desk) Blocked(f state.Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.blocked.Blocked(d.now(), f)
+}
+
+// Lost implements ingress.Desk.
+func (d *desk) Lost(f state.Fingerprint, t *placement.Ticket) {
+	run := t.Run()
+	d.mu.Lock()
+	news := d.blocked.Record(d.now(), f, run)
+	d.mu.Unlock()
+	if news {
+		d.onLost(f, run)
+	}
+}
+
+// heardLost takes a peer's word that an upstream broke off under a request.
+func (d *desk) heardLost(f state.Fingerprint, run quarantine.Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.blocked.Record(d.now(), f, run)
+}
+
+// Served implements ingress.Desk.
+func (d *desk) Served(f state.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.blocked.Absolve(f)
+}
+
+// Draining implements ingress.Desk.
+func (d *desk) Draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.draining.IsZero()
+}
+
+// Closing implements ingress.Desk.
+func (d *desk) Closing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.draining.IsZero() && d.now().Sub(d.draining) > turnAway
+}
+
+func (d *desk) drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining.IsZero() {
+		d.draining = d.now()
+	}
+}
+
+// setTable takes a newer configuration.
+func (d *desk) setTable(table *routing.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = table
+	d.picture.SetServices(table.Services())
+}
+
+// setUpstream takes what is known of an upstream; present is false if it is
+// gone.
+func (d *desk) setUpstream(id state.Upstream, u directory.Upstream, present bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !present {
+		d.picture.RemoveUpstream(id)
+		return
+	}
+	d.picture.SetUpstream(u)
+}
+
+// confirm notes that the configuration is the newest as of now.
+func (d *desk) confirm() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard = d.now()
+}
+
+func (d *desk) ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table != nil && d.draining.IsZero()
+}
--- /dev/null
+++ b/transport/edge/desk_peers.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/state"
+)
+
+func (d *desk) ownLoads() map[state.Upstream]placement.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picture.Own()
+}
+
+func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.Heard(d.now(), from, loads)
+}
+
+func (d *desk) ownSpending() map[state.Workspace]shares.Usage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger.Own(d.now())
+}
+
+func (d *desk) heardSpending(from state.Router, usage map[state.Workspace]shares.Usage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger.Heard(d.now(), from, usage)
+}
+
+// setRouters takes the number of live routers and forgets those that went.
+func (d *desk) setRouters(live int, gone []state.Router) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routers = live
+	for _, router := range gone {
+		d.picture.PeerGone(router)
+		d.ledger.Gone(router)
+	}
+}
--- /dev/null
+++ b/transport/edge/fleet.go
@@ -0,0 +1,258 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/peer"
+)
+
+const (
+	// loadsEvery is the period at which peers hear of this router's load. Ten
+	// times a second leaves two requests per engine unseen at twenty requests
+	// a second each.
+	loadsEvery = 100 * time.Millisecond
+	// spendingEvery is the same for workspaces, whose shares are measured
+	// over seconds.
+	spendingEvery = 250 * time.Millisecond
+	// readers is how many routers follow the store for all. Three are lost
+	// at once only if a data centre falls together with another VM.
+	readers = 3
+	// claimExpiry is the age at which a peer's word that it reads the store
+	// no longer counts: it would have said so ten times since.
+	claimExpiry = 1200 * time.Millisecond
+	// readHealthy is how long after the store's last answer this router still
+	// says that it reads: a watch may wait for most of it.
+	readHealthy = watchWait + callTimeout
+)
+
+// fleet talks with the peers.
+type fleet struct {
+	self      state.Router
+	desk      *desk
+	catalogue *catalogue
+	mesh      *peer.Mesh
+	log       zerolog.Logger
+	now       func() time.Time
+
+	mu     sync.Mutex
+	live   []state.Router
+	claims map[state.Router]time.Time
+	// answered is when the store last answered this router, failed when a
+	// call last failed; each kind is followed by itself.
+	answered time.Time
+	failed   time.Time
+	// reading is set while this router reads the store.
+	reading bool
+}
+
+func newFleet(self state.Router, desk *desk, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
+	f := &fleet{
+		self: self, desk: desk, catalogue: catalogue, log: log, now: now,
+		claims: make(map[state.Router]time.Time),
+	}
+	desk.onLost = f.sendLost
+	return f
+}
+
+// reads says whether this router is to read the store: while fewer than enough
+// peers say that they do, or if it comes early enough by name among those.
+func (f *fleet) reads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	before, others := 0, 0
+	for router, heard := range f.claims {
+		if now.Sub(heard) > claimExpiry || !slices.Contains(f.live, router) {
+			delete(f.claims, router)
+			continue
+		}
+		others++
+		if strings.Compare(string(router), string(f.self)) < 0 {
+			before++
+		}
+	}
+	reading := others < readers || before < readers && f.reading
+	if reading != f.reading {
+		f.reading = reading
+		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
+	}
+	return reading
+}
+
+func (f *fleet) onAnswer() {
+	f.mu.Lock()
+	f.answered = f.now()
+	f.mu.Unlock()
+	f.desk.confirm()
+}
+
+func (f *fleet) onFailure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = f.now()
+}
+
+// claim says whether this router may tell peers that it follows the store.
+func (f *fleet) claim() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading && !f.answered.IsZero() && f.answered.After(f.failed) && f.now().Sub(f.answered) <= readHealthy
+}
+
+// run tells peers of loads and spending until the context ends.
+func (f *fleet) run(ctx context.Context) {
+	loads, spending := time.NewTicker(loadsEvery), time.NewTicker(spendingEvery)
+	defer loads.Stop()
+	defer spending.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-loads.C:
+			f.catalogue.settleLapsed()
+			f.sendLoads()
+		case <-spending.C:
+			f.sendSpending()
+		}
+	}
+}
+
+func (f *fleet) sendLoads() {
+	message := &peerpb.Loads{ReadsStore: f.claim()}
+	for id, load := range f.desk.ownLoads() {
+		message.Entries = append(message.Entries, &peerpb.UpstreamLoad{
+			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
+		})
+	}
+	f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
+}
+
+func (f *fleet) sendSpending() {
+	message := &peerpb.Spending{}
+	for ws, usage := range f.desk.ownSpending() {
+		message.Entries = append(message.Entries, &peerpb.WorkspaceSpending{
+			Workspace: string(ws), Asked: uint64(usage.Asked), Admitted: uint64(usage.Admitted),
+		})
+	}
+	if len(message.Entries) > 0 {
+		f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Spending{Spending: message}})
+	}
+}
+
+func (f *fleet) sendLost(fingerprint state.Fingerprint, run quarantine.Run) {
+	f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{
+		Fingerprint: uint64(fingerprint), Upstream: string(run.Upstream), Boot: run.Boot,
+	}}})
+}
+
+// sendNews tells all peers of objects that the store told this router.
+func (f *fleet) sendNews(kind Kind, objects []Object) {
+	for _, o := range objects {
+		f.mesh.Broadcast(objectEnvelope(kind, o))
+	}
+}
+
+// keySeparator stands between the kind and the name of an object.
+const keySeparator = "/"
+
+func objectEnvelope(kind Kind, o Object) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{
+		Key: kind.String() + keySeparator + o.Name, Version: o.Revision, Value: o.Spec, Removed: o.Removed,
+	}}}
+}
+
+// onEnvelope takes a message of a peer.
+func (f *fleet) onEnvelope(from peer.Peer, env *peerpb.Envelope) {
+	switch body := env.GetBody().(type) {
+	case *peerpb.Envelope_ConfigObject:
+		f.onObject(from.Router, body.ConfigObject)
+	case *peerpb.Envelope_Loads:
+		f.onLoads(from.Router, body.Loads)
+	case *peerpb.Envelope_Spending:
+		f.onSpending(from.Router, body.Spending)
+	case *peerpb.Envelope_Crash:
+		f.desk.heardLost(state.Fingerprint(body.Crash.GetFingerprint()),
+			quarantine.Run{Upstream: state.Upstream(body.Crash.GetUpstream()), Boot: body.Crash.GetBoot()})
+	}
+}
+
+func (f *fleet) onObject(from state.Router, m *peerpb.ConfigObject) {
+	kindName, name, ok := strings.Cut(m.GetKey(), keySeparator)
+	if !ok || len(m.GetKey()) > wire.MaxName {
+		f.log.Warn().Str("peer", string(from)).Str("key", m.GetKey()).Msg("object refused")
+		return
+	}
+	kind := KindUpstream
+	if kindName == KindConfig.String() {
+		kind = KindConfig
+	}
+	o := Object{Name: name, Revision: m.GetVersion(), Removed: m.GetRemoved(), Spec: m.GetValue()}
+	f.catalogue.take(kind, o, string(from))
+}
+
+func (f *fleet) onLoads(from state.Router, m *peerpb.Loads) {
+	if len(m.GetEntries()) > wire.MaxEntries {
+		return
+	}
+	loads := make(map[state.Upstream]placement.Load, len(m.GetEntries()))
+	for _, e := range m.GetEntries() {
+		loads[state.Upstream(e.GetUpstream())] = placement.Load{Running: int(e.GetRunning()), Unread: int(e.GetUnread())}
+	}
+	f.desk.heardLoads(from, loads)
+	f.mu.Lock()
+	if m.GetReadsStore() {
+		f.claims[from] = f.now()
+	} else {
+		delete(f.claims, from)
+	}
+	f.mu.Unlock()
+	if m.GetReadsStore() {
+		f.desk.confirm()
+	}
+}
+
+func (f *fleet) onSpending(from state.Router, m *peerpb.Spending) {
+	if len(m.GetEntries()) > wire.MaxEntries {
+		return
+	}
+	usage := make(map[state.Workspace]shares.Usage, len(m.GetEntries()))
+	for _, e := range m.GetEntries() {
+		usage[state.Workspace(e.GetWorkspace())] = shares.Usage{Asked: float64(e.GetAsked()), Admitted: float64(e.GetAdmitted())}
+	}
+	f.desk.heardSpending(from, usage)
+}
+
+// onPeers takes the live routers.
+func (f *fleet) onPeers(peers []scheduler.Peer) {
+	live := make([]state.Router, 0, len(peers))
+	for _, p := range peers {
+		live = append(live, p.Router)
+	}
+	f.mu.Lock()
+	gone := slices.DeleteFunc(f.live, func(r state.Router) bool { return slices.Contains(live, r) })
+	f.live = live
+	f.mu.Unlock()
+	f.desk.setRouters(len(live), gone)
+}
+
+// onSession tells a peer all that is held: messages may have been lost.
+func (f *fleet) onSession(p peer.Peer) {
+	for kind, objects := range f.catalogue.all() {
+		for _, o := range objects {
+			f.mesh.Send(p.Router, objectEnvelope(kind, o))
+		}
+	}
+}
--- /dev/null
+++ b/transport/edge/observer.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/ingress"
+	"github.com/figstile/figstile/transport/metrics"
+)
+
+// observer turns finished requests into metrics.
+type observer struct {
+	metrics *metrics.Metrics
+}
+
+// Finished implements ingress.Observer.
+func (o observer) Finished(rec ingress.Record) {
+	series := o.metrics.For(rec.Workspace, rec.Class)
+	for range rec.Attempts {
+		series.Dispatched(rec.Wait)
+	}
+	if rec.First > 0 {
+		series.FirstByte(rec.First)
+	}
+	series.Finished(rec.Result, rec.Total, 0)
+}
+
+// Between implements ingress.Observer.
+func (o observer) Between(ws state.Workspace, class string, gap time.Duration) {
+	o.metrics.For(ws, class).Between(gap)
+}
--- /dev/null
+++ b/transport/edge/router.go
@@ -0,0 +1,242 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/boottime"
+	"github.com/figstile/figstile/transport/ingress"
+	"github.com/figstile/figstile/transport/metrics"
+	"github.com/figstile/figstile/transport/peer"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+const (
+	// turnAway is how long after the order to stop new requests are still
+	// taken: balancers ask once a second and need two misses, and callers
+	// on open connections learn of the stop with their next answer.
+	turnAway = 3 * time.Second
+	// lastWords is kept of the grace period to end what is left.
+	lastWords = 500 * time.Millisecond
+	// memoryShare of the VM's memory is what Go's runtime aims to stay
+	// within; stacks of the kernel's sockets count on top.
+	memoryShare = 0.7
+	// upstreamKeep is how long an unused connection to an upstream is kept.
+	// It is short, because a request that meets the upstream's own close is
+	// lost with an unknown outcome.
+	upstreamKeep = 2 * time.Second
+	// upstreamIdle bounds unused connections to one upstream: all routers
+	// share what it accepts.
+	upstreamIdle = 8
+	// headerTimeout, idleTimeout and headerBytes bound callers.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	headerBytes   = 64 << 10
+	// fleetName keeps routers apart that talk to different stores.
+	fleetName = "edge"
+)
+
+// Router is one router.
+type Router struct {
+	settings  Settings
+	log       zerolog.Logger
+	desk      *desk
+	catalogue *catalogue
+	fleet     *fleet
+	mesh      *peer.Mesh
+	followers []*follower
+	metrics   *metrics.Metrics
+	handler   http.Handler
+
+	callers net.Listener
+	ready   net.Listener
+	figures net.Listener
+}
+
+// New opens the listeners and wires a router.
+func New(settings Settings, platform Platform, log zerolog.Logger) (*Router, error) {
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+	r := &Router{
+		settings: settings,
+		log:      log,
+		desk:     newDesk(settings, boottime.Now),
+		metrics:  metrics.New(settings.Router, settings.DataCentre),
+	}
+	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
+	r.fleet = newFleet(settings.Router, r.desk, r.catalogue, log, boottime.Now)
+	r.openCallers(platform)
+	for _, kind := range []Kind{KindConfig, KindUpstream} {
+		r.followers = append(r.followers, &follower{
+			kind: kind, store: platform, catalogue: r.catalogue, log: log,
+			reads: r.fleet.reads, onAnswer: r.fleet.onAnswer, onFailure: r.fleet.onFailure, onNews: r.fleet.sendNews,
+		})
+	}
+	if err := r.listen(); err != nil {
+		r.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) openCallers(platform Platform) {
+	r.handler = ingress.NewHandler(ingress.Options{
+		Dialect: platform,
+		Desk:    r.desk,
+		Client: upstream.NewClient(upstream.ClientOptions{
+			Dial:            NewDialer().DialContext,
+			EchoHeader:      platform.AttemptHeader(),
+			KeepIdle:        upstreamKeep,
+			IdlePerUpstream: upstreamIdle,
+			AcceptUnframed:  true,
+		}),
+		Observer: observer{metrics: r.metrics},
+		Log:      r.log,
+		Now:      boottime.Now,
+	})
+}
+
+func (r *Router) listen() error {
+	var err error
+	dialer := NewDialer()
+	r.mesh, err = peer.New(peer.Options{
+		Self: peer.Self{
+			Peer: peer.Peer{
+				Router:      r.settings.Router,
+				DataCentre:  r.settings.DataCentre,
+				Incarnation: state.Incarnation(time.Now().UnixNano()),
+			},
+			Fleet: fleetName,
+		},
+		Listen: r.settings.Addresses.Peers,
+		Seeds:  r.settings.Seeds,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		Handler:   r.fleet.onEnvelope,
+		OnPeers:   r.fleet.onPeers,
+		OnSession: r.fleet.onSession,
+		Log:       r.log,
+	})
+	if err != nil {
+		return fmt.Errorf("peer listener: %w", err)
+	}
+	r.fleet.mesh = r.mesh
+	if r.callers, err = net.Listen("tcp", r.settings.Addresses.Callers); err != nil {
+		return fmt.Errorf("caller listener: %w", err)
+	}
+	if r.ready, err = net.Listen("tcp", r.settings.Addresses.Ready); err != nil {
+		return fmt.Errorf("readiness listener: %w", err)
+	}
+	if r.settings.Addresses.Metrics == "" {
+		return nil
+	}
+	if r.figures, err = net.Listen("tcp", r.settings.Addresses.Metrics); err != nil {
+		return fmt.Errorf("metrics listener: %w", err)
+	}
+	return nil
+}
+
+func (r *Router) close() {
+	for _, l := range []net.Listener{r.callers, r.ready, r.figures} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// AddSeeds adds peer addresses that new settings name.
+func (r *Router) AddSeeds(addresses []string) { r.mesh.AddSeeds(addresses) }
+
+// Run serves until the context ends, then finishes what it has within the
+// grace period.
+func (r *Router) Run(ctx context.Context) error {
+	r.log.Info().Str("router", string(r.settings.Router)).Str("data_centre", string(r.settings.DataCentre)).
+		Str("callers", r.settings.Addresses.Callers).Msg("started")
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	servers := r.servers()
+	group, groupCtx := errgroup.WithContext(inner)
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	group.Go(func() error { return r.mesh.Run(inner) })
+	group.Go(func() error { r.fleet.run(inner); return nil })
+	for _, f := range r.followers {
+		group.Go(func() error { f.run(inner); return nil })
+	}
+	select {
+	case <-ctx.Done():
+		r.stop(servers)
+	case <-groupCtx.Done():
+	}
+	cancel()
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	err := group.Wait()
+	r.log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// server is one HTTP server with its open socket.
+type server struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (s server) serve() error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// servers returns the HTTP servers, that of callers first.
+func (r *Router) servers() []server {
+	callers := &http.Server{
+		Handler:           r.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+	all := []server{{r.callers, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
+	if r.figures != nil {
+		all = append(all, server{r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}})
+	}
+	return all
+}
+
+// readiness answers whether new callers are welcome, whatever the path.
+func (r *Router) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !r.desk.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// stop lets balancers and callers move on, then waits for what runs.
+func (r *Router) stop(servers []server) {
+	began := boottime.Now()
+	r.log.Info().Msg("stopping")
+	r.desk.drain()
+	time.Sleep(turnAway)
+	left := r.settings.GracePeriod - lastWords - boottime.Now().Sub(began)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, lastWords))
+	defer cancel()
+	if err := servers[0].server.Shutdown(ctx); err != nil {
+		r.log.Warn().Err(err).Msg("requests cut off at the end of the grace period")
+	}
+}
--- /dev/null
+++ b/transport/ingress/attempt.go
@@ -0,0 +1,204 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/endtoend"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+// rejectedRetry is when to come back after upstreams that were believed to be
+// free rejected a request: a few requests' time at a plain worker.
+const rejectedRetry = 250 * time.Millisecond
+
+// fate says what became of a request at one upstream.
+type fate uint8
+
+const (
+	// fateDelivered: the caller has its final answer, or has left.
+	fateDelivered fate = iota
+	// fateUnsent: nothing reached the upstream.
+	fateUnsent
+	// fateNotRun: the upstream says that it did not run the request.
+	fateNotRun
+	// fateFailed: the upstream failed, or its answer broke; it may have run.
+	fateFailed
+)
+
+// attemptEnd is the end of one attempt.
+type attemptEnd struct {
+	fate fate
+	// res is the final result if delivered, else the one to give if nothing
+	// better can be done.
+	res result.Result
+}
+
+// dispatch sends the request until it has its final answer.
+func (x *exchange) dispatch(ctx context.Context) result.Result {
+	unsent := 0
+	for {
+		verdict, ticket := x.h.Desk.Admit(x.request, x.attempts > 0 || unsent > 0)
+		x.verdict = verdict
+		if !verdict.Admit() {
+			return x.settle(refusal(verdict))
+		}
+		end := x.attempt(ctx, ticket)
+		switch end.fate {
+		case fateDelivered:
+			x.attempts++
+			return end.res
+		case fateUnsent:
+			unsent++
+		default:
+			x.attempts++
+			x.sent = x.sent || end.fate == fateFailed
+		}
+		if ctx.Err() != nil || unsent >= unsentTries || !x.again(end) {
+			return x.settle(x.final(ctx, end))
+		}
+		x.request.Excluded = append(x.request.Excluded, ticket.Upstream())
+	}
+}
+
+// again says whether the request may go to another upstream.
+func (x *exchange) again(end attemptEnd) bool {
+	switch {
+	case end.fate == fateUnsent:
+		return true
+	case x.attempts >= max(x.route.MaxAttempts, 1):
+		return false
+	case end.fate == fateFailed && !x.route.Repeatable():
+		return false
+	default:
+		return x.h.Desk.Repeat(x.service)
+	}
+}
+
+// refusal maps a verdict to its result.
+func refusal(v admission.Verdict) result.Result {
+	code := result.Overloaded
+	switch v.Reason {
+	case admission.NoUpstream:
+		code = result.NoUpstream
+	case admission.OverShare:
+		code = result.OverShare
+	}
+	return result.New(code, "").After(v.RetryAfter)
+}
+
+// final is the result of a request that goes to no further upstream.
+func (x *exchange) final(ctx context.Context, end attemptEnd) result.Result {
+	if ctx.Err() == nil {
+		return end.res
+	}
+	if x.sent {
+		return result.New(result.DeadlineWhileRun, "")
+	}
+	return result.New(result.DeadlinePassed, "").After(rejectedRetry)
+}
+
+// settle gives the caller its final answer: an upstream's own failure if there
+// is one, else the router's. Once an upstream may have run the request, no
+// answer says that it did not.
+func (x *exchange) settle(res result.Result) result.Result {
+	if x.fallback != nil && !x.began {
+		return x.deliver(x.fallback)
+	}
+	if x.sent && result.Lookup(res.Code).Ran == result.RanNo {
+		res = result.New(result.UpstreamLost, "")
+	}
+	return x.refuse(res)
+}
+
+// attempt sends the request to the ticket's upstream once.
+func (x *exchange) attempt(ctx context.Context, ticket *placement.Ticket) attemptEnd {
+	end, outcome := x.exchange(ctx, ticket)
+	if x.r.Context().Err() != nil || ctx.Err() != nil {
+		outcome = placement.Withdrawn
+	}
+	x.h.Desk.End(ticket, outcome)
+	if end.fate != fateDelivered {
+		x.logAttempt(ticket, end)
+	}
+	return end
+}
+
+func (x *exchange) logAttempt(ticket *placement.Ticket, end attemptEnd) {
+	x.h.Log.Warn().Str("id", x.in.Attempt).Str("upstream", string(ticket.Upstream())).
+		Int("attempt", x.attempts+1).Int("fate", int(end.fate)).Int("code", int(end.res.Code)).
+		Str("cause", end.res.Detail).Str("last_event", x.lastEvent).Msg("attempt ended")
+}
+
+func (x *exchange) exchange(ctx context.Context, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
+	now := x.h.Now()
+	x.record.Wait = now.Sub(x.arrived)
+	answer, err := x.h.Client.Send(ctx, x.outgoing(now, ticket))
+	if err != nil {
+		return x.unanswered(err, ticket)
+	}
+	defer answer.Close()
+	head := x.h.Dialect.Answer(answer.Status, answer.Header)
+	if head.Load != nil {
+		x.h.Desk.Told(ticket, *head.Load)
+	}
+	switch {
+	case head.NotRun:
+		return attemptEnd{fateNotRun, result.New(result.NoUpstream, "The upstream would not take the request.").After(rejectedRetry)}, placement.Rejected
+	case !head.Signed:
+		return attemptEnd{fateFailed, result.New(result.UpstreamFailed, "The answer is not an upstream's own.")}, placement.Failed
+	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
+		return x.relayStream(answer, ticket)
+	default:
+		return x.relayHeld(answer, ticket)
+	}
+}
+
+// outgoing builds the attempt for an upstream.
+func (x *exchange) outgoing(now time.Time, ticket *placement.Ticket) upstream.Attempt {
+	header := make(http.Header, len(x.r.Header)+4)
+	endtoend.Copy(header, x.r.Header)
+	x.h.Dialect.Outbound(header, Outbound{
+		Upstream:  ticket.Upstream(),
+		Workspace: x.workspace,
+		Deadline:  max(x.limit.Sub(now), time.Millisecond),
+		LastEvent: x.lastEvent,
+	})
+	return upstream.Attempt{
+		BaseURL: "http://" + x.verdict.Estimate.Address,
+		Target:  x.r.URL.RequestURI(),
+		Method:  x.r.Method,
+		Host:    x.r.Host,
+		Header:  header,
+		Body:    x.body,
+		Token:   x.in.Attempt,
+	}
+}
+
+// unanswered classifies an attempt without an answer.
+func (x *exchange) unanswered(err error, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
+	if upstream.StageOf(err) == upstream.StageNotSent {
+		return attemptEnd{fateUnsent, result.New(result.NoUpstream, err.Error()).After(rejectedRetry)}, placement.Unreachable
+	}
+	x.lost(err, ticket)
+	return attemptEnd{fateFailed, result.New(result.UpstreamLost, err.Error())}, placement.Unreachable
+}
+
+// lost notes a request whose upstream went away under it, unless the router
+// itself ended the attempt.
+func (x *exchange) lost(err error, ticket *placement.Ticket) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, upstream.ErrCrossed) {
+		return
+	}
+	x.h.Desk.Lost(x.fingerprint, ticket)
+}
+
+// served notes a whole answer.
+func (x *exchange) served(f state.Fingerprint) { x.h.Desk.Served(f) }
--- /dev/null
+++ b/transport/ingress/desk.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/routing"
+)
+
+// Desk makes the decisions on requests. It is safe for concurrent use and does
+// not block.
+type Desk interface {
+	// Table returns the routes in force, nil before there are any.
+	Table() *routing.Table
+	// Current says whether the routes are known to be the newest, so that
+	// what they lack does not exist.
+	Current() bool
+	// Admit decides on a request. Repeat is set for a request that was sent
+	// before: it is placed without being judged again. The ticket is nil
+	// unless the verdict admits, and must be ended.
+	Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket)
+	// FirstOutput notes the first event of an answer.
+	FirstOutput(t *placement.Ticket)
+	// Told notes what an upstream said of its load.
+	Told(t *placement.Ticket, load Load)
+	// End ends a ticket.
+	End(t *placement.Ticket, outcome placement.Outcome)
+	// Repeat spends one repeat of a service's budget, if it has one.
+	Repeat(service state.Service) bool
+	// Elapsed guesses how long ago the caller first sent a request, from the
+	// time it still has.
+	Elapsed(route *routing.Route, deadline time.Duration) time.Duration
+	// Blocked says whether a request has taken down upstreams and must not
+	// run again.
+	Blocked(f state.Fingerprint) bool
+	// Lost notes that an upstream broke off while it ran a request.
+	Lost(f state.Fingerprint, t *placement.Ticket)
+	// Served notes that a request was answered whole.
+	Served(f state.Fingerprint)
+	// Draining says whether the router is about to stop.
+	Draining() bool
+	// Closing says whether the router is so near its end that a request
+	// taken now may be cut off.
+	Closing() bool
+}
--- /dev/null
+++ b/transport/ingress/handler.go
@@ -0,0 +1,393 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/prefix"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/problem"
+	"github.com/figstile/figstile/transport/upstream"
+)
+
+const (
+	// defaultDeadline bounds a request whose caller and route name none.
+	defaultDeadline = time.Minute
+	// defaultBodyBytes bounds a body while the configuration has no limit.
+	defaultBodyBytes = 4 << 20
+	// unsentTries bounds how often a request is placed anew after no
+	// connection could be made. Such tries reach no upstream and cost the
+	// fleet nothing, but each may take a dial's timeout.
+	unsentTries = 4
+)
+
+// Options wire a Handler.
+type Options struct {
+	Dialect  Dialect
+	Desk     Desk
+	Client   *upstream.Client
+	Observer Observer
+	Log      zerolog.Logger
+	// Now is the clock for latencies.
+	Now func() time.Time
+}
+
+// Record describes one finished request to an Observer.
+type Record struct {
+	Workspace state.Workspace
+	Class     string
+	Result    result.Result
+	// Attempts counts the upstreams that the request was sent to.
+	Attempts int
+	// Wait is the time until the last attempt began, First that to the first
+	// event or the answer, Total that to the end; zero where not reached.
+	Wait, First, Total time.Duration
+	// Abandoned is set if the caller left first.
+	Abandoned bool
+}
+
+// Observer hears of requests, for metrics. It must not block.
+type Observer interface {
+	Finished(rec Record)
+	Between(ws state.Workspace, class string, gap time.Duration)
+}
+
+// Handler serves callers.
+type Handler struct {
+	Options
+}
+
+// NewHandler returns a handler.
+func NewHandler(opts Options) *Handler { return &Handler{Options: opts} }
+
+// exchange is one caller's request under way. It belongs to the goroutine of
+// its HTTP handler.
+type exchange struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	control *http.ResponseController
+	arrived time.Time
+
+	in          Inbound
+	table       *routing.Table
+	route       *routing.Route
+	service     state.Service
+	workspace   state.Workspace
+	body        []byte
+	fingerprint state.Fingerprint
+	request     admission.Request
+	// deadline is when the caller leaves, limit when its answer is due: the
+	// sooner of the deadline and the route's timeout.
+	deadline time.Time
+	limit    time.Time
+
+	// sent is set once an upstream may have run the request.
+	sent bool
+	// attempts counts the upstreams that the request was sent to.
+	attempts int
+	// began is set once the head of the answer went to the caller.
+	began bool
+	// abort is set if the answer under way must not be ended cleanly.
+	abort bool
+	// lastEvent is the last event that was passed on whole.
+	lastEvent string
+	// fallback is an upstream's own failure, delivered if no other upstream
+	// does better.
+	fallback *heldAnswer
+	verdict  admission.Verdict
+	record   Record
+	// lastRead is when the last part of a stream came.
+	lastRead time.Time
+}
+
+// ServeHTTP runs one request to its final answer. An answer that broke off
+// ends with its connection, so that the caller's HTTP library sees it.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now()}
+	defer x.recovered()
+	if h.Desk.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	res := x.run()
+	x.finish(res)
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// recovered ends the connection of a request whose handling failed; net/http
+// would do the same but print a stack to standard error.
+func (x *exchange) recovered() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	x.h.Log.Error().Str("id", x.in.Attempt).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handler failed")
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) run() result.Result {
+	if res, ok := x.admit(); !ok {
+		return x.refuse(res)
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.limit.Sub(x.h.Now()))
+	defer cancel()
+	return x.dispatch(ctx)
+}
+
+// admit reads and checks a request. It returns the refusal if it is not ok.
+func (x *exchange) admit() (result.Result, bool) {
+	x.table = x.h.Desk.Table()
+	if x.table == nil {
+		return result.New(result.NotReady, ""), false
+	}
+	if res, ok := x.readBody(); !ok {
+		return res, false
+	}
+	// The routes may have changed while the body was read.
+	x.table = x.h.Desk.Table()
+	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.describe} {
+		if res, ok := check(); !ok {
+			return res, false
+		}
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) readBody() (result.Result, bool) {
+	limit := x.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return result.New(result.BodyTooLarge, ""), false
+	}
+	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
+	var err error
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		_, err = io.ReadFull(reader, x.body)
+	} else {
+		x.body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.New(result.BodyTooLarge, ""), false
+	case err != nil:
+		x.record.Abandoned = x.r.Context().Err() != nil
+		return result.New(result.BadRequest, "The body ended early."), false
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) findRoute() (result.Result, bool) {
+	route, ok := x.table.Route(x.r.Host, x.r.URL.Path)
+	if !ok {
+		return x.unknown(result.UnknownService), false
+	}
+	x.route = route
+	x.service = pick(route.Backends)
+	x.record.Class = route.Name
+	if x.service == "" {
+		return result.New(result.NoUpstream, "The route has no service."), false
+	}
+	return result.Result{}, true
+}
+
+// unknown refuses what the configuration lacks. A router that may have missed
+// a newer configuration cannot say that a thing does not exist; one that says
+// so wrongly turns a caller away for good.
+func (x *exchange) unknown(code result.Code) result.Result {
+	if x.h.Desk.Current() {
+		return result.New(code, "")
+	}
+	return result.New(result.NotReady, "The router may not hold the newest configuration.")
+}
+
+// pick draws one of a route's services by weight.
+func pick(backends []routing.Backend) state.Service {
+	total := 0
+	for _, b := range backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := rand.IntN(total)
+	for _, b := range backends {
+		if drawn < b.Weight {
+			return b.Service
+		}
+		drawn -= b.Weight
+	}
+	return ""
+}
+
+func (x *exchange) readHeader() (result.Result, bool) {
+	in, err := x.h.Dialect.Inbound(x.r.Header)
+	if err != nil {
+		return result.New(result.BadRequest, err.Error()), false
+	}
+	x.in = in
+	x.lastEvent = in.LastEvent
+	patience := in.Deadline
+	if patience <= 0 {
+		patience = defaultDeadline
+	}
+	x.deadline = x.arrived.Add(patience)
+	x.limit = x.deadline
+	if x.route.Timeout > 0 && x.route.Timeout < patience {
+		x.limit = x.arrived.Add(x.route.Timeout)
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) authenticate() (result.Result, bool) {
+	if x.route.Public || !x.table.HasWorkspaces() {
+		return result.Result{}, true
+	}
+	workspace, ok := x.table.Workspace(x.in.Key)
+	if !ok {
+		return x.unknown(result.Unauthorized), false
+	}
+	x.workspace = workspace
+	x.record.Workspace = workspace
+	return result.Result{}, true
+}
+
+// describe works out what is decided on, and refuses what is known to do harm.
+func (x *exchange) describe() (result.Result, bool) {
+	x.fingerprint = x.digest()
+	patience := x.limit.Sub(x.arrived)
+	x.request = admission.Request{
+		Work: placement.Work{
+			Service: x.service,
+			Prompt:  x.in.Prompt,
+			Output:  x.expectedOutput(),
+		},
+		Workspace: x.workspace,
+		Cost:      x.cost(),
+		Target:    x.route.Target,
+		Elapsed:   x.h.Desk.Elapsed(x.route, x.in.Deadline),
+		Patience:  patience,
+	}
+	if x.h.Desk.Blocked(x.fingerprint) {
+		return result.New(result.Suspected, "").After(patience / 2), false
+	}
+	if x.h.Desk.Closing() {
+		return result.New(result.Draining, "").After(closingRetry), false
+	}
+	return result.Result{}, true
+}
+
+// closingRetry sends a caller of a stopping router to another one at once: it
+// comes on a new connection.
+const closingRetry = 50 * time.Millisecond
+
+func (x *exchange) expectedOutput() int {
+	if x.in.OutputHint > 0 {
+		return min(x.in.OutputHint, max(x.in.MaxOutput, 1))
+	}
+	return x.in.MaxOutput
+}
+
+// cost counts a generation's own prompt tokens once and its expected output
+// twice, as engines' throughput is stated. Shared parts are left out: they are
+// read once for many requests.
+func (x *exchange) cost() float64 {
+	return float64(own(x.in.Prompt) + 2*x.expectedOutput())
+}
+
+func own(prompt []prefix.Part) int {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].Tokens
+}
+
+// digest recognises a request that is sent again: same workspace, path and
+// body.
+func (x *exchange) digest() state.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{string(x.workspace), x.r.Host, x.r.Method, x.r.RequestURI} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(x.body)
+	return state.Fingerprint(d.Sum64())
+}
+
+// refuse answers with a failure of the router's own.
+func (x *exchange) refuse(res result.Result) result.Result {
+	if x.began {
+		x.abort = true
+		return res
+	}
+	if res.RetryAfter > 0 {
+		x.h.Dialect.SetRetryAfter(x.w.Header(), res.RetryAfter)
+	}
+	problem.Write(x.w, res)
+	return res
+}
+
+func (x *exchange) finish(res result.Result) {
+	if x.r.Context().Err() != nil && res.Code != result.OK {
+		x.record.Abandoned = true
+	}
+	x.record.Result = res
+	x.record.Attempts = x.attempts
+	x.record.Total = x.h.Now().Sub(x.arrived)
+	if x.h.Observer != nil {
+		x.h.Observer.Finished(x.record)
+	}
+	x.log(res)
+}
+
+func (x *exchange) log(res result.Result) {
+	event := x.h.Log.Info()
+	if res.Code != result.OK {
+		event = x.h.Log.Warn()
+	}
+	event.Str("id", x.in.Attempt).
+		Str("workspace", string(x.workspace)).
+		Str("route", x.record.Class).
+		Str("service", string(x.service)).
+		Str("upstream", string(x.verdict.Estimate.Upstream)).
+		Stringer("decision", x.verdict.Reason).
+		Int64("wait_ms", x.verdict.Estimate.Wait.Milliseconds()).
+		Int64("own_ms", x.verdict.Estimate.Own.Milliseconds()).
+		Int64("limit_ms", x.verdict.Limit.Milliseconds()).
+		Float64("share_used", x.verdict.Standing.Use).
+		Int("attempts", x.attempts).
+		Int("code", int(res.Code)).
+		Stringer("ran", res.Ran).
+		Int64("first_ms", x.record.First.Milliseconds()).
+		Int64("total_ms", x.record.Total.Milliseconds())
+	if res.RetryAfter > 0 {
+		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
+	}
+	if x.record.Abandoned {
+		event.Bool("abandoned", true)
+	}
+	if res.Detail != "" {
+		event.Str("detail", res.Detail)
+	}
+	event.Msg("request")
+}
--- a/transport/caller/problem.go
+++ b/transport/problem/problem.go
@@ -1,4 +1,5 @@
-package caller
+// Package problem writes refusals as problem documents, after RFC 9457.
+package problem
 
 import (
 	"encoding/json"
@@ -9,12 +10,18 @@
 	"github.com/figstile/figstile/state/result"
 )
 
+// The headers that state a result.
+const (
+	HeaderResult = "Figstile-Result"
+	HeaderRan    = "Figstile-Ran"
+)
+
 // defaultRetryAfter is when a refusal that carries Retry-After asks the caller
 // to come back if nobody knows better.
 const defaultRetryAfter = time.Second
 
-// Problem is the body of a refusal, after RFC 9457.
-type Problem struct {
+// Document is the body of a refusal, after RFC 9457.
+type Document struct {
 	Type   string      `json:"type"`
 	Title  string      `json:"title"`
 	Status int         `json:"status"`
@@ -23,13 +30,14 @@
 	Ran    string      `json:"ran"`
 }
 
-func newProblem(res result.Result) Problem {
+// NewDocument describes a result.
+func NewDocument(res result.Result) Document {
 	entry := result.Lookup(res.Code)
 	detail := res.Detail
 	if detail == "" {
 		detail = entry.Meaning
 	}
-	return Problem{
+	return Document{
 		Type:   "urn:figstile:result:" + entry.Name,
 		Title:  entry.Name,
 		Status: entry.Status,
@@ -39,23 +47,26 @@
 	}
 }
 
-func writeProblem(w http.ResponseWriter, res result.Result) {
-	problem := newProblem(res)
+// Write answers with a refusal. Times to come back are rounded up to whole
+// seconds unless the header is set already.
+func Write(w http.ResponseWriter, res result.Result) {
+	problem := NewDocument(res)
 	header := w.Header()
-	setResult(header, res)
+	SetResult(header, res)
 	header.Set("Content-Type", "application/problem+json")
 	header.Set("Cache-Control", "no-store")
 	if res.Code == result.Unauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	if seconds := retrySeconds(res); seconds > 0 {
+	if seconds := retrySeconds(res); seconds > 0 && header.Get("Retry-After") == "" {
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 	w.WriteHeader(problem.Status)
 	_ = json.NewEncoder(w).Encode(problem)
 }
 
-func setResult(header http.Header, res result.Result) {
+// SetResult states a result in an answer's header.
+func SetResult(header http.Header, res result.Result) {
 	header.Set(HeaderResult, strconv.Itoa(int(res.Code)))
 	header.Set(HeaderRan, res.Ran.String())
 }
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -106,18 +106,32 @@
 	BaseURL string
 	Target  string
 	Method  string
-	Header  http.Header
-	Body    []byte
+	// Host is sent as the request's host; empty means that of BaseURL.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Token is what the upstream echoes in the client's EchoHeader; empty
+	// means the ID.
+	Token string
 	// Fresh asks for a new connection. A request that must not run twice
 	// cannot be sent again when a kept-alive connection turns out closed.
 	Fresh bool
 }
 
+func (a *Attempt) token() string {
+	if a.Token != "" {
+		return a.Token
+	}
+	return a.ID.String()
+}
+
 // Client sends attempts. It never sends one twice and follows no redirects.
 type Client struct {
-	kept       *http.Transport
-	fresh      *http.Transport
-	answerIdle time.Duration
+	kept           *http.Transport
+	fresh          *http.Transport
+	answerIdle     time.Duration
+	echoHeader     string
+	acceptUnframed bool
 }
 
 // ClientOptions configure a Client. Zero values take the defaults.
@@ -126,19 +140,49 @@
 	AnswerIdle time.Duration
 	// Dial makes connections; tests count them through it.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// EchoHeader carries the attempt's token and is echoed by upstreams;
+	// AttemptHeader if empty.
+	EchoHeader string
+	// KeepIdle is how long an unused connection is kept.
+	KeepIdle time.Duration
+	// IdlePerUpstream bounds unused connections to one upstream.
+	IdlePerUpstream int
+	// AcceptUnframed takes the orderly close of a connection for the end of
+	// an answer that has neither a length nor chunks. A reset never ends one.
+	AcceptUnframed bool
 }
 
-// NewClient returns a client with its own connections.
-func NewClient(opts ClientOptions) *Client {
-	if opts.AnswerIdle == 0 {
-		opts.AnswerIdle = defaultAnswerIdle
+func (o ClientOptions) withDefaults() ClientOptions {
+	if o.AnswerIdle == 0 {
+		o.AnswerIdle = defaultAnswerIdle
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	if o.EchoHeader == "" {
+		o.EchoHeader = AttemptHeader
 	}
-	if opts.Dial == nil {
-		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	if o.KeepIdle == 0 {
+		o.KeepIdle = keepIdle
 	}
+	if o.IdlePerUpstream == 0 {
+		o.IdlePerUpstream = idlePerUpstream
+	}
+	return o
+}
+
+// NewClient returns a client with its own connections.
+func NewClient(opts ClientOptions) *Client {
+	opts = opts.withDefaults()
 	fresh := newTransport(opts)
 	fresh.DisableKeepAlives = true
-	return &Client{kept: newTransport(opts), fresh: fresh, answerIdle: opts.AnswerIdle}
+	return &Client{
+		kept:           newTransport(opts),
+		fresh:          fresh,
+		answerIdle:     opts.AnswerIdle,
+		echoHeader:     opts.EchoHeader,
+		acceptUnframed: opts.AcceptUnframed,
+	}
 }
 
 // newTransport speaks HTTP/1.1 only: one attempt has its connection to itself,
@@ -149,8 +193,8 @@
 		DialContext:            fencedDial(opts.Dial),
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    idlePerUpstream,
-		IdleConnTimeout:        keepIdle,
+		MaxIdleConnsPerHost:    opts.IdlePerUpstream,
+		IdleConnTimeout:        opts.KeepIdle,
 		MaxResponseHeaderBytes: answerHeadBytes,
 	}
 }
@@ -194,7 +238,7 @@
 func (c *Client) sendOver(ctx context.Context, transport *http.Transport, a Attempt) (answer *Answer, reused bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	watch := &sendWatch{cancel: cancel}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, watch.trace()), a)
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, watch.trace()), a)
 	if err != nil {
 		cancel(err)
 		return nil, false, &Error{Stage: StageNotSent, Err: err}
@@ -205,23 +249,28 @@
 		stage, reused := watch.stop()
 		return nil, reused, &Error{Stage: stage, Err: err}
 	}
-	if echo := resp.Header.Get(AttemptHeader); echo != "" && echo != a.ID.String() {
+	if echo := resp.Header.Get(c.echoHeader); echo != "" && echo != a.token() {
 		cancel(ErrCrossed)
 		_ = resp.Body.Close()
 		return nil, false, &Error{Stage: StageSent, Err: ErrCrossed}
 	}
-	return newAnswer(ctx, cancel, resp, c.answerIdle), false, nil
+	answer = newAnswer(ctx, cancel, resp, c.answerIdle)
+	answer.framed = answer.framed || c.acceptUnframed
+	return answer, false, nil
 }
 
 // newRequest sets no GetBody, so that net/http has no body to replay; the fence
 // holds where it would replay without one.
-func newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, a.Method, a.BaseURL+a.Target, nil)
 	if err != nil {
 		return nil, err
 	}
 	maps.Copy(req.Header, a.Header)
-	req.Header.Set(AttemptHeader, a.ID.String())
+	req.Header.Set(c.echoHeader, a.token())
+	if a.Host != "" {
+		req.Host = a.Host
+	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
