Tell peers which prompts engines hold; give up attempts whose answer will not come

Cause: each router knew only its own placements, so a shared part was read by up to three engines per router's guess: a quarter of the shared tokens were read again, 12 % of the engines' reading. And a request whose upstream fell silent waited for its deadline.

Ruled out: eviction as the main cause (the picture says that parts stay).

--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -33,10 +33,22 @@
 	// speed is this engine's reading rate over the service's usual one.
 	speed float64
 	// hold is the mean time that a request holds a slot; 0 before the first.
-	hold       float64
-	failures   float64
-	doubtUntil time.Time
-	doubt      time.Duration
+	hold     float64
+	failures float64
+	// rejectsUntil passes over an upstream that has just rejected a request.
+	rejectsUntil time.Time
+	// unreachable is set from a failed or silent connection until the
+	// upstream is heard again.
+	unreachable bool
+	// active are the requests sent and not ended, oldest first.
+	active []*Ticket
+	// heard is when the upstream last sent anything.
+	heard time.Time
+	// overtaken is the sequence of the latest request with output, and when
+	// that began.
+	sequence uint64
+	latest   uint64
+	latestAt time.Time
 }
 
 type peerLoad struct {
--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
 )
@@ -21,6 +23,14 @@
 	pending bool
 	ended   bool
 	host    *host
+	engine  bool
+	// sequence numbers the requests of this router at one upstream.
+	sequence uint64
+	// heard is when the upstream last sent something of the answer.
+	heard time.Time
+	// repeatable requests can be given up here and sent elsewhere.
+	repeatable bool
+	givenUp    bool
 }
 
 // Upstream returns where the request runs.
@@ -29,36 +39,77 @@
 // Place notes that a request is sent to an estimate's upstream.
 func (p *Picture) Place(now time.Time, w Work, e Estimate) *Ticket {
 	t := &Ticket{
-		upstream: e.Upstream, born: e.Born, service: w.Service, placed: now,
-		unread: e.Unread, pending: true,
+		upstream: e.Upstream, born: e.Born, service: w.Service, placed: now, heard: now,
+		unread: e.Unread, pending: true, repeatable: w.Repeatable,
 	}
 	h := p.hosts[e.Upstream]
 	if h == nil {
 		t.pending = false
 		return t
 	}
+	_, t.engine = p.engines[w.Service]
 	t.host = h
 	_, unread := h.load(now)
 	t.ahead = unread + e.Unread
-	h.running++
-	h.unread += e.Unread
+	h.begin(t)
 	h.cache.Touch(w.Prompt)
+	if len(w.Prompt) > 0 {
+		p.placed = append(p.placed, Placed{Upstream: e.Upstream, Prompt: w.Prompt})
+	}
 	return t
 }
 
+// Placed tells of a prompt that was sent to an engine.
+type Placed struct {
+	Upstream state.Upstream
+	Prompt   []prefix.Part
+}
+
+// TakePlaced returns the prompts placed since the last call, to be told to
+// peers.
+func (p *Picture) TakePlaced() []Placed {
+	placed := p.placed
+	p.placed = nil
+	return placed
+}
+
+// HeardPlaced takes a peer's word that an engine reads a prompt. All routers
+// then know which engines hold a part, and send its requests there: while each
+// knew only its own placements, a quarter of the shared tokens were read again.
+func (p *Picture) HeardPlaced(placed Placed) {
+	if h := p.hosts[placed.Upstream]; h != nil {
+		h.cache.Touch(placed.Prompt)
+	}
+}
+
 // FirstOutput notes the first event of an engine's answer, which ends the
 // reading of its prompt and teaches the engine's rate.
 func (p *Picture) FirstOutput(now time.Time, t *Ticket) {
+	p.Output(now, t)
 	if !t.pending {
 		return
 	}
 	t.pending = false
 	t.host.unread -= t.unread
-	if t.ahead < minLesson {
+	if t.sequence > t.host.latest {
+		t.host.latest, t.host.latestAt = t.sequence, now
+	}
+	p.learnRate(now, t)
+}
+
+// Output notes that an upstream sent a part of an answer.
+func (p *Picture) Output(now time.Time, t *Ticket) {
+	t.heard = now
+	if t.host == nil {
 		return
 	}
+	t.host.heard = now
+	t.host.unreachable = false
+}
+
+func (p *Picture) learnRate(now time.Time, t *Ticket) {
 	took := now.Sub(t.placed) - startup
-	if took <= 0 {
+	if t.ahead < minLesson || took <= 0 {
 		return
 	}
 	seen := min(max(float64(t.ahead)/took.Seconds(), minRate), maxRate)
@@ -83,8 +134,10 @@
 	Rejected
 	// Failed: an error of the upstream's, or a broken answer.
 	Failed
-	// Unreachable: no connection, or one that broke.
-	Unreachable
+	// Broken: the connection ended before the answer did.
+	Broken
+	// Unconnected: no connection could be made.
+	Unconnected
 	// Withdrawn: the caller left or its time was up.
 	Withdrawn
 )
@@ -97,22 +150,22 @@
 	}
 	t.ended = true
 	h := t.host
-	h.running--
-	if t.pending {
-		t.pending = false
-		h.unread -= t.unread
-	}
+	h.end(t)
 	switch outcome {
 	case Answered:
+		p.Output(now, t)
 		h.succeed()
 		p.learnWork(now.Sub(t.placed), t)
 	case Failed:
+		p.Output(now, t)
 		h.failures += failureWeight * (1 - h.failures)
-	case Unreachable:
+	case Broken:
 		h.failures += failureWeight * (1 - h.failures)
-		h.suspect(now)
+	case Unconnected:
+		h.unreachable = true
 	case Rejected:
-		h.doubtUntil = now.Add(rejection)
+		p.Output(now, t)
+		h.rejectsUntil = now.Add(rejection)
 	case Withdrawn:
 	}
 }
@@ -121,18 +174,23 @@
 // while others are free: some requests' time at a plain worker.
 const rejection = 100 * time.Millisecond
 
-func (h *host) succeed() {
-	h.failures -= failureWeight * h.failures
-	h.doubt = 0
+func (h *host) succeed() { h.failures -= failureWeight * h.failures }
+
+func (h *host) begin(t *Ticket) {
+	h.running++
+	h.unread += t.unread
+	h.sequence++
+	t.sequence = h.sequence
+	h.active = append(h.active, t)
 }
 
-// suspect passes the upstream over for a while, longer each time.
-func (h *host) suspect(now time.Time) {
-	if now.Before(h.doubtUntil) {
-		return
+func (h *host) end(t *Ticket) {
+	h.running--
+	if t.pending {
+		t.pending = false
+		h.unread -= t.unread
 	}
-	h.doubt = min(max(2*h.doubt, doubt), maxDoubt)
-	h.doubtUntil = now.Add(h.doubt)
+	h.active = slices.DeleteFunc(h.active, func(o *Ticket) bool { return o == t })
 }
 
 // holdLearning averages some fifty requests' times.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -16,8 +16,10 @@
 const (
 	// candidates is how many engines a shared part is spread over before any
 	// other engine is considered. Two would pile the requests of a popular
-	// part on a pair; each further one reads the part once more.
-	candidates = 3
+	// part on a pair; each further one reads the part once more, so that it
+	// is only taken once those that hold the part are behind by more than
+	// that costs.
+	candidates = 4
 	// distance is the handicap of another data centre: the round trip
 	// between data centres is 2 ms, and what crosses is paid for by the byte.
 	distance = 8 * time.Millisecond
@@ -40,12 +42,6 @@
 	// minLesson is the least number of tokens ahead from which a rate is
 	// learned: below it the startup dominates.
 	minLesson = 1500
-	// doubt is how long an upstream that failed to take a request is passed
-	// over while others live. Heartbeats show within seconds whether it is gone.
-	doubt = 1500 * time.Millisecond
-	// maxDoubt bounds the doubling of doubt of an upstream that fails again
-	// and again.
-	maxDoubt = 6 * time.Second
 	// failureWeight is the weight of one answer in an upstream's failure
 	// rate: it follows within some ten answers.
 	failureWeight = 0.08
@@ -61,6 +57,9 @@
 	Prompt []prefix.Part
 	// Output is the expected number of generated tokens.
 	Output int
+	// Repeatable requests may be given up at one upstream and sent to
+	// another.
+	Repeatable bool
 	// Excluded are upstreams that failed or rejected this request.
 	Excluded []state.Upstream
 }
@@ -78,6 +77,14 @@
 	}
 }
 
+// ownTokens is the size of the request's own part, which any engine reads.
+func (w Work) ownTokens() int {
+	if len(w.Prompt) == 0 {
+		return 0
+	}
+	return w.Prompt[len(w.Prompt)-1].Tokens
+}
+
 // Estimate is what one upstream would do with a request.
 type Estimate struct {
 	Upstream state.Upstream
@@ -116,6 +123,7 @@
 	hosts    map[state.Upstream]*host
 	work     map[state.Service]float64
 	rates    map[state.Service]float64
+	placed   []Placed
 }
 
 // New returns an empty picture of a router in a data centre.
@@ -188,31 +196,18 @@
 		return p.best(now, w, pool), true
 	}
 	rank(pool, key)
-	first := p.best(now, w, pool[:min(candidates, len(pool))])
-	if len(pool) <= candidates {
-		return first, true
-	}
-	rest := p.best(now, w, pool[candidates:])
-	// Another engine reads the shared parts anew and displaces others'. That
-	// pays only if the candidates are far behind.
-	if rest.score+spread < first.score {
-		return rest, true
-	}
-	return first, true
+	return p.best(now, w, pool[:min(candidates, len(pool))]), true
 }
 
-// spread is how much later the candidates of a shared part must be before
-// another engine takes the request: about the time to read a long shared part.
-const spread = 150 * time.Millisecond
-
 // pool returns the upstreams that may take a request: all that do not leave,
-// without those under doubt if any others are left.
+// without those that cannot be reached or just rejected one if any others are
+// left.
 func (p *Picture) pool(now time.Time, w Work) []*host {
 	var sound, doubtful []*host
 	for _, h := range p.services[w.Service] {
 		switch {
 		case h.Leaving || slices.Contains(w.Excluded, h.ID):
-		case now.Before(h.doubtUntil):
+		case h.unreachable || now.Before(h.rejectsUntil):
 			doubtful = append(doubtful, h)
 		default:
 			sound = append(sound, h)
@@ -267,6 +262,8 @@
 		rate := h.rate(p.rate(w.Service))
 		e.Wait = seconds(float64(unread) / rate)
 		e.Own = seconds(float64(e.Unread)/rate) + startup
+		again := max(e.Unread-w.ownTokens(), 0)
+		e.score = seconds(reread * float64(again) / rate)
 	} else {
 		e.Own = p.workTime(w.Service)
 	}
@@ -274,7 +271,7 @@
 		e.Wait += seconds(float64(running-slots+1) / float64(slots) * h.holdTime(p.workTime(w.Service)).Seconds())
 	}
 	e.Free = running*2 < slots && unread == 0
-	e.score = e.Total() + time.Duration(h.failures*float64(failurePenalty))
+	e.score += e.Total() + time.Duration(h.failures*float64(failurePenalty))
 	if h.DataCentre != p.self {
 		e.score += distance
 	}
@@ -286,6 +283,11 @@
 	return e
 }
 
+// reread is how much dearer the reading of shared parts counts than its time:
+// it delays the requests behind as well, and takes memory from the parts of
+// others.
+const reread = 2.0
+
 // crowding is the handicap of an upstream with all slots taken: a full batch
 // takes some three times as long for a step as an empty one.
 const crowding = 60 * time.Millisecond
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -36,6 +36,7 @@
 	routers  int
 	heard    time.Time
 	draining time.Time
+	watched  map[*placement.Ticket]func()
 	onLost   func(f state.Fingerprint, run quarantine.Run)
 }
 
@@ -48,6 +49,7 @@
 		budgets:  make(map[state.Service]*budget.Budget),
 		blocked:  quarantine.New(quarantine.DefaultCapacity),
 		longest:  make(map[string]time.Duration),
+		watched:  make(map[*placement.Ticket]func()),
 		routers:  1,
 		onLost:   func(state.Fingerprint, quarantine.Run) {},
 	}
@@ -101,11 +103,37 @@
 	return admission.Decide(r, best, found, standing, rand.Float64())
 }
 
-// FirstOutput implements ingress.Desk.
-func (d *desk) FirstOutput(t *placement.Ticket) {
+// Watch implements ingress.Desk.
+func (d *desk) Watch(t *placement.Ticket, giveUp func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.picture.FirstOutput(d.now(), t)
+	d.watched[t] = giveUp
+}
+
+// Output implements ingress.Desk.
+func (d *desk) Output(t *placement.Ticket, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if first {
+		d.picture.FirstOutput(d.now(), t)
+		return
+	}
+	d.picture.Output(d.now(), t)
+}
+
+// giveUpStalled ends the attempts whose answers will not come.
+func (d *desk) giveUpStalled() int {
+	d.mu.Lock()
+	stalled := d.picture.Stalled(d.now())
+	var giveUp []func()
+	for _, t := range stalled {
+		giveUp = append(giveUp, d.watched[t])
+	}
+	d.mu.Unlock()
+	for _, f := range giveUp {
+		f()
+	}
+	return len(stalled)
 }
 
 // Told implements ingress.Desk.
@@ -115,6 +143,7 @@
 func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.watched, t)
 	d.picture.End(d.now(), t, outcome)
 }
 
--- a/transport/edge/desk_peers.go
+++ b/transport/edge/desk_peers.go
@@ -4,6 +4,7 @@
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/shares"
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
 )
 
 func (d *desk) ownLoads() map[state.Upstream]placement.Load {
@@ -12,6 +13,32 @@
 	return d.picture.Own()
 }
 
+func (d *desk) takePlaced() []placement.Placed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picture.TakePlaced()
+}
+
+func (d *desk) heardPlaced(placed []placement.Placed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, prompt := range placed {
+		d.picture.HeardPlaced(prompt)
+	}
+}
+
+func (d *desk) unreachable() []directory.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picture.Unreachable()
+}
+
+func (d *desk) reached(id state.Upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.Reached(d.now(), id)
+}
+
 func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/transport/edge/dial.go
+++ b/transport/edge/dial.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -22,6 +23,8 @@
 	probeEvery = time.Second
 )
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewDialer returns a dialer whose connections notice a machine that is gone.
 func NewDialer() *net.Dialer {
 	return &net.Dialer{
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/shares"
@@ -123,6 +124,7 @@
 			return
 		case <-loads.C:
 			f.catalogue.settleLapsed()
+			f.desk.giveUpStalled()
 			f.sendLoads()
 		case <-spending.C:
 			f.sendSpending()
@@ -137,9 +139,35 @@
 			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
 		})
 	}
+	for _, placed := range f.desk.takePlaced() {
+		message.Prompts = append(message.Prompts, promptMessage(placed))
+	}
 	f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
 }
 
+func promptMessage(placed placement.Placed) *peerpb.PlacedPrompt {
+	message := &peerpb.PlacedPrompt{Upstream: string(placed.Upstream)}
+	for _, part := range placed.Prompt {
+		message.Parts = append(message.Parts, part.ID)
+		message.Tokens = append(message.Tokens, uint32(part.Tokens))
+	}
+	return message
+}
+
+func placedPrompts(messages []*peerpb.PlacedPrompt) []placement.Placed {
+	var all []placement.Placed
+	for _, m := range messages {
+		placed := placement.Placed{Upstream: state.Upstream(m.GetUpstream())}
+		for i, id := range m.GetParts() {
+			if i < len(m.GetTokens()) {
+				placed.Prompt = append(placed.Prompt, prefix.Part{ID: id, Tokens: int(m.GetTokens()[i])})
+			}
+		}
+		all = append(all, placed)
+	}
+	return all
+}
+
 func (f *fleet) sendSpending() {
 	message := &peerpb.Spending{}
 	for ws, usage := range f.desk.ownSpending() {
@@ -212,6 +240,7 @@
 		loads[state.Upstream(e.GetUpstream())] = placement.Load{Running: int(e.GetRunning()), Unread: int(e.GetUnread())}
 	}
 	f.desk.heardLoads(from, loads)
+	f.desk.heardPlaced(placedPrompts(m.GetPrompts()))
 	f.mu.Lock()
 	if m.GetReadsStore() {
 		f.claims[from] = f.now()
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -19,6 +19,10 @@
 // free rejected a request: a few requests' time at a plain worker.
 const rejectedRetry = 250 * time.Millisecond
 
+// errStalled ends an attempt whose upstream will not answer, so that the
+// request can go to another one.
+var errStalled = errors.New("ingress: the upstream fell silent or passed the request over")
+
 // fate says what became of a request at one upstream.
 type fate uint8
 
@@ -120,8 +124,11 @@
 
 // attempt sends the request to the ticket's upstream once.
 func (x *exchange) attempt(ctx context.Context, ticket *placement.Ticket) attemptEnd {
-	end, outcome := x.exchange(ctx, ticket)
-	if x.r.Context().Err() != nil || ctx.Err() != nil {
+	inner, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x.h.Desk.Watch(ticket, func() { cancel(errStalled) })
+	end, outcome := x.exchange(inner, ticket)
+	if ctx.Err() != nil {
 		outcome = placement.Withdrawn
 	}
 	x.h.Desk.End(ticket, outcome)
@@ -185,10 +192,10 @@
 // unanswered classifies an attempt without an answer.
 func (x *exchange) unanswered(err error, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	if upstream.StageOf(err) == upstream.StageNotSent {
-		return attemptEnd{fateUnsent, result.New(result.NoUpstream, err.Error()).After(rejectedRetry)}, placement.Unreachable
+		return attemptEnd{fateUnsent, result.New(result.NoUpstream, err.Error()).After(rejectedRetry)}, placement.Unconnected
 	}
 	x.lost(err, ticket)
-	return attemptEnd{fateFailed, result.New(result.UpstreamLost, err.Error())}, placement.Unreachable
+	return attemptEnd{fateFailed, result.New(result.UpstreamLost, err.Error())}, placement.Broken
 }
 
 // lost notes a request whose upstream went away under it, unless the router
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -21,8 +21,11 @@
 	// before: it is placed without being judged again. The ticket is nil
 	// unless the verdict admits, and must be ended.
 	Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket)
-	// FirstOutput notes the first event of an answer.
-	FirstOutput(t *placement.Ticket)
+	// Watch lets the desk end an attempt whose answer will not come.
+	Watch(t *placement.Ticket, giveUp func())
+	// Output notes that a part of an answer came; first is set for the first
+	// event of a stream.
+	Output(t *placement.Ticket, first bool)
 	// Told notes what an upstream said of its load.
 	Told(t *placement.Ticket, load Load)
 	// End ends a ticket.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -281,6 +281,8 @@
 			Service: x.service,
 			Prompt:  x.in.Prompt,
 			Output:  x.expectedOutput(),
+			// A stream that cannot be resumed must not be begun twice.
+			Repeatable: x.route.Repeatable() && x.route.MaxAttempts > 1,
 		},
 		Workspace: x.workspace,
 		Cost:      x.cost(),
--- a/transport/ingress/held.go
+++ b/transport/ingress/held.go
@@ -29,7 +29,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, heldBytes))
 	if err != nil {
 		x.lost(err, ticket)
-		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Unreachable
+		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
 	}
 	held := &heldAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Stage() != upstream.StageWhole {
@@ -92,7 +92,7 @@
 	if _, err := io.Copy(x.w, answer); err != nil {
 		x.abort = true
 		x.lost(err, ticket)
-		return attemptEnd{fateDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Unreachable
+		return attemptEnd{fateDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
 	}
 	x.served(x.fingerprint)
 	return attemptEnd{fateDelivered, result.New(result.OK, "")}, placement.Answered
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -27,11 +27,13 @@
 	buffer := streamBuffers.Get().(*[streamBuffer]byte)
 	defer streamBuffers.Put(buffer)
 	var events eventSplitter
+	began := false
 	for {
 		n, err := answer.Read(buffer[:])
 		whole := events.add(buffer[:n])
 		if len(whole) > 0 {
-			x.h.Desk.FirstOutput(ticket)
+			x.h.Desk.Output(ticket, !began)
+			began = true
 			if failed := x.pass(answer, whole, events.lastID); failed != nil {
 				x.abort = true
 				return attemptEnd{fateDelivered, result.New(result.AnswerTruncated, failed.Error())}, placement.Withdrawn
@@ -73,7 +75,7 @@
 func (x *exchange) streamEnd(err error, answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	if err != io.EOF {
 		x.lost(err, ticket)
-		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Unreachable
+		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
 	}
 	if !x.began {
 		// A stream without an event: its head is all there is.
