--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -12,15 +12,15 @@
 	// onTime is the part of its latency target within which a request's
 	// answer must be expected. The rest covers what the estimate cannot see:
 	// the placements of peers since they last told of theirs.
-	onTime = 0.85
+	onTime = 0.65
 	// overShare is the part of its target that a request of a workspace
 	// beyond its fair share may wait. It is small, so that such requests
 	// fill idle capacity but build no queue before the others.
-	overShare = 0.15
+	overShare = 0.03
 	// least is the part of its target that a request may wait even if its
 	// own prompt takes the rest. Long prompts would otherwise never be
 	// admitted, however idle the engines.
-	least = 0.25
+	least = 0.15
 	// returned is the part of the remaining patience that a request may wait
 	// which was refused before and is late already: to refuse it again costs
 	// its caller the answer, to serve it late does not.
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -37,7 +37,9 @@
 	heard    time.Time
 	draining time.Time
 	watched  map[*placement.Ticket]func()
-	onLost   func(f state.Fingerprint, run quarantine.Run)
+	// urgent asks for this router's load to be told at once.
+	urgent chan struct{}
+	onLost func(f state.Fingerprint, run quarantine.Run)
 }
 
 func newDesk(settings Settings, now func() time.Time) *desk {
@@ -51,6 +53,7 @@
 		longest:  make(map[string]time.Duration),
 		watched:  make(map[*placement.Ticket]func()),
 		routers:  1,
+		urgent:   make(chan struct{}, 1),
 		onLost:   func(state.Fingerprint, quarantine.Run) {},
 	}
 }
@@ -88,6 +91,12 @@
 	if !repeat {
 		d.ledger.Admitted(now, r.Workspace, r.Cost)
 	}
+	if best.Unread >= longPrompt {
+		select {
+		case d.urgent <- struct{}{}:
+		default:
+		}
+	}
 	return verdict, d.picture.Place(now, r.Work, best)
 }
 
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/pause"
 	"github.com/figstile/figstile/transport/peer"
 )
 
@@ -25,6 +26,13 @@
 	// times a second leaves two requests per engine unseen at twenty requests
 	// a second each.
 	loadsEvery = 100 * time.Millisecond
+	// urgentGap bounds how often a long prompt makes this router tell its load
+	// at once.
+	urgentGap = 15 * time.Millisecond
+	// longPrompt is the number of tokens that keeps an engine from other
+	// prompts for so long that peers must not wait to hear of it: some fifty
+	// milliseconds.
+	longPrompt = 3000
 	// spendingEvery is the same for workspaces, whose shares are measured
 	// over seconds.
 	spendingEvery = 250 * time.Millisecond
@@ -135,6 +143,9 @@
 			f.catalogue.settleLapsed()
 			f.giveUpStalled()
 			f.sendLoads()
+		case <-f.desk.urgent:
+			f.sendLoads()
+			_ = pause.For(ctx, urgentGap)
 		case <-spending.C:
 			f.sendSpending()
 		}
