Weigh the reading of shared parts six times its time

Cause: with a weight of three, Cantabria's engines read a twelfth of all shared tokens again, which the requests behind paid for.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -286,7 +286,7 @@
 // reread is how much dearer the reading of shared parts counts than its time:
 // it delays the requests behind as well, and takes memory from the parts of
 // others.
-const reread = 3.0
+const reread = 6.0
 
 // crowding is the handicap of an upstream with all slots taken: a full batch
 // takes some three times as long for a step as an empty one.
