Send a shared part that nobody is known to hold to its home

Cause: a router that starts again knows nothing of what engines hold; after the whole fleet restarted, parts went to whichever engine was idle and were read again everywhere.

--- a/coordination/placement/doc.go
+++ b/coordination/placement/doc.go
@@ -6,8 +6,8 @@
 // An engine reads prompts one after the other and generates for all running
 // requests together, so the time to a first token is the unread prompt tokens
 // ahead, plus those of the request itself, over the reading rate. Prompts
-// share parts; a part that an engine still holds need not be read again. The
-// candidates of a request are therefore the engines that come first in a
-// rendezvous hash of its last shared part: all routers agree on them without
-// a message, and a part is read by a few engines instead of all.
+// share parts; a part that an engine still holds need not be read again. Reading
+// one again therefore counts several times its time, and a part that no engine
+// is known to hold goes to the first in a rendezvous hash, on which all routers
+// agree without a message.
 package placement
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// candidates is how many engines a shared part is spread over before any
-	// other engine is considered. Two would pile the requests of a popular
-	// part on a pair; each further one reads the part once more, so that it
-	// is only taken once those that hold the part are behind by more than
-	// that costs.
-	candidates = 4
 	// distance is the handicap of another data centre: the round trip
 	// between data centres is 2 ms, and what crosses is paid for by the byte.
 	distance = 8 * time.Millisecond
@@ -191,12 +185,36 @@
 	if len(pool) == 0 {
 		return Estimate{}, false
 	}
+	home := homeOf(pool, w)
+	best := Estimate{score: math.MaxInt64}
+	for _, h := range pool {
+		if e := p.estimate(now, h, w, h == home); e.score < best.score {
+			best = e
+		}
+	}
+	return best, true
+}
+
+// homeOf returns the engine that a shared part goes to while nobody is known to
+// hold it: the first in a rendezvous hash. A router that starts again knows
+// nothing, but what it and its peers sent before went there; without this it
+// spreads parts over all engines, and they are read again everywhere.
+func homeOf(pool []*host, w Work) *host {
 	key, shared := w.affinity()
 	if !shared {
-		return p.best(now, w, pool), true
+		return nil
+	}
+	var home *host
+	var highest uint64
+	for _, h := range pool {
+		if h.cache.Holds(key) {
+			return nil
+		}
+		if weight := mix(h.hash, key); home == nil || weight > highest {
+			home, highest = h, weight
+		}
 	}
-	rank(pool, key)
-	return p.best(now, w, pool), true
+	return home
 }
 
 // pool returns the upstreams that may take a request: all that do not leave,
@@ -219,21 +237,6 @@
 	return doubtful
 }
 
-// rank orders upstreams by rendezvous hash of a key, highest first.
-func rank(pool []*host, key uint64) {
-	slices.SortFunc(pool, func(a, b *host) int {
-		x, y := mix(a.hash, key), mix(b.hash, key)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		default:
-			return 0
-		}
-	})
-}
-
 // mix combines an upstream's hash with a key by the finalizer of splitmix64.
 func mix(upstream, key uint64) uint64 {
 	z := upstream ^ key*0x9e3779b97f4a7c15
@@ -242,17 +245,7 @@
 	return z ^ z>>31
 }
 
-func (p *Picture) best(now time.Time, w Work, pool []*host) Estimate {
-	best := Estimate{score: math.MaxInt64}
-	for _, h := range pool {
-		if e := p.estimate(now, h, w); e.score < best.score {
-			best = e
-		}
-	}
-	return best
-}
-
-func (p *Picture) estimate(now time.Time, h *host, w Work) Estimate {
+func (p *Picture) estimate(now time.Time, h *host, w Work, home bool) Estimate {
 	e := Estimate{Upstream: h.ID, Address: h.Address, Born: h.Born}
 	running, unread := h.load(now)
 	engine, isEngine := p.engines[w.Service]
@@ -262,8 +255,10 @@
 		rate := h.rate(p.rate(w.Service))
 		e.Wait = seconds(float64(unread) / rate)
 		e.Own = seconds(float64(e.Unread)/rate) + startup
-		again := max(e.Unread-w.ownTokens(), 0)
-		e.score = seconds(reread * float64(again) / rate)
+		if !home {
+			again := max(e.Unread-w.ownTokens(), 0)
+			e.score = seconds(reread * float64(again) / rate)
+		}
 	} else {
 		e.Own = p.workTime(w.Service)
 	}
--- a/coordination/prefix/prefix.go
+++ b/coordination/prefix/prefix.go
@@ -38,6 +38,9 @@
 	return unread
 }
 
+// Holds says whether a part is held.
+func (c *Cache) Holds(id uint64) bool { return c.parts[id] != nil }
+
 // Touch notes that a prompt's parts were read, the least recently used ones
 // giving way.
 func (c *Cache) Touch(parts []Part) {
