--- a/coordination/admission/fleet_test.go
+++ b/coordination/admission/fleet_test.go
@@ -137,7 +137,7 @@
 				continue
 			}
 			name := state.Router(fmt.Sprint(i))
-			to.picture.Heard(now, name, loads)
+			to.picture.Heard(now, name, loads, true)
 			to.ledger.Heard(now, name, spending)
 			for _, p := range placed {
 				to.picture.HeardPlaced(p)
--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// peerExpiry is the age at which a peer's load no longer counts: it
-	// would have told anew several times.
-	peerExpiry = 2 * time.Second
+	// peerExpiry is the age at which a peer's loads no longer count: a live
+	// one says something twice a second.
+	peerExpiry = 3 * time.Second
 	// defaultSlots is assumed of an upstream that does not tell its slots.
 	defaultSlots = 16
 	// cacheShare is the part of an engine's memory that is believed to hold
@@ -28,7 +28,9 @@
 
 	running int
 	unread  int
-	peers   map[state.Router]peerLoad
+	peers   map[state.Router]Load
+	// told is what peers were last told of running and unread.
+	told Load
 
 	// speed is this engine's reading rate over the service's usual one.
 	speed float64
@@ -51,35 +53,28 @@
 	latestAt time.Time
 }
 
-type peerLoad struct {
-	Load
-	heard time.Time
-}
-
 func newHost(u directory.Upstream, engine routing.Engine) *host {
 	return &host{
 		Upstream: u,
 		hash:     hashOf(u.ID),
 		cache:    prefix.New(int64(float64(engine.CacheTokens) * cacheShare)),
-		peers:    make(map[state.Router]peerLoad),
+		peers:    make(map[state.Router]Load),
 		speed:    1,
 	}
 }
 
 // load adds up what all routers have at the upstream.
-func (h *host) load(now time.Time) (running, unread int) {
+func (h *host) load() (running, unread int) {
 	running, unread = h.running, h.unread
-	for router, peer := range h.peers {
-		if now.Sub(peer.heard) > peerExpiry {
-			delete(h.peers, router)
-			continue
-		}
+	for _, peer := range h.peers {
 		running += peer.Running
 		unread += peer.Unread
 	}
 	return running, unread
 }
 
+func (h *host) own() Load { return Load{Running: h.running, Unread: h.unread} }
+
 func (h *host) slots(engine routing.Engine) int {
 	switch {
 	case h.Slots > 0:
--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -49,7 +49,7 @@
 	}
 	_, t.engine = p.engines[w.Service]
 	t.host = h
-	_, unread := h.load(now)
+	_, unread := h.load()
 	t.ahead = unread + e.Unread
 	h.begin(t)
 	h.cache.Touch(w.Prompt)
@@ -205,36 +205,65 @@
 	t.host.hold += holdLearning * (float64(took) - t.host.hold)
 }
 
-// Own returns what this router has at each upstream, to be told to peers.
+// Own returns what this router has at each upstream, to be told to a peer that
+// knows nothing.
 func (p *Picture) Own() map[state.Upstream]Load {
 	loads := make(map[state.Upstream]Load)
 	for id, h := range p.hosts {
 		if h.running > 0 || h.unread > 0 {
-			loads[id] = Load{Running: h.running, Unread: h.unread}
+			loads[id] = h.own()
 		}
 	}
 	return loads
 }
 
-// Heard takes a peer's loads in place of what it told before.
-func (p *Picture) Heard(now time.Time, from state.Router, loads map[state.Upstream]Load) {
+// TakeChanged returns what has changed since the last call, to be told to the
+// peers that know the rest. Most upstreams don't change within a tenth of a
+// second; the whole would be ten times as long.
+func (p *Picture) TakeChanged() map[state.Upstream]Load {
+	loads := make(map[state.Upstream]Load)
+	for id, h := range p.hosts {
+		if own := h.own(); own != h.told {
+			h.told = own
+			loads[id] = own
+		}
+	}
+	return loads
+}
+
+// Heard takes a peer's loads. What a full message lacks is zero, what another
+// lacks is unchanged.
+func (p *Picture) Heard(now time.Time, from state.Router, loads map[state.Upstream]Load, full bool) {
+	p.heard[from] = now
 	for id, h := range p.hosts {
 		load, ok := loads[id]
-		if !ok {
+		switch {
+		case ok && load != Load{}:
+			h.peers[from] = load
+		case ok || full:
 			delete(h.peers, from)
-			continue
 		}
-		h.peers[from] = peerLoad{Load: load, heard: now}
 	}
 }
 
 // PeerGone forgets a peer's loads.
 func (p *Picture) PeerGone(from state.Router) {
+	delete(p.heard, from)
 	for _, h := range p.hosts {
 		delete(h.peers, from)
 	}
 }
 
+// ForgetSilent forgets the loads of peers that have not been heard for long:
+// what they had has ended by now.
+func (p *Picture) ForgetSilent(now time.Time) {
+	for router, heard := range p.heard {
+		if now.Sub(heard) > peerExpiry {
+			p.PeerGone(router)
+		}
+	}
+}
+
 // Run names the run of the upstream that the request was sent to.
 func (t *Ticket) Run() quarantine.Run {
 	return quarantine.Run{Upstream: t.upstream, Boot: strconv.FormatInt(t.born, 10)}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -118,6 +118,8 @@
 	work     map[state.Service]float64
 	rates    map[state.Service]float64
 	placed   []Placed
+	// heard is when each peer last told its loads.
+	heard map[state.Router]time.Time
 }
 
 // New returns an empty picture of a router in a data centre.
@@ -129,6 +131,7 @@
 		hosts:    make(map[state.Upstream]*host),
 		work:     make(map[state.Service]float64),
 		rates:    make(map[state.Service]float64),
+		heard:    make(map[state.Router]time.Time),
 	}
 }
 
@@ -188,7 +191,7 @@
 	home := homeOf(pool, w)
 	best := Estimate{score: math.MaxInt64}
 	for _, h := range pool {
-		if e := p.estimate(now, h, w, h == home); e.score < best.score {
+		if e := p.estimate(h, w, h == home); e.score < best.score {
 			best = e
 		}
 	}
@@ -245,9 +248,9 @@
 	return z ^ z>>31
 }
 
-func (p *Picture) estimate(now time.Time, h *host, w Work, home bool) Estimate {
+func (p *Picture) estimate(h *host, w Work, home bool) Estimate {
 	e := Estimate{Upstream: h.ID, Address: h.Address, Born: h.Born}
-	running, unread := h.load(now)
+	running, unread := h.load()
 	engine, isEngine := p.engines[w.Service]
 	slots := h.slots(engine)
 	if isEngine {
--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -4,6 +4,8 @@
 package shares
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -105,7 +107,34 @@
 	}
 }
 
-// Own returns this router's counts, to be told to peers.
+// Told returns the counts that peers have to know: those of the workspaces
+// that ask for most, up to nearly all of the cost. The others are too small to
+// move the level, and there may be thousands.
+func (l *Ledger) Told(now time.Time) map[state.Workspace]Usage {
+	own := l.Own(now)
+	names := slices.SortedFunc(maps.Keys(own), func(a, b state.Workspace) int {
+		return cmp.Or(cmp.Compare(own[b].Asked, own[a].Asked), cmp.Compare(a, b))
+	})
+	total := 0.0
+	for _, usage := range own {
+		total += usage.Asked
+	}
+	told := make(map[state.Workspace]Usage)
+	covered := 0.0
+	for _, ws := range names {
+		if covered >= toldShare*total {
+			break
+		}
+		told[ws] = own[ws]
+		covered += own[ws].Asked
+	}
+	return told
+}
+
+// toldShare is the part of the asked cost that peers are told of.
+const toldShare = 0.95
+
+// Own returns this router's counts.
 func (l *Ledger) Own(now time.Time) map[state.Workspace]Usage {
 	usage := make(map[state.Workspace]Usage, len(l.own))
 	for ws, m := range l.own {
--- a/transport/edge/desk_peers.go
+++ b/transport/edge/desk_peers.go
@@ -13,6 +13,13 @@
 	return d.picture.Own()
 }
 
+func (d *desk) takeChangedLoads() map[state.Upstream]placement.Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.ForgetSilent(d.now())
+	return d.picture.TakeChanged()
+}
+
 func (d *desk) takePlaced() []placement.Placed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -39,16 +46,16 @@
 	d.picture.Reached(d.now(), id)
 }
 
-func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load) {
+func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.picture.Heard(d.now(), from, loads)
+	d.picture.Heard(d.now(), from, loads, full)
 }
 
 func (d *desk) ownSpending() map[state.Workspace]shares.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.ledger.Own(d.now())
+	return d.ledger.Told(d.now())
 }
 
 func (d *desk) heardSpending(from state.Router, usage map[state.Workspace]shares.Usage) {
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -22,13 +22,20 @@
 )
 
 const (
+	// scanEvery is the period of the fleet's own work.
+	scanEvery = 100 * time.Millisecond
+	// fullPace is the number of routers up to which peers are told at the
+	// full pace.
+	fullPace = 16
+	// aliveEvery is how long a router says nothing if nothing has changed.
+	aliveEvery = 400 * time.Millisecond
 	// loadsEvery is the period at which peers hear of this router's load. Ten
 	// times a second leaves two requests per engine unseen at twenty requests
 	// a second each.
 	loadsEvery = 100 * time.Millisecond
 	// urgentGap bounds how often a long prompt makes this router tell its load
 	// at once.
-	urgentGap = 15 * time.Millisecond
+	urgentGap = 20 * time.Millisecond
 	// longPrompt is the number of tokens that keeps an engine from other
 	// prompts for so long that peers must not wait to hear of it: some fifty
 	// milliseconds.
@@ -42,7 +49,7 @@
 	// lateScan is a delay of the ticker that tells of a pause of the process
 	// or a busy processor; catchUp is how long what waited then may take to
 	// be read.
-	lateScan = 3 * loadsEvery
+	lateScan = 3 * scanEvery
 	catchUp  = time.Second
 	// claimExpiry is the age at which a peer's word that it reads the store
 	// no longer counts: it would have said so ten times since.
@@ -132,26 +139,40 @@
 
 // run tells peers of loads and spending until the context ends.
 func (f *fleet) run(ctx context.Context) {
-	loads, spending := time.NewTicker(loadsEvery), time.NewTicker(spendingEvery)
-	defer loads.Stop()
-	defer spending.Stop()
+	ticker := time.NewTicker(scanEvery)
+	defer ticker.Stop()
+	var loadsTold, spendingTold time.Time
 	for {
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-loads.C:
-			f.catalogue.settleLapsed()
-			f.giveUpStalled()
-			f.sendLoads()
 		case <-f.desk.urgent:
-			f.sendLoads()
+			urgent = true
 			_ = pause.For(ctx, urgentGap)
-		case <-spending.C:
+		case <-ticker.C:
+			f.catalogue.settleLapsed()
+			f.giveUpStalled()
+		}
+		now, pace := f.now(), f.pace()
+		if urgent || now.Sub(loadsTold) >= time.Duration(pace*float64(loadsEvery)) {
+			loadsTold = f.tellLoads(now, loadsTold)
+		}
+		if now.Sub(spendingTold) >= time.Duration(pace*float64(spendingEvery)) {
+			spendingTold = now
 			f.sendSpending()
 		}
 	}
 }
 
+// pace is how much less often than usual peers are told: a router hears from
+// all others, and what it spends on that must not grow with the fleet.
+func (f *fleet) pace() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, float64(len(f.live))/fullPace)
+}
+
 // giveUpStalled skips a round after a pause of this process, in which every
 // upstream looks silent: what they sent meanwhile has yet to be read.
 func (f *fleet) giveUpStalled() {
@@ -169,17 +190,29 @@
 	}
 }
 
-func (f *fleet) sendLoads() {
-	message := &peerpb.Loads{ReadsStore: f.claim()}
-	for id, load := range f.desk.ownLoads() {
-		message.Entries = append(message.Entries, &peerpb.UpstreamLoad{
-			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
-		})
-	}
+// tellLoads tells what has changed, or after a while that nothing has, and
+// returns when peers were last told.
+func (f *fleet) tellLoads(now, last time.Time) time.Time {
+	message := loadsMessage(f.desk.takeChangedLoads())
 	for _, placed := range f.desk.takePlaced() {
 		message.Prompts = append(message.Prompts, promptMessage(placed))
 	}
+	if len(message.Entries) == 0 && len(message.Prompts) == 0 && now.Sub(last) < aliveEvery {
+		return last
+	}
+	message.ReadsStore = f.claim()
 	f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
+	return now
+}
+
+func loadsMessage(loads map[state.Upstream]placement.Load) *peerpb.Loads {
+	message := &peerpb.Loads{}
+	for id, load := range loads {
+		message.Entries = append(message.Entries, &peerpb.UpstreamLoad{
+			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
+		})
+	}
+	return message
 }
 
 func promptMessage(placed placement.Placed) *peerpb.PlacedPrompt {
@@ -276,7 +309,7 @@
 	for _, e := range m.GetEntries() {
 		loads[state.Upstream(e.GetUpstream())] = placement.Load{Running: int(e.GetRunning()), Unread: int(e.GetUnread())}
 	}
-	f.desk.heardLoads(from, loads)
+	f.desk.heardLoads(from, loads, m.GetFull())
 	f.desk.heardPlaced(placedPrompts(m.GetPrompts()))
 	f.mu.Lock()
 	if m.GetReadsStore() {
@@ -316,6 +349,9 @@
 
 // onSession tells a peer all that is held: messages may have been lost.
 func (f *fleet) onSession(p peer.Peer) {
+	loads := loadsMessage(f.desk.ownLoads())
+	loads.Full, loads.ReadsStore = true, f.claim()
+	f.mesh.Send(p.Router, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: loads}})
 	for kind, objects := range f.catalogue.all() {
 		for _, o := range objects {
 			f.mesh.Send(p.Router, objectEnvelope(kind, o))
