--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -22,7 +22,10 @@
 // end together.
 const reserve = 0.7
 
-const buckets = 20
+// buckets cover the window and one bucket more. With a bucket less, what was
+// spent at the end of one would be forgotten before the window has passed, and
+// twice the allowance could fall into one window.
+const buckets = 21
 
 type bucket struct {
 	slot     int64
@@ -37,7 +40,7 @@
 }
 
 func (b *Budget) at(now time.Time, window time.Duration) *bucket {
-	slot := now.UnixNano() / int64(window/buckets)
+	slot := now.UnixNano() / int64(window/(buckets-1))
 	c := &b.buckets[slot%buckets]
 	if c.slot != slot {
 		*c = bucket{slot: slot}
--- a/coordination/prefix/prefix.go
+++ b/coordination/prefix/prefix.go
@@ -29,9 +29,10 @@
 // Unread returns how many tokens of a prompt an engine has to read: all from
 // the first part on that it does not hold.
 func (c *Cache) Unread(parts []Part) int {
-	unread := 0
+	unread, missing := 0, false
 	for _, part := range parts {
-		if unread > 0 || c.parts[part.ID] == nil {
+		missing = missing || c.parts[part.ID] == nil
+		if missing {
 			unread += part.Tokens
 		}
 	}
--- /dev/null
+++ b/coordination/shares/shares_test.go
@@ -0,0 +1,112 @@
+package shares
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/figstile/figstile/state"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestLevel(t *testing.T) {
+	for _, c := range []struct {
+		asked    []float64
+		capacity float64
+		level    float64
+		limited  bool
+	}{
+		{nil, 10, 0, false},
+		{[]float64{1, 2, 3}, 10, 0, false},
+		{[]float64{100, 1, 2}, 13, 10, true},
+		{[]float64{8, 8, 8}, 12, 4, true},
+		{[]float64{5}, 0, 0, true},
+	} {
+		level, limited := Level(c.asked, c.capacity)
+		require.Equal(t, c.limited, limited, c)
+		require.InDelta(t, c.level, level, 1e-9, c)
+	}
+}
+
+// At any demand the level hands out the capacity and not more, and nobody who
+// asks for less than it is cut.
+func TestLevelIsMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		asked := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 40).Draw(t, "asked")
+		capacity := rapid.Float64Range(1, 20000).Draw(t, "capacity")
+		sum := 0.0
+		for _, a := range asked {
+			sum += a
+		}
+		level, limited := Level(slices.Clone(asked), capacity)
+		if limited != (sum > capacity) && (sum-capacity > 1e-6 || capacity-sum > 1e-6) {
+			t.Fatalf("asked %v of %v, limited %v", sum, capacity, limited)
+		}
+		if !limited {
+			return
+		}
+		given := 0.0
+		for _, a := range asked {
+			given += min(a, level)
+		}
+		if given < capacity*(1-1e-9) || given > capacity*(1+1e-9) {
+			t.Fatalf("level %v gives %v of %v", level, given, capacity)
+		}
+	})
+}
+
+// One workspace floods router a, another asks a little at router b. Both
+// routers see the flood beyond its share, neither the other one.
+func TestPeersCountsMakeOneShare(t *testing.T) {
+	const throughput = 100
+	a, b := New(), New()
+	a.Asked(start, "flood", 10000)
+	a.Admitted(start, "flood", 900)
+	b.Asked(start, "small", 20)
+	b.Admitted(start, "small", 20)
+	a.Heard(start, "b", b.Told(start))
+	b.Heard(start, "a", a.Told(start))
+	for _, l := range []*Ledger{a, b} {
+		require.True(t, l.Standing(start, "flood", throughput).Limited)
+		require.False(t, l.Standing(start, "small", throughput).Limited)
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	l := New()
+	l.Asked(start, "w", 10000)
+	l.Admitted(start, "w", 10000)
+	require.True(t, l.Standing(start, "w", 1).Limited)
+	require.False(t, l.Standing(start.Add(Window+time.Second), "w", 1).Limited)
+	require.Empty(t, l.Own(start.Add(2*Window)))
+}
+
+// A peer that is cut off says nothing more; what it said holds for a window.
+func TestSilentPeerIsForgotten(t *testing.T) {
+	l := New()
+	l.Heard(start, "peer", map[state.Workspace]Usage{"w": {Asked: 1000, Admitted: 1000}})
+	require.True(t, l.Standing(start, "w", 1).Limited)
+	require.False(t, l.Standing(start.Add(PeerExpiry+time.Second), "w", 1).Limited)
+}
+
+func TestUnknownThroughputLimitsNobody(t *testing.T) {
+	l := New()
+	l.Asked(start, "w", 1e9)
+	l.Admitted(start, "w", 1e9)
+	require.Equal(t, Standing{}, l.Standing(start, "w", 0))
+}
+
+func TestPeersAreToldOfWhoMatters(t *testing.T) {
+	l := New()
+	l.Asked(start, "big", 1000)
+	for _, small := range []state.Workspace{"a", "b", "c"} {
+		l.Asked(start, small, 1)
+	}
+	told := l.Told(start)
+	require.Len(t, told, 1)
+	require.Contains(t, told, state.Workspace("big"))
+}
