--- /dev/null
+++ b/transport/edge/desk_test.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/routing"
+)
+
+// A request crashes each worker that begins to run it, and its caller sends it
+// again at any router. Two workers are enough to know it, whichever routers
+// lost them.
+func TestCrashingRequestIsBlockedAcrossRouters(t *testing.T) {
+	f, g := newFixture(), newFixture()
+	f.desk.onLost = func(fp state.Fingerprint, run quarantine.Run) { g.desk.heardLost(fp, run) }
+	g.desk.onLost = func(fp state.Fingerprint, run quarantine.Run) { f.desk.heardLost(fp, run) }
+	for _, name := range []string{"a", "b"} {
+		for _, x := range []*fixture{f, g} {
+			x.catalogue.take(KindUpstream, upstreamObject(name, 1, false), sourceStore)
+		}
+	}
+	lose := func(x *fixture, excluded ...state.Upstream) {
+		_, ticket := x.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Excluded: excluded}}, true)
+		x.desk.Lost(7, ticket)
+	}
+	lose(f, "a")
+	require.False(t, g.desk.Blocked(7))
+	lose(g, "b")
+	require.True(t, f.desk.Blocked(7))
+	require.True(t, g.desk.Blocked(7))
+}
+
+// A caller that was refused comes back with less patience; the rest has been
+// spent already.
+func TestElapsedFromPatience(t *testing.T) {
+	f := newFixture()
+	route := &routing.Route{Name: "r"}
+	require.Zero(t, f.desk.Elapsed(route, 15*time.Second))
+	require.Equal(t, 3*time.Second, f.desk.Elapsed(route, 12*time.Second))
+	require.Zero(t, f.desk.Elapsed(route, 15*time.Second-time.Millisecond))
+	require.Zero(t, f.desk.Elapsed(route, 0))
+}
+
+func TestReadinessAndClosing(t *testing.T) {
+	f := newFixture()
+	require.False(t, f.desk.ready(), "no configuration yet")
+	f.catalogue.take(KindConfig, configObject(1, 1), sourceStore)
+	require.True(t, f.desk.ready())
+	f.desk.drain()
+	require.False(t, f.desk.ready())
+	require.True(t, f.desk.Draining())
+	require.False(t, f.desk.Closing(), "callers on open connections are still served")
+	f.clock.advance(turnAway + time.Second)
+	require.True(t, f.desk.Closing())
+}
--- /dev/null
+++ b/transport/edge/fakes_test.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/ingress"
+)
+
+// fakeClock is set by tests.
+type fakeClock struct{ at time.Time }
+
+func newClock() *fakeClock                   { return &fakeClock{at: time.Unix(5000, 0)} }
+func (c *fakeClock) now() time.Time          { return c.at }
+func (c *fakeClock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+// fakePlatform answers calls as the test says; its formats are the project's
+// own types as JSON.
+type fakePlatform struct {
+	mu    sync.Mutex
+	list  func(kind Kind) ([]Object, uint64, error)
+	watch func(kind Kind, after uint64) ([]Object, uint64, error)
+	calls []string
+}
+
+func (p *fakePlatform) List(_ context.Context, kind Kind) ([]Object, uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = append(p.calls, "list")
+	return p.list(kind)
+}
+
+func (p *fakePlatform) Watch(_ context.Context, kind Kind, after uint64, _ time.Duration) ([]Object, uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = append(p.calls, "watch")
+	return p.watch(kind, after)
+}
+
+func (*fakePlatform) DecodeConfig(spec []byte) (routing.Config, error) {
+	var config routing.Config
+	err := json.Unmarshal(spec, &config)
+	return config, err
+}
+
+func (*fakePlatform) DecodeUpstream(name string, spec []byte) (directory.Upstream, error) {
+	var u directory.Upstream
+	if err := json.Unmarshal(spec, &u); err != nil {
+		return directory.Upstream{}, err
+	}
+	if u.Address == "" {
+		return directory.Upstream{}, errors.New("no address")
+	}
+	u.ID = state.Upstream(name)
+	return u, nil
+}
+
+func (*fakePlatform) Inbound(http.Header) (ingress.Inbound, error) { return ingress.Inbound{}, nil }
+func (*fakePlatform) Outbound(http.Header, ingress.Outbound)       {}
+func (*fakePlatform) Answer(int, http.Header) ingress.AnswerHead   { return ingress.AnswerHead{} }
+func (*fakePlatform) SetRetryAfter(http.Header, time.Duration)     {}
+func (*fakePlatform) AttemptHeader() string                        { return "Attempt" }
+
+func configObject(revision, version uint64) Object {
+	spec, _ := json.Marshal(routing.Config{Version: version, Services: []routing.Service{{Name: "s"}}})
+	return Object{Name: "main", Revision: revision, Spec: spec}
+}
+
+func upstreamObject(name string, revision uint64, leaving bool) Object {
+	spec, _ := json.Marshal(directory.Upstream{Service: "s", Address: "10.0.0.1:80", DataCentre: "dc", Slots: 2, Leaving: leaving})
+	return Object{Name: name, Revision: revision, Spec: spec}
+}
+
+func removal(name string, revision uint64) Object {
+	return Object{Name: name, Revision: revision, Removed: true}
+}
+
+// fixture is a router's views without its sockets.
+type fixture struct {
+	clock     *fakeClock
+	platform  *fakePlatform
+	desk      *desk
+	catalogue *catalogue
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: newClock(), platform: &fakePlatform{}}
+	f.desk = newDesk(Settings{DataCentre: "dc"}, f.clock.now)
+	f.catalogue = newCatalogue(f.platform, f.desk, zerolog.Nop(), f.clock.now)
+	return f
+}
+
+func (f *fixture) usable() int { return f.desk.picture.Usable("s") }
--- /dev/null
+++ b/transport/edge/fleet_test.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/peer"
+)
+
+func (f *fixture) fleet(name state.Router) *fleet {
+	return newFleet(name, f.desk, f.catalogue, zerolog.Nop(), f.clock.now)
+}
+
+func live(n int) []scheduler.Peer {
+	var peers []scheduler.Peer
+	for i := range n {
+		peers = append(peers, scheduler.Peer{Router: state.Router(fmt.Sprintf("r%02d", i))})
+	}
+	return peers
+}
+
+// Of many routers a few read the store for all, without any agreement beyond
+// what each says of itself.
+func TestFewRoutersReadTheStore(t *testing.T) {
+	const routers = 20
+	clock := newClock()
+	var fleets []*fleet
+	for i := range routers {
+		f := newFixture()
+		f.clock = clock
+		one := f.fleet(state.Router(fmt.Sprintf("r%02d", i)))
+		one.now = clock.now
+		one.onPeers(live(routers))
+		fleets = append(fleets, one)
+	}
+	for range 10 {
+		clock.advance(scanEvery)
+		for i, from := range fleets {
+			if from.reads() {
+				from.onAnswer()
+			}
+			message := &peerpb.Loads{ReadsStore: from.claim()}
+			for j, to := range fleets {
+				if i != j {
+					to.onLoads(from.self, message)
+				}
+			}
+		}
+	}
+	reading := 0
+	for _, f := range fleets {
+		if f.reads() {
+			reading++
+		}
+	}
+	require.Equal(t, readers, reading)
+}
+
+// The routers that read the store lose power: no reset, no word. The others
+// must notice by their silence and read for themselves.
+func TestSilentReadersAreReplaced(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r09")
+	fleet.onPeers(live(10))
+	for i := range readers {
+		fleet.onLoads(state.Router(fmt.Sprintf("r%02d", i)), &peerpb.Loads{ReadsStore: true})
+	}
+	require.False(t, fleet.reads())
+	f.clock.advance(claimExpiry + time.Millisecond)
+	require.True(t, fleet.reads())
+}
+
+// The store turns this router away. It must not tell peers that it follows the
+// store, or they would rely on it.
+func TestRouterThatIsTurnedAwayDoesNotClaim(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	require.True(t, fleet.reads())
+	require.False(t, fleet.claim(), "no answer yet")
+	f.clock.advance(time.Second)
+	fleet.onAnswer()
+	require.True(t, fleet.claim())
+	f.clock.advance(time.Millisecond)
+	fleet.onFailure()
+	require.False(t, fleet.claim())
+}
+
+// A configuration and a leaving upstream reach a router that the store turns
+// away through a peer; so does the word that the peer's view is the newest.
+func TestPeersTellWhatTheStoreDoesNot(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	from := peer.Peer{Router: "r01"}
+	fleet.onEnvelope(from, objectEnvelope(KindConfig, configObject(5, 2)))
+	fleet.onEnvelope(from, objectEnvelope(KindUpstream, upstreamObject("u", 6, false)))
+	require.EqualValues(t, 2, f.desk.Table().Version())
+	require.Equal(t, 1, f.usable())
+	require.False(t, f.desk.Current())
+	fleet.onEnvelope(from, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: &peerpb.Loads{ReadsStore: true}}})
+	require.True(t, f.desk.Current())
+	fleet.onEnvelope(from, objectEnvelope(KindUpstream, removal("u", 7)))
+	require.Zero(t, f.usable())
+	f.clock.advance(currentWithin + time.Second)
+	require.False(t, f.desk.Current())
+}
+
+// This process stood still for two seconds. All upstreams look silent then,
+// and the requests on them must not be given up for that.
+func TestNothingIsGivenUpAfterAPause(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	f.clock.advance(scanEvery)
+	fleet.giveUpStalled()
+	require.False(t, f.clock.now().Sub(fleet.resumed) >= catchUp && fleet.resumed.IsZero())
+	f.clock.advance(2 * time.Second)
+	fleet.giveUpStalled()
+	require.Equal(t, f.clock.now(), fleet.resumed)
+}
+
+func TestLargeFleetTalksLessOften(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	fleet.onPeers(live(8))
+	require.InDelta(t, 1, fleet.pace(), 0)
+	fleet.onPeers(live(64))
+	require.InDelta(t, 4, fleet.pace(), 0)
+}
--- /dev/null
+++ b/transport/edge/follower_test.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+func newFollower(f *fixture, kind Kind) (*follower, *[]Object) {
+	news := &[]Object{}
+	return &follower{
+		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(),
+		reads: func() bool { return true }, onAnswer: func() {}, onFailure: func() {},
+		onNews: func(_ Kind, objects []Object) { *news = append(*news, objects...) },
+	}, news
+}
+
+// A watch goes on where the list was read, and what it brings is told to peers
+// once.
+func TestFollowerGoesOnFromTheList(t *testing.T) {
+	f := newFixture()
+	f.platform.list = func(Kind) ([]Object, uint64, error) { return []Object{upstreamObject("a", 3, false)}, 5, nil }
+	var asked []uint64
+	f.platform.watch = func(_ Kind, after uint64) ([]Object, uint64, error) {
+		asked = append(asked, after)
+		return []Object{upstreamObject("b", after+1, false)}, after + 1, nil
+	}
+	follower, news := newFollower(f, KindUpstream)
+	for range 3 {
+		require.NoError(t, follower.step(context.Background()))
+	}
+	require.Equal(t, []uint64{5, 6}, asked)
+	require.Len(t, *news, 3)
+	require.Equal(t, 2, f.usable())
+}
+
+// The store drops its history while an upstream leaves. The watch fails with
+// "gone"; only a new list shows the leaving.
+func TestFollowerListsAnewAfterLostHistory(t *testing.T) {
+	f := newFixture()
+	entries := []Object{upstreamObject("a", 3, false), upstreamObject("b", 4, false)}
+	f.platform.list = func(Kind) ([]Object, uint64, error) { return entries, 9, nil }
+	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) { return nil, 0, ErrHistoryGone }
+	follower, _ := newFollower(f, KindUpstream)
+	require.NoError(t, follower.step(context.Background()))
+	require.Equal(t, 2, f.usable())
+	entries = entries[:1]
+	ctx, cancel := context.WithCancel(context.Background())
+	f.platform.list = func(Kind) ([]Object, uint64, error) {
+		defer cancel()
+		return entries, 12, nil
+	}
+	follower.run(ctx)
+	require.Equal(t, 1, f.usable())
+}
+
+// While the store is away the router keeps what it knows.
+func TestFollowerKeepsItsViewThroughAnOutage(t *testing.T) {
+	f := newFixture()
+	f.platform.list = func(Kind) ([]Object, uint64, error) { return []Object{upstreamObject("a", 3, false)}, 5, nil }
+	follower, _ := newFollower(f, KindUpstream)
+	require.NoError(t, follower.step(context.Background()))
+	ctx, cancel := context.WithCancel(context.Background())
+	failures := 0
+	follower.onFailure = func() { failures++ }
+	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
+		cancel2 := failures == 1
+		if cancel2 {
+			cancel()
+		}
+		return nil, 0, fmt.Errorf("%w: silent", ErrUnavailable)
+	}
+	follower.run(ctx)
+	require.Positive(t, failures)
+	require.Equal(t, 1, f.usable())
+	require.True(t, f.catalogue.away)
+}
+
+func TestRouterThatDoesNotReadMakesNoCalls(t *testing.T) {
+	f := newFixture()
+	follower, _ := newFollower(f, KindConfig)
+	ctx, cancel := context.WithCancel(context.Background())
+	asked := 0
+	follower.reads = func() bool {
+		if asked++; asked == 2 {
+			cancel()
+		}
+		return false
+	}
+	follower.run(ctx)
+	require.Empty(t, f.platform.calls)
+}
