--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -25,6 +25,7 @@
 type desk struct {
 	settings Settings
 	now      func() time.Time
+	pressure *pressure
 
 	mu       sync.Mutex
 	table    *routing.Table
@@ -46,6 +47,7 @@
 	return &desk{
 		settings: settings,
 		now:      now,
+		pressure: newPressure(settings.MaxFiles),
 		picture:  placement.New(settings.DataCentre),
 		ledger:   shares.New(),
 		budgets:  make(map[state.Service]*budget.Budget),
@@ -245,6 +247,9 @@
 	return !d.draining.IsZero() && d.now().Sub(d.draining) > turnAway
 }
 
+// Full implements ingress.Desk.
+func (d *desk) Full() bool { return d.pressure.full() }
+
 func (d *desk) drain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -283,5 +288,5 @@
 func (d *desk) ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table != nil && d.draining.IsZero()
+	return d.table != nil && d.draining.IsZero() && !d.pressure.busy.Load()
 }
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -177,8 +177,12 @@
 // upstream looks silent: what they sent meanwhile has yet to be read.
 func (f *fleet) giveUpStalled() {
 	now := f.now()
+	if f.scanned.IsZero() {
+		f.scanned = now
+	}
 	late := now.Sub(f.scanned)
 	f.scanned = now
+	f.watchPressure(late)
 	if late > lateScan {
 		f.resumed = now
 	}
@@ -190,6 +194,16 @@
 	}
 }
 
+// watchPressure logs when the router becomes busy or calm.
+func (f *fleet) watchPressure(sinceScan time.Duration) {
+	p := f.desk.pressure
+	busy, changed := p.observe(min(max(sinceScan-scanEvery, 0), time.Second))
+	if changed {
+		f.log.Warn().Bool("busy", busy).Int64("callers", p.callers.Load()).Int64("upstreams", p.upstreams.Load()).
+			Dur("lag", time.Duration(p.lag.Load())).Msg("pressure changed")
+	}
+}
+
 // tellLoads tells what has changed, or after a while that nothing has, and
 // returns when peers were last told.
 func (f *fleet) tellLoads(now, last time.Time) time.Time {
--- /dev/null
+++ b/transport/edge/pressure.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Balancers choose a router by a hash of the caller, so that one router may
+// get ten times as much as the next. It holds two descriptors for each running
+// request and has a small part of a core. The parts below are of the
+// descriptors that the process may open.
+const (
+	// crowdedShare is how many callers' connections there may be before
+	// answers ask to close them. Callers that leave connections idle filled
+	// all 4,100 descriptors of a router at 500 requests a second; new callers
+	// then waited for their opening packet to be sent again.
+	crowdedShare = 0.25
+	// busyShare is how many connections of all kinds there may be before the
+	// router says that it is not ready, so that new callers go to others, and
+	// calmShare how few there must be before it is ready again.
+	busyShare = 0.5
+	calmShare = 0.4
+	// fullShare is how many there may be before requests are refused. At the
+	// limit itself neither callers nor upstreams get connections, and callers
+	// wait in vain for seconds.
+	fullShare = 0.85
+	// reservedFiles are descriptors that are not for sockets.
+	reservedFiles = 200
+	// busyLag is the lateness of a periodic task, on average over some
+	// rounds, from which the processor counts as overloaded.
+	busyLag = 120 * time.Millisecond
+	// lagLearning is the weight of one round.
+	lagLearning = 0.2
+)
+
+// pressure tells how near the process is to its limits.
+type pressure struct {
+	limit     float64
+	callers   atomic.Int64
+	upstreams atomic.Int64
+	busy      atomic.Bool
+	// lag is the average lateness; only the periodic task writes it.
+	lag atomic.Int64
+}
+
+func newPressure(maxFiles int) *pressure {
+	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0))}
+}
+
+// changed is the callers' server's hook on the state of connections.
+func (p *pressure) changed(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		p.callers.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		p.callers.Add(-1)
+	}
+}
+
+// dial counts the connections that a dialer opens.
+func (p *pressure) dial(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		p.upstreams.Add(1)
+		return &countedConn{Conn: conn, closed: func() { p.upstreams.Add(-1) }}, nil
+	}
+}
+
+// countedConn tells once that it was closed.
+type countedConn struct {
+	net.Conn
+	closed func()
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.closed)
+	return c.Conn.Close()
+}
+
+func (p *pressure) exceeds(connections int64, share float64) bool {
+	return p.limit > 0 && float64(connections) > share*p.limit
+}
+
+func (p *pressure) open() int64 { return p.callers.Load() + p.upstreams.Load() }
+
+// Crowded says whether callers should close their connections.
+func (p *pressure) crowded() bool {
+	return p.busy.Load() || p.exceeds(p.callers.Load(), crowdedShare)
+}
+
+// full says whether there is no room for another request.
+func (p *pressure) full() bool { return p.exceeds(p.open(), fullShare) }
+
+// observe takes the lateness of a periodic task and says whether the router
+// became busy or calm.
+func (p *pressure) observe(late time.Duration) (busy, changed bool) {
+	lag := p.lag.Load()
+	lag += int64(lagLearning * float64(int64(late)-lag))
+	p.lag.Store(lag)
+	was := p.busy.Load()
+	share := busyShare
+	limit := busyLag
+	if was {
+		share, limit = calmShare, busyLag/2
+	}
+	busy = p.exceeds(p.open(), share) || time.Duration(lag) > limit
+	p.busy.Store(busy)
+	return busy, busy != was
+}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -56,8 +56,7 @@
 	followers []*follower
 	metrics   *metrics.Metrics
 	handler   http.Handler
-	// connections counts those of callers.
-	connections connections
+	pressure  *pressure
 
 	callers net.Listener
 	ready   net.Listener
@@ -70,13 +69,14 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
 	r := &Router{
-		settings:    settings,
-		log:         log,
-		desk:        newDesk(settings, boottime.Now),
-		connections: connections{most: crowdedShare * float64(settings.MaxFiles)},
-		metrics:     metrics.New(settings.Router, settings.DataCentre),
+		settings: settings,
+		log:      log,
+		desk:     newDesk(settings, boottime.Now),
+		pressure: newPressure(settings.MaxFiles),
+		metrics:  metrics.New(settings.Router, settings.DataCentre),
 	}
 	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
+	r.desk.pressure = r.pressure
 	r.fleet = newFleet(settings.Router, r.desk, r.catalogue, log, boottime.Now)
 	r.openCallers(platform)
 	for _, kind := range []Kind{KindConfig, KindUpstream} {
@@ -97,7 +97,7 @@
 		Dialect: platform,
 		Desk:    r.desk,
 		Client: upstream.NewClient(upstream.ClientOptions{
-			Dial:            NewDialer().DialContext,
+			Dial:            r.pressure.dial(NewDialer().DialContext),
 			EchoHeader:      platform.AttemptHeader(),
 			KeepIdle:        upstreamKeep,
 			IdlePerUpstream: upstreamIdle,
@@ -106,7 +106,7 @@
 		Observer: observer{metrics: r.metrics},
 		Log:      r.log,
 		Now:      boottime.Now,
-		Crowded:  r.connections.crowded,
+		Crowded:  r.pressure.crowded,
 	})
 }
 
@@ -214,7 +214,7 @@
 		Handler:           r.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		ConnState:         r.connections.changed,
+		ConnState:         r.pressure.changed,
 		MaxHeaderBytes:    headerBytes,
 	}
 	all := []server{{r.callers, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -44,6 +44,8 @@
 	Served(f state.Fingerprint)
 	// Draining says whether the router is about to stop.
 	Draining() bool
+	// Full says whether the process has no room for another request.
+	Full() bool
 	// Closing says whether the router is so near its end that a request
 	// taken now may be cut off.
 	Closing() bool
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -155,6 +155,7 @@
 	stale     bool
 	blocked   bool
 	closing   bool
+	full      bool
 	lost      int
 	outcomes  []placement.Outcome
 	watched   []func()
@@ -230,6 +231,7 @@
 
 func (d *scriptedDesk) Served(state.Fingerprint) {}
 func (d *scriptedDesk) Draining() bool           { return d.closing }
+func (d *scriptedDesk) Full() bool               { return d.full }
 func (d *scriptedDesk) Closing() bool            { return d.closing }
 
 // plainDialect spells the few fields that tests need.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -163,6 +163,9 @@
 	if res, ok := x.readBody(); !ok {
 		return res, false
 	}
+	if x.h.Desk.Full() {
+		return result.New(result.TooManyRequests, "").After(elsewhereRetry), false
+	}
 	// The routes may have changed while the body was read.
 	x.table = x.h.Desk.Table()
 	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.describe} {
@@ -297,14 +300,14 @@
 		return result.New(result.Suspected, "").After(patience / 2), false
 	}
 	if x.h.Desk.Closing() {
-		return result.New(result.Draining, "").After(closingRetry), false
+		return result.New(result.Draining, "").After(elsewhereRetry), false
 	}
 	return result.Result{}, true
 }
 
-// closingRetry sends a caller of a stopping router to another one at once: it
-// comes on a new connection.
-const closingRetry = 50 * time.Millisecond
+// elsewhereRetry sends a caller of a stopping or full router to another one at
+// once: it comes on a new connection.
+const elsewhereRetry = 50 * time.Millisecond
 
 func (x *exchange) expectedOutput() int {
 	if x.in.OutputHint > 0 {
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -139,6 +139,7 @@
 		"stale, no key":   {func(d *door, r *http.Request) { d.desk.stale = true; r.Header.Del("Key") }, 503},
 		"stale, no route": {func(d *door, r *http.Request) { d.desk.stale = true; r.Host = "other" }, 503},
 		"blocked":         {func(d *door, _ *http.Request) { d.desk.blocked = true }, 503},
+		"full":            {func(d *door, _ *http.Request) { d.desk.full = true }, 429},
 		"closing":         {func(d *door, _ *http.Request) { d.desk.closing = true }, 503},
 	}
 	for name, c := range cases {
