--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Balancers choose a router by a hash of the caller, so that one router may
@@ -32,19 +30,11 @@
 	fullShare = 0.85
 	// reservedFiles are descriptors that are not for sockets.
 	reservedFiles = 200
-	// busyProcessor is the part of the VM's processor share that the process
-	// may use before it counts as busy, and calmProcessor what it must fall
-	// to. Streams that run on hold the load for seconds after new callers
-	// have gone elsewhere.
-	busyProcessor = 0.6
-	calmProcessor = 0.45
 	// busyLag is the lateness of a periodic task, on average over some
 	// rounds, from which the processor counts as overloaded.
 	busyLag = 120 * time.Millisecond
 	// lagLearning is the weight of one round.
 	lagLearning = 0.2
-	// usageLearning is the same for the processor: over about a second.
-	usageLearning = 0.1
 )
 
 // pressure tells how near the process is to its limits.
@@ -55,38 +45,10 @@
 	busy      atomic.Bool
 	// lag is the average lateness; only the periodic task writes it.
 	lag atomic.Int64
-	// processors is the VM's processor share in cores; 0 if not known.
-	processors float64
-	// used is the average use of that share, usedBefore the process's
-	// processor time at the last round; only the periodic task uses them.
-	used       float64
-	usedBefore time.Duration
 }
 
-func newPressure(maxFiles int, processors float64) *pressure {
-	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0)), processors: processors}
-}
-
-// processorTime is what the process has used so far.
-func processorTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &ts); err != nil {
-		// The clock exists on every Linux; without it the use reads as none.
-		return 0
-	}
-	return time.Duration(ts.Nano())
-}
-
-// usage averages the use of the processor's share over a round of a length.
-func (p *pressure) usage(total, round time.Duration) float64 {
-	before := p.usedBefore
-	p.usedBefore = total
-	if p.processors <= 0 || round <= 0 || before == 0 {
-		return p.used
-	}
-	seen := (total - before).Seconds() / round.Seconds() / p.processors
-	p.used += usageLearning * (seen - p.used)
-	return p.used
+func newPressure(maxFiles int) *pressure {
+	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0))}
 }
 
 // changed is the callers' server's hook on the state of connections.
@@ -138,26 +100,19 @@
 // full says whether there is no room for another request.
 func (p *pressure) full() bool { return p.exceeds(p.open(), fullShare) }
 
-// sample is what a periodic task sees of its process.
-type sample struct {
-	// late is how late the task ran, round how long after the last time.
-	late, round time.Duration
-	// processorTime is what the process has used so far.
-	processorTime time.Duration
-}
-
-// observe takes a sample and says whether the router became busy or calm.
-func (p *pressure) observe(s sample) (busy, changed bool) {
+// observe takes the lateness of a periodic task and says whether the router
+// became busy or calm.
+func (p *pressure) observe(late time.Duration) (busy, changed bool) {
 	lag := p.lag.Load()
-	lag += int64(lagLearning * float64(int64(s.late)-lag))
+	lag += int64(lagLearning * float64(int64(late)-lag))
 	p.lag.Store(lag)
-	used := p.usage(s.processorTime, s.round)
 	was := p.busy.Load()
-	files, lateness, processor := busyShare, busyLag, busyProcessor
+	share := busyShare
+	limit := busyLag
 	if was {
-		files, lateness, processor = calmShare, busyLag/2, calmProcessor
+		share, limit = calmShare, busyLag/2
 	}
-	busy = p.exceeds(p.open(), files) || time.Duration(lag) > lateness || used > processor
+	busy = p.exceeds(p.open(), share) || time.Duration(lag) > limit
 	p.busy.Store(busy)
 	return busy, busy != was
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -72,7 +72,7 @@
 		settings: settings,
 		log:      log,
 		desk:     newDesk(settings, boottime.Now),
-		pressure: newPressure(settings.MaxFiles, settings.Processors),
+		pressure: newPressure(settings.MaxFiles),
 		metrics:  metrics.New(settings.Router, settings.DataCentre),
 	}
 	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
