--- a/cmd/figstile/internal/cli/cli.go
+++ b/cmd/figstile/internal/cli/cli.go
@@ -46,6 +46,7 @@
 	Dev       devCommand        `cmd:"" help:"Run a small fleet with stand-ins on this machine; with --once, load it and check its promises."`
 	Load      loadCommand       `cmd:"" help:"Send an open-loop load to a fleet and measure what its callers see."`
 	Capacity  capacityCommands  `cmd:"" help:"Work out what a fleet of some size costs, and what breaks first."`
+	Explain   explainCommand    `cmd:"" help:"Tell from the routers' logs what happened to one request."`
 }
 
 // tokenVariable holds the bearer token. It is no flag: other users of the
--- /dev/null
+++ b/cmd/figstile/internal/cli/explain.go
@@ -0,0 +1,32 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/figstile/figstile/logstory"
+)
+
+// explainCommand tells the story of one request. It makes no call to a router.
+type explainCommand struct {
+	ID    string   `arg:"" help:"The request's id, as its caller sent it."`
+	Files []string `arg:"" help:"Logs of the routers." type:"existingfile"`
+}
+
+// Run prints the story.
+func (c *explainCommand) Run(a *app) error {
+	logs := make(map[string]io.Reader)
+	for _, name := range c.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		logs[name] = file
+	}
+	story, err := logstory.Collect(c.ID, logs)
+	if err != nil {
+		return err
+	}
+	return story.Write(a.out.w)
+}
