End-to-end tests of routers on the platform's settings

Real processes before a small stand-in of the store and an engine: routes and keys, changes in force everywhere, a start while the store is away, a stop that cuts nothing off, SIGHUP, a killed peer.

--- /dev/null
+++ b/e2e/edge_fakes_test.go
@@ -0,0 +1,267 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// objectStore is a small stand-in of the platform's store: lists and watches.
+type objectStore struct {
+	server *httptest.Server
+
+	mu       sync.Mutex
+	cond     *sync.Cond
+	revision int
+	objects  map[string]map[string]storedObject
+	changes  []storedChange
+	away     bool
+}
+
+type storedObject struct {
+	Metadata struct {
+		Name     string
+		Revision int
+	}
+	Spec any
+}
+
+type storedChange struct {
+	kind    string
+	removed bool
+	object  storedObject
+}
+
+func startObjectStore(t *testing.T) *objectStore {
+	t.Helper()
+	s := &objectStore{objects: make(map[string]map[string]storedObject), revision: 1}
+	s.cond = sync.NewCond(&s.mu)
+	s.server = httptest.NewServer(s)
+	t.Cleanup(func() {
+		s.setAway(true)
+		s.server.Close()
+	})
+	return s
+}
+
+func (s *objectStore) address() string { return s.server.Listener.Addr().String() }
+
+func (s *objectStore) put(kind, name string, spec any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := storedObject{Spec: spec}
+	o.Metadata.Name, o.Metadata.Revision = name, s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]storedObject)
+	}
+	s.objects[kind][name] = o
+	s.changes = append(s.changes, storedChange{kind: kind, object: o})
+	s.cond.Broadcast()
+}
+
+// setAway makes the store refuse all calls.
+func (s *objectStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.cond.Broadcast()
+}
+
+func (s *objectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind := filepath.Base(r.URL.Path)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if text := r.URL.Query().Get("Subscribe"); text != "" {
+		after, _ := strconv.Atoi(text)
+		wait, _ := strconv.Atoi(r.URL.Query().Get("WaitTimeoutMs"))
+		s.watch(w, kind, after, time.Duration(wait)*time.Millisecond)
+		return
+	}
+	if s.away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	entries := []storedObject{}
+	for _, o := range s.objects[kind] {
+		entries = append(entries, o)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"Entries": entries, "HasMore": false, "At": s.revision})
+}
+
+func (s *objectStore) watch(w http.ResponseWriter, kind string, after int, wait time.Duration) {
+	over := false
+	timer := time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		over = true
+		s.cond.Broadcast()
+	})
+	defer timer.Stop()
+	for !over && !s.away && s.revision <= after {
+		s.cond.Wait()
+	}
+	if s.away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	events := []map[string]any{}
+	for _, c := range s.changes {
+		if c.kind == kind && c.object.Metadata.Revision > after {
+			events = append(events, map[string]any{"Removed": c.removed, "Resource": c.object})
+		}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "At": s.revision})
+}
+
+// edgeConfig is a configuration with one stream route, one that must not be
+// repeated, and the given keys of a workspace.
+func edgeConfig(version int, keys ...string) map[string]any {
+	return map[string]any{
+		"Version": version,
+		"Routes": []map[string]any{
+			{"Name": "guides", "Hostname": "h.example", "PathPrefix": "/guides/", "Type": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 1000, "Service": "engines", "MaxAttempts": 2, "Resumable": true},
+			{"Name": "pages", "Hostname": "h.example", "PathPrefix": "/pages/", "Type": "non_idempotent", "TimeoutMs": 15000, "TargetLatencyMs": 1000, "Service": "engines", "MaxAttempts": 1},
+		},
+		"Services": []map[string]any{{"Name": "engines", "HealthPath": "/healthz", "MaxConnections": 100, "Runtime": map[string]any{"BatchSlots": 8, "KvCapacity": 100000, "TokenStride": 4}}},
+		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "ThroughputPerS": 100000},
+		"Tenants":  []map[string]any{{"Name": "turismo", "ApiKeys": keys}},
+	}
+}
+
+// edgeEngine is a stand-in of an engine that holds its streams until told to
+// end them.
+type edgeEngine struct {
+	server *httptest.Server
+	// release ends the streams under way, one for each value.
+	release chan struct{}
+	// begun gets a value for each stream that sent its first event.
+	begun chan struct{}
+}
+
+func startEdgeEngine(t *testing.T, s *objectStore, id string) *edgeEngine {
+	t.Helper()
+	e := &edgeEngine{release: make(chan struct{}, 16), begun: make(chan struct{}, 16)}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		if r.Header.Get("Target-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("Server-Signature", "sig-"+id)
+		if r.Header.Get("Tenant") != "turismo" || r.Header.Get("Authorization") != "" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		if r.URL.Path == "/pages/now" {
+			fmt.Fprint(w, "page")
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: a\n\n")
+		w.(http.Flusher).Flush()
+		e.begun <- struct{}{}
+		<-e.release
+		fmt.Fprint(w, "id: 2\ndata: b\n\n")
+	}))
+	t.Cleanup(e.server.Close)
+	t.Cleanup(func() { close(e.release) })
+	s.put("servers", id, map[string]any{
+		"Service": "engines", "Address": e.server.Listener.Addr().String(), "Zone": "z1", "BatchSlots": 8, "State": "ready", "born": 1,
+	})
+	return e
+}
+
+// edgeRouter is one daemon on the platform's settings.
+type edgeRouter struct {
+	*process
+	name                  string
+	callers, ready, peers string
+}
+
+// freeAddress returns an address of a loopback IP that only this index uses.
+func freeAddress(t *testing.T, index int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", os.Getpid()%200, index+1))
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func startEdgeRouter(t *testing.T, s *objectStore, index int, seeds ...string) *edgeRouter {
+	t.Helper()
+	r := &edgeRouter{
+		name:    fmt.Sprintf("edge-%d", index),
+		callers: freeAddress(t, index),
+		ready:   freeAddress(t, index),
+		peers:   freeAddress(t, index),
+	}
+	settings := map[string]any{
+		"NodeName": r.name, "Zone": fmt.Sprintf("z%d", 1+index%2),
+		"ListenAddrs": map[string]string{"Frontend": r.callers, "Ready": r.ready, "ControlPlane": r.peers},
+		"SeedNodes":   seeds,
+		"Limits":      map[string]any{"CpuQuota": 1, "MemoryMb": 284, "MaxFds": 4100},
+		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56},
+		"Platform":    map[string]string{"Address": s.address()},
+	}
+	text, err := json.Marshal(settings)
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	cmd := exec.Command(daemonBinary, "edge")
+	cmd.Env = append(os.Environ(), "FIGSTILE_CONFIG="+path)
+	r.process = start(t, r.name, cmd)
+	return r
+}
+
+// await polls a condition; the test's own time limit bounds it.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *edgeRouter) isReady() bool {
+	response, err := http.Get("http://" + r.ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// get sends a request with a key; it never reuses a connection.
+func (r *edgeRouter) get(t *testing.T, path, key string) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.callers+path, nil)
+	require.NoError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Attempt-Id", "a1")
+	request.Header.Set("Deadline-Ms", "15000")
+	request.Header.Set("Tenant", "forged")
+	request.Close = true
+	return http.DefaultClient.Do(request)
+}
+
+func (r *edgeRouter) status(t *testing.T, path, key string) int {
+	t.Helper()
+	response, err := r.get(t, path, key)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- /dev/null
+++ b/e2e/edge_test.go
@@ -0,0 +1,102 @@
+package e2e
+
+import (
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startEdgeFleet runs two routers before one engine.
+func startEdgeFleet(t *testing.T) (*objectStore, *edgeEngine, []*edgeRouter) {
+	t.Helper()
+	s := startObjectStore(t)
+	s.put("config", "main", edgeConfig(1, "k1"))
+	e := startEdgeEngine(t, s, "i-1")
+	first := startEdgeRouter(t, s, 0)
+	second := startEdgeRouter(t, s, 1, first.peers)
+	routers := []*edgeRouter{first, second}
+	for _, r := range routers {
+		await(t, r.isReady)
+		await(t, func() bool { return r.status(t, "/pages/now", "k1") == http.StatusOK })
+	}
+	return s, e, routers
+}
+
+func TestEdgeServesByRouteAndKey(t *testing.T) {
+	_, _, routers := startEdgeFleet(t)
+	for _, r := range routers {
+		response, err := r.get(t, "/pages/now", "k1")
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, "page", string(body))
+		require.Equal(t, "sig-i-1", response.Header.Get("Server-Signature"))
+		require.Equal(t, "a1", response.Header.Get("Attempt-Id"))
+		require.Equal(t, http.StatusUnauthorized, r.status(t, "/pages/now", "wrong"))
+		require.Equal(t, http.StatusNotFound, r.status(t, "/none/", "k1"))
+	}
+}
+
+// An operator revokes a key. From then on no router takes it, whichever of
+// them reads the store.
+func TestEdgeTakesChangesEverywhere(t *testing.T) {
+	s, _, routers := startEdgeFleet(t)
+	s.put("config", "main", edgeConfig(2, "k2"))
+	for _, r := range routers {
+		await(t, func() bool { return r.status(t, "/pages/now", "k1") == http.StatusUnauthorized })
+		require.Equal(t, http.StatusOK, r.status(t, "/pages/now", "k2"))
+	}
+}
+
+// The store goes away, and a router is started meanwhile. It takes the
+// configuration and the list of upstreams from a peer and serves.
+func TestEdgeStartsWithoutTheStore(t *testing.T) {
+	s, _, routers := startEdgeFleet(t)
+	s.setAway(true)
+	late := startEdgeRouter(t, s, 2, routers[0].peers)
+	await(t, late.isReady)
+	await(t, func() bool { return late.status(t, "/pages/now", "k1") == http.StatusOK })
+	for _, r := range routers {
+		require.Equal(t, http.StatusOK, r.status(t, "/pages/now", "k1"))
+	}
+}
+
+// A router is stopped while a caller reads a stream. The stream ends whole,
+// the router says that it is not ready meanwhile, and exits with code 0.
+func TestEdgeStopCutsNothingOff(t *testing.T) {
+	_, e, routers := startEdgeFleet(t)
+	r := routers[0]
+	response, err := r.get(t, "/guides/x", "k1")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	<-e.begun
+	r.terminate()
+	await(t, func() bool { return !r.isReady() })
+	e.release <- struct{}{}
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", string(body))
+	<-r.done
+	require.NoError(t, r.err)
+}
+
+// SIGHUP ends a process that does not expect it. Here it reloads the settings.
+func TestEdgeReloadsAtHangup(t *testing.T) {
+	_, _, routers := startEdgeFleet(t)
+	require.NoError(t, routers[0].cmd.Process.Signal(syscall.SIGHUP))
+	routers[0].find(t, "seeds")
+	require.Equal(t, http.StatusOK, routers[0].status(t, "/pages/now", "k1"))
+}
+
+// A router dies without a word while its peer reads the store through it or
+// not: the peer goes on.
+func TestEdgeSurvivesAKilledPeer(t *testing.T) {
+	s, _, routers := startEdgeFleet(t)
+	routers[0].kill()
+	s.put("config", "main", edgeConfig(3, "k3"))
+	await(t, func() bool { return routers[1].status(t, "/pages/now", "k3") == http.StatusOK })
+}
