Let a router join again after its clock was set back

Cause: a run's incarnation is its start by the time of day. Restarted with the clock behind, a router was refused by every peer that remembered its last run, for up to ten minutes; alone, it knows neither loads nor what the store keeps from it. A refusal now tells the later incarnation, and where no two processes live under one name, a process of less than a minute passes it. TestRestartAfterTheClockWasSetBack runs into its time limit without it.

--- a/coordination/membership/event.go
+++ b/coordination/membership/event.go
@@ -69,6 +69,11 @@
 	Members  []Member
 }
 
+// Raised gives this router a greater incarnation.
+type Raised struct {
+	Incarnation state.Incarnation
+}
+
 // DrainingSet changes whether this router announces that it drains.
 type DrainingSet struct {
 	Draining bool
@@ -83,5 +88,6 @@
 func (Closed) event()         {}
 func (Heard) event()          {}
 func (HeartbeatHeard) event() {}
+func (Raised) event()         {}
 func (DrainingSet) event()    {}
 func (Tick) event()           {}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -88,6 +88,8 @@
 		m.heard(e.Session)
 	case HeartbeatHeard:
 		m.heartbeatHeard(e)
+	case Raised:
+		m.self.Incarnation = max(m.self.Incarnation, e.Incarnation)
 	case DrainingSet:
 		m.drainingSet(e.Draining)
 	case Tick:
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -122,6 +122,7 @@
 			},
 			Fleet: fleetName,
 		},
+		Sole:   true,
 		Listen: r.settings.Addresses.Peers,
 		Seeds:  r.settings.Seeds,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -9,6 +9,7 @@
 
 	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/state"
 	"github.com/rs/zerolog"
 )
 
@@ -112,7 +113,7 @@
 		return dialFailure(s, err)
 	}
 	if s.dialled != "" {
-		if err := s.writeHello(m.hello(membership.RefusalNone)); err != nil {
+		if err := s.writeHello(m.hello(membership.RefusalNone, 0)); err != nil {
 			return dialFailure(s, err)
 		}
 	}
@@ -122,6 +123,7 @@
 	}
 	hello := helloFrom(raw)
 	if raw.GetRefusal() != peerpb.Refusal_REFUSAL_NONE {
+		m.raise(membership.Refusal(raw.GetRefusal()), state.Incarnation(raw.GetKnownIncarnation()))
 		return m.refusedByPeer(s, hello, membership.Refusal(raw.GetRefusal()))
 	}
 	return m.greet(s, hello)
@@ -170,7 +172,7 @@
 	if s.dialled == "" {
 		// The dialler closes first, or the limit on pending sessions does:
 		// closing here could destroy the reason on its way.
-		_ = s.writeHello(m.hello(refusal))
+		_ = s.writeHello(m.hello(refusal, m.knownIncarnation(hello.Router, refusal)))
 		_, _ = s.control.in.Next()
 	}
 	return &failure{cause: refusedError(refusal)}
@@ -186,10 +188,48 @@
 	s.conn.attribute(counted)
 }
 
-func (m *Mesh) hello(refusal membership.Refusal) *peerpb.Envelope {
+func (m *Mesh) hello(refusal membership.Refusal, known state.Incarnation) *peerpb.Envelope {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return helloEnvelope(m.self, refusal)
+	return helloEnvelope(m.self, refusal, known)
+}
+
+// knownIncarnation is what a refused dialler is to hear of its later run.
+func (m *Mesh) knownIncarnation(router state.Router, refusal membership.Refusal) state.Incarnation {
+	if refusal != membership.RefusalIncarnation {
+		return 0
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, view := range m.machine.Members() {
+		if view.Router == router {
+			return view.Incarnation
+		}
+	}
+	return 0
+}
+
+// freshFor is how long after its start a process is surely the latest run under
+// its name.
+const freshFor = time.Minute
+
+// raise passes a later incarnation of this router's name that a peer knows. A
+// clock that was set back before a restart gives the new run the smaller
+// number, and peers would refuse it for as long as they remember the old one.
+// A process that is no longer fresh may be the old run itself, after a pause,
+// and must stay refused.
+func (m *Mesh) raise(refusal membership.Refusal, known state.Incarnation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.opts.Sole || refusal != membership.RefusalIncarnation || known < m.self.Incarnation {
+		return
+	}
+	if m.opts.Clock.Now().Sub(m.created) > freshFor {
+		return
+	}
+	m.self.Incarnation = known + 1
+	m.step(membership.Raised{Incarnation: known + 1})
+	m.opts.Log.Warn().Uint64("incarnation", uint64(m.self.Incarnation)).Msg("incarnation raised above one that a peer knows")
 }
 
 // serveBulk runs the second stream.
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -33,7 +33,9 @@
 	}
 }
 
-func helloEnvelope(h membership.Hello, refusal membership.Refusal) *peerpb.Envelope {
+// helloEnvelope answers or opens a handshake; known is the later incarnation
+// of the dialler that a refusal is for, else zero.
+func helloEnvelope(h membership.Hello, refusal membership.Refusal, known state.Incarnation) *peerpb.Envelope {
 	body := &peerpb.Hello{
 		Fleet:           h.Fleet,
 		Router:          string(h.Router),
@@ -43,6 +45,8 @@
 		PeerAddress:     h.Address,
 		Draining:        h.Draining,
 		Refusal:         peerpb.Refusal(refusal),
+
+		KnownIncarnation: uint64(known),
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: body}}
 }
--- a/transport/peer/failure_test.go
+++ b/transport/peer/failure_test.go
@@ -142,6 +142,20 @@
 	require.EqualValues(t, 1, a.Stats().Sessions)
 }
 
+// The time of day is set back on a VM and its router is killed. The new run has
+// the smaller incarnation, and its peers remember the old one for minutes.
+// Where no two processes live under one name, it passes the old one's and joins.
+func TestRestartAfterTheClockWasSetBack(t *testing.T) {
+	f := newFleet(t)
+	f.tweak = func(o *Options) { o.Sole = true }
+	a, old := f.startPair()
+	f.stop(old)
+	f.until(func() bool { return a.sees("castro-1") })
+	next := f.start("laredo-1", 1, a.Addr())
+	f.until(func() bool { return a.sees("castro-1", "laredo-1") && next.sees("castro-1", "laredo-1") })
+	require.EqualValues(t, 3, a.find("laredo-1").Incarnation)
+}
+
 // A peer stops reading, as a frozen VM does, while a burst of messages is due
 // to it. Send must return at once every time, or the scheduler of this router
 // stops with it. The overflow drops the session, the other peer notices
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -44,6 +44,9 @@
 	// strangers logs connections that never became sessions.
 	strangers zerolog.Logger
 
+	// created is when this process began.
+	created time.Time
+
 	mu sync.RWMutex
 	// ctx ends with Run; nil before.
 	ctx      context.Context
@@ -89,6 +92,7 @@
 		connectTo:  opts.Dial,
 		strangers:  opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
 		flushLimit: flushTimeout,
+		created:    opts.Clock.Now(),
 		notices:    newNotices(),
 		machine:    membership.New(membership.Config{Self: self, Seed: opts.Seed}),
 		sessions:   make(map[membership.SessionID]*session),
@@ -288,7 +292,7 @@
 	m.routes[s.peer.Router] = s
 	m.events.Sessions++
 	if s.dialled == "" {
-		m.enqueueControl(s, helloEnvelope(m.self, membership.RefusalNone))
+		m.enqueueControl(s, helloEnvelope(m.self, membership.RefusalNone, 0))
 	}
 	m.opened = append(m.opened, s)
 	m.opts.Log.Info().Str("router", string(s.peer.Router)).Uint64("incarnation", uint64(s.peer.Incarnation)).
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -52,6 +52,10 @@
 	Advertise string
 	// Seeds are addresses to dial first. One live seed suffices.
 	Seeds []string
+	// Sole says that no two processes live under one name, whatever their
+	// clocks say: a new run may then pass a later incarnation of its own that
+	// a peer remembers.
+	Sole bool
 	// TLS secures the sessions if set. It must verify peers both ways.
 	TLS *tls.Config
 	// Dial opens a connection to a peer; nil means plain TCP. Tests put links
