--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -22,11 +22,6 @@
 	// worked out from a throughput that operators state; where the engines do
 	// less, the workspaces furthest from their shares go first.
 	nearShare = 0.5
-	// longestWait bounds the wait of any request that is not late yet. Without
-	// it the backlog grows to the limit of the route with the most patient
-	// target, and those with long prompts or short targets are refused instead
-	// of it. An engine that has this much to read is never idle.
-	longestWait = 300 * time.Millisecond
 	// least is the part of its target that a request may wait even if its
 	// own prompt takes the rest. Long prompts would otherwise never be
 	// admitted, however idle the engines.
@@ -144,8 +139,7 @@
 		return share(r.Patience, returned)
 	}
 	limit := share(left, onTime) - best.Own
-	limit = min(max(limit, share(r.Target, least)), longestWait)
-	return min(limit, share(r.Patience, onTime))
+	return min(max(limit, share(r.Target, least)), share(r.Patience, onTime))
 }
 
 // retryAfter returns when a backlog will have drained, spread out so that
