Let few routers call a store that is away

Six step in eagerly now, the others after half a second without any reader and then every two and a half seconds.

--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// empty says whether no configuration is held.
+func (c *catalogue) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Revision == 0
+}
+
 // all returns every object held, for a peer that starts from nothing.
 func (c *catalogue) all() map[Kind][]Object {
 	c.mu.Lock()
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -51,6 +52,13 @@
 	// be read.
 	lateScan = 3 * scanEvery
 	catchUp  = time.Second
+	// eagerReaders is how many routers, by name, step in where readers are
+	// missing, and aloneFor how long nobody may read before all others do.
+	eagerReaders = 2 * readers
+	aloneFor     = 500 * time.Millisecond
+	// lateRetry is the mean pause of the others between two calls to a store
+	// that does not answer.
+	lateRetry = 2500 * time.Millisecond
 	// claimExpiry is the age at which a peer's word that it reads the store
 	// no longer counts: it would have said so ten times since.
 	claimExpiry = 1200 * time.Millisecond
@@ -77,6 +85,8 @@
 	failed   time.Time
 	// reading is set while this router reads the store.
 	reading bool
+	// aloneSince is when a peer last said that it reads the store.
+	aloneSince time.Time
 	// scanned is when stalled requests were last looked for, resumed when
 	// that was last late; used by run alone.
 	scanned time.Time
@@ -92,29 +102,64 @@
 	return f
 }
 
-// reads says whether this router is to read the store: while fewer than enough
-// peers say that they do, or if it comes early enough by name among those.
+// reads says whether this router is to read the store: if it comes early enough
+// by name among the peers that say they do, while too few do and it comes early
+// by name among all, and if for a while nobody does.
 func (f *fleet) reads() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	before, others := 0, 0
+	before, others := f.claimants(now)
+	if others > 0 || f.aloneSince.IsZero() {
+		f.aloneSince = now
+	}
+	alone := now.Sub(f.aloneSince) >= aloneFor
+	reading := others < readers && (f.eager() || alone) || before < readers && f.reading
+	if reading != f.reading {
+		f.reading = reading
+		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
+	}
+	return reading
+}
+
+// claimants counts the peers that say they read the store, and those of them
+// that come before this router by name.
+func (f *fleet) claimants(now time.Time) (before, all int) {
 	for router, heard := range f.claims {
 		if now.Sub(heard) > claimExpiry || !slices.Contains(f.live, router) {
 			delete(f.claims, router)
 			continue
 		}
-		others++
-		if strings.Compare(string(router), string(f.self)) < 0 {
+		all++
+		if router < f.self {
 			before++
 		}
 	}
-	reading := others < readers || before < readers && f.reading
-	if reading != f.reading {
-		f.reading = reading
-		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
+	return before, all
+}
+
+// eager says whether this router comes early by name among the live ones. When
+// the store is away all routers would call it again and again: on 73 routers
+// that was two thousand calls in six seconds, each of which is paid for.
+func (f *fleet) eager() bool {
+	earlier := 0
+	for _, router := range f.live {
+		if router < f.self {
+			earlier++
+		}
 	}
-	return reading
+	return earlier < eagerReaders || f.catalogue.empty()
+}
+
+// retryPause lengthens the pause after a failed call for routers that are not
+// among the first to read.
+func (f *fleet) retryPause(pause time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.eager() {
+		return pause
+	}
+	return lateRetry/2 + rand.N(lateRetry)
 }
 
 func (f *fleet) onAnswer() {
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -51,6 +51,9 @@
 	onFailure func()
 	onNews    func(kind Kind, objects []Object)
 
+	// retryPause may lengthen the pause after a failed call; nil keeps it.
+	retryPause func(pause time.Duration) time.Duration
+
 	listed   bool
 	position uint64
 }
@@ -58,6 +61,9 @@
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
+	if f.retryPause == nil {
+		f.retryPause = func(pause time.Duration) time.Duration { return pause }
+	}
 	retry.InitialInterval, retry.MaxInterval = firstRetry, lastRetry
 	for ctx.Err() == nil {
 		if !f.reads() {
@@ -77,7 +83,7 @@
 		default:
 			f.onFailure()
 			f.catalogue.unreached(err)
-			_ = pause.For(ctx, retry.NextBackOff())
+			_ = pause.For(ctx, f.retryPause(retry.NextBackOff()))
 		}
 	}
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -83,6 +83,7 @@
 		r.followers = append(r.followers, &follower{
 			kind: kind, store: platform, catalogue: r.catalogue, log: log,
 			reads: r.fleet.reads, onAnswer: r.fleet.onAnswer, onFailure: r.fleet.onFailure, onNews: r.fleet.sendNews,
+			retryPause: r.fleet.retryPause,
 		})
 	}
 	if err := r.listen(); err != nil {
