--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -147,9 +147,6 @@
 	return len(stalled)
 }
 
-// Told implements ingress.Desk.
-func (d *desk) Told(*placement.Ticket, ingress.Load) {}
-
 // End implements ingress.Desk.
 func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -11,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figstile/figstile/coordination/placement"
-	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/shares"
@@ -44,27 +42,11 @@
 	// spendingEvery is the same for workspaces, whose shares are measured
 	// over seconds.
 	spendingEvery = 250 * time.Millisecond
-	// readers is how many routers follow the store for all. Three are lost
-	// at once only if a data centre falls together with another VM.
-	readers = 3
 	// lateScan is a delay of the ticker that tells of a pause of the process
 	// or a busy processor; catchUp is how long what waited then may take to
 	// be read.
 	lateScan = 3 * scanEvery
 	catchUp  = time.Second
-	// eagerReaders is how many routers, by name, step in where readers are
-	// missing, and aloneFor how long nobody may read before all others do.
-	eagerReaders = 2 * readers
-	aloneFor     = 500 * time.Millisecond
-	// lateRetry is the mean pause of the others between two calls to a store
-	// that does not answer.
-	lateRetry = 2500 * time.Millisecond
-	// claimExpiry is the age at which a peer's word that it reads the store
-	// no longer counts: it would have said so ten times since.
-	claimExpiry = 1200 * time.Millisecond
-	// readHealthy is how long after the store's last answer this router still
-	// says that it reads: a watch may wait for most of it.
-	readHealthy = watchWait + callTimeout
 )
 
 // fleet talks with the peers.
@@ -102,66 +84,6 @@
 	return f
 }
 
-// reads says whether this router is to read the store: if it comes early enough
-// by name among the peers that say they do, while too few do and it comes early
-// by name among all, and if for a while nobody does.
-func (f *fleet) reads() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	before, others := f.claimants(now)
-	if others > 0 || f.aloneSince.IsZero() {
-		f.aloneSince = now
-	}
-	alone := now.Sub(f.aloneSince) >= aloneFor
-	reading := others < readers && (f.eager() || alone) || before < readers && f.reading
-	if reading != f.reading {
-		f.reading = reading
-		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
-	}
-	return reading
-}
-
-// claimants counts the peers that say they read the store, and those of them
-// that come before this router by name.
-func (f *fleet) claimants(now time.Time) (before, all int) {
-	for router, heard := range f.claims {
-		if now.Sub(heard) > claimExpiry || !slices.Contains(f.live, router) {
-			delete(f.claims, router)
-			continue
-		}
-		all++
-		if router < f.self {
-			before++
-		}
-	}
-	return before, all
-}
-
-// eager says whether this router comes early by name among the live ones. When
-// the store is away all routers would call it again and again: on 73 routers
-// that was two thousand calls in six seconds, each of which is paid for.
-func (f *fleet) eager() bool {
-	earlier := 0
-	for _, router := range f.live {
-		if router < f.self {
-			earlier++
-		}
-	}
-	return earlier < eagerReaders || f.catalogue.empty()
-}
-
-// retryPause lengthens the pause after a failed call for routers that are not
-// among the first to read.
-func (f *fleet) retryPause(pause time.Duration) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.eager() {
-		return pause
-	}
-	return lateRetry/2 + rand.N(lateRetry)
-}
-
 func (f *fleet) onAnswer() {
 	f.mu.Lock()
 	f.answered = f.now()
@@ -264,39 +186,6 @@
 	return now
 }
 
-func loadsMessage(loads map[state.Upstream]placement.Load) *peerpb.Loads {
-	message := &peerpb.Loads{}
-	for id, load := range loads {
-		message.Entries = append(message.Entries, &peerpb.UpstreamLoad{
-			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
-		})
-	}
-	return message
-}
-
-func promptMessage(placed placement.Placed) *peerpb.PlacedPrompt {
-	message := &peerpb.PlacedPrompt{Upstream: string(placed.Upstream)}
-	for _, part := range placed.Prompt {
-		message.Parts = append(message.Parts, part.ID)
-		message.Tokens = append(message.Tokens, uint32(part.Tokens))
-	}
-	return message
-}
-
-func placedPrompts(messages []*peerpb.PlacedPrompt) []placement.Placed {
-	var all []placement.Placed
-	for _, m := range messages {
-		placed := placement.Placed{Upstream: state.Upstream(m.GetUpstream())}
-		for i, id := range m.GetParts() {
-			if i < len(m.GetTokens()) {
-				placed.Prompt = append(placed.Prompt, prefix.Part{ID: id, Tokens: int(m.GetTokens()[i])})
-			}
-		}
-		all = append(all, placed)
-	}
-	return all
-}
-
 func (f *fleet) sendSpending() {
 	message := &peerpb.Spending{}
 	for ws, usage := range f.desk.ownSpending() {
@@ -322,15 +211,6 @@
 	}
 }
 
-// keySeparator stands between the kind and the name of an object.
-const keySeparator = "/"
-
-func objectEnvelope(kind Kind, o Object) *peerpb.Envelope {
-	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{
-		Key: kind.String() + keySeparator + o.Name, Version: o.Revision, Value: o.Spec, Removed: o.Removed,
-	}}}
-}
-
 // onEnvelope takes a message of a peer.
 func (f *fleet) onEnvelope(from peer.Peer, env *peerpb.Envelope) {
 	switch body := env.GetBody().(type) {
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -98,6 +98,4 @@
 	// Retries bound repeats over the fleet.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// DrainTimeout is how soon a leaving upstream must get nothing new.
-	DrainTimeout time.Duration
 }
--- /dev/null
+++ b/transport/ingress/admit.go
@@ -0,0 +1,206 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/prefix"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/state/routing"
+)
+
+// admit reads and checks a request. It returns the refusal if it is not ok.
+func (x *exchange) admit() (result.Result, bool) {
+	x.table = x.h.Desk.Table()
+	if x.table == nil {
+		return result.New(result.NotReady, ""), false
+	}
+	if res, ok := x.readBody(); !ok {
+		return res, false
+	}
+	if x.h.Desk.Full() {
+		return result.New(result.TooManyRequests, "").After(elsewhereRetry), false
+	}
+	// The routes may have changed while the body was read.
+	x.table = x.h.Desk.Table()
+	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.describe} {
+		if res, ok := check(); !ok {
+			return res, false
+		}
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) readBody() (result.Result, bool) {
+	limit := x.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return result.New(result.BodyTooLarge, ""), false
+	}
+	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
+	var err error
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		_, err = io.ReadFull(reader, x.body)
+	} else {
+		x.body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return result.New(result.BodyTooLarge, ""), false
+	case err != nil:
+		x.record.Abandoned = x.r.Context().Err() != nil
+		return result.New(result.BadRequest, "The body ended early."), false
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) findRoute() (result.Result, bool) {
+	route, ok := x.table.Route(x.r.Host, x.r.URL.Path)
+	if !ok {
+		return x.unknown(result.UnknownService), false
+	}
+	x.route = route
+	x.service = pick(route.Backends)
+	x.record.Class = route.Name
+	if x.service == "" {
+		return result.New(result.NoUpstream, "The route has no service."), false
+	}
+	return result.Result{}, true
+}
+
+// unknown refuses what the configuration lacks. A router that may have missed
+// a newer configuration cannot say that a thing does not exist; one that says
+// so wrongly turns a caller away for good.
+func (x *exchange) unknown(code result.Code) result.Result {
+	if x.h.Desk.Current() {
+		return result.New(code, "")
+	}
+	return result.New(result.NotReady, "The router may not hold the newest configuration.")
+}
+
+// pick draws one of a route's services by weight.
+func pick(backends []routing.Backend) state.Service {
+	total := 0
+	for _, b := range backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	drawn := rand.IntN(total)
+	for _, b := range backends {
+		if drawn < b.Weight {
+			return b.Service
+		}
+		drawn -= b.Weight
+	}
+	return ""
+}
+
+func (x *exchange) readHeader() (result.Result, bool) {
+	in, err := x.h.Dialect.Inbound(x.r.Header)
+	if err != nil {
+		return result.New(result.BadRequest, err.Error()), false
+	}
+	x.in = in
+	x.lastEvent = in.LastEvent
+	patience := in.Deadline
+	if patience <= 0 {
+		patience = defaultDeadline
+	}
+	x.deadline = x.arrived.Add(patience)
+	x.limit = x.deadline
+	if x.route.Timeout > 0 && x.route.Timeout < patience {
+		x.limit = x.arrived.Add(x.route.Timeout)
+	}
+	return result.Result{}, true
+}
+
+func (x *exchange) authenticate() (result.Result, bool) {
+	if x.route.Public || !x.table.HasWorkspaces() {
+		return result.Result{}, true
+	}
+	workspace, ok := x.table.Workspace(x.in.Key)
+	if !ok {
+		return x.unknown(result.Unauthorized), false
+	}
+	x.workspace = workspace
+	x.record.Workspace = workspace
+	return result.Result{}, true
+}
+
+// describe works out what is decided on, and refuses what is known to do harm.
+func (x *exchange) describe() (result.Result, bool) {
+	x.fingerprint = x.digest()
+	patience := x.limit.Sub(x.arrived)
+	x.request = admission.Request{
+		Work: placement.Work{
+			Service: x.service,
+			Prompt:  x.in.Prompt,
+			Output:  x.expectedOutput(),
+			// A stream that cannot be resumed must not be begun twice.
+			Repeatable: x.route.Repeatable() && x.route.MaxAttempts > 1,
+		},
+		Workspace: x.workspace,
+		Cost:      x.cost(),
+		Target:    x.route.Target,
+		Elapsed:   x.h.Desk.Elapsed(x.route, x.in.Deadline),
+		Patience:  patience,
+	}
+	if x.h.Desk.Blocked(x.fingerprint) {
+		return result.New(result.Suspected, "").After(patience / 2), false
+	}
+	if x.h.Desk.Closing() {
+		return result.New(result.Draining, "").After(elsewhereRetry), false
+	}
+	return result.Result{}, true
+}
+
+// elsewhereRetry sends a caller of a stopping or full router to another one at
+// once: it comes on a new connection.
+const elsewhereRetry = 50 * time.Millisecond
+
+func (x *exchange) expectedOutput() int {
+	if x.in.OutputHint > 0 {
+		return min(x.in.OutputHint, max(x.in.MaxOutput, 1))
+	}
+	return x.in.MaxOutput
+}
+
+// cost counts a generation's own prompt tokens once and its expected output
+// twice, as engines' throughput is stated. Shared parts are left out: they are
+// read once for many requests.
+func (x *exchange) cost() float64 {
+	return float64(own(x.in.Prompt) + 2*x.expectedOutput())
+}
+
+func own(prompt []prefix.Part) int {
+	if len(prompt) == 0 {
+		return 0
+	}
+	return prompt[len(prompt)-1].Tokens
+}
+
+// digest recognises a request that is sent again: same workspace, path and
+// body.
+func (x *exchange) digest() state.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{string(x.workspace), x.r.Host, x.r.Method, x.r.RequestURI} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(x.body)
+	return state.Fingerprint(d.Sum64())
+}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -153,9 +153,6 @@
 	}
 	defer answer.Close()
 	head := x.h.Dialect.Answer(answer.Status, answer.Header)
-	if head.Load != nil {
-		x.h.Desk.Told(ticket, *head.Load)
-	}
 	switch {
 	case head.NotRun:
 		return attemptEnd{fateNotRun, result.New(result.NoUpstream, "The upstream would not take the request.").After(rejectedRetry)}, placement.Rejected
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -26,8 +26,6 @@
 	// Output notes that a part of an answer came; first is set for the first
 	// event of a stream.
 	Output(t *placement.Ticket, first bool)
-	// Told notes what an upstream said of its load.
-	Told(t *placement.Ticket, load Load)
 	// End ends a ticket.
 	End(t *placement.Ticket, outcome placement.Outcome)
 	// Repeat spends one repeat of a service's budget, if it has one.
--- a/transport/ingress/dialect.go
+++ b/transport/ingress/dialect.go
@@ -56,17 +56,10 @@
 	LastEvent string
 }
 
-// Load is what an upstream says it is doing.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // AnswerHead is what an upstream says beside its status.
 type AnswerHead struct {
 	// Signed answers are an upstream's own.
 	Signed bool
 	// NotRun is the upstream's statement that it did not run the request.
 	NotRun bool
-	// Load is nil if the upstream did not say.
-	Load *Load
 }
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -211,7 +211,6 @@
 }
 
 func (d *scriptedDesk) Output(*placement.Ticket, bool) {}
-func (d *scriptedDesk) Told(*placement.Ticket, Load)   {}
 
 func (d *scriptedDesk) End(_ *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
