--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -188,6 +188,8 @@
 	*process
 	name                  string
 	callers, ready, peers string
+	// settings is the path of the settings file.
+	settings string
 }
 
 // freeAddress returns an address of a loopback IP that only this index uses.
@@ -200,6 +202,12 @@
 }
 
 func startEdgeRouter(t *testing.T, s *objectStore, index int, seeds ...string) *edgeRouter {
+	t.Helper()
+	return startEdgeRouterAt(t, s.address(), index, seeds...)
+}
+
+// startEdgeRouterAt reaches the store at an address, such as a proxy's.
+func startEdgeRouterAt(t *testing.T, store string, index int, seeds ...string) *edgeRouter {
 	t.Helper()
 	r := &edgeRouter{
 		name:    fmt.Sprintf("edge-%d", index),
@@ -213,16 +221,23 @@
 		"SeedNodes":   seeds,
 		"Limits":      map[string]any{"CpuQuota": 1, "MemoryMb": 284, "MaxFds": 4100},
 		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56},
-		"Platform":    map[string]string{"Address": s.address()},
+		"Platform":    map[string]string{"Address": store},
 	}
 	text, err := json.Marshal(settings)
 	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "settings.json")
-	require.NoError(t, os.WriteFile(path, text, 0o600))
+	r.settings = filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(r.settings, text, 0o600))
+	r.launch(t)
+	return r
+}
+
+// launch starts the router's process, again with the same settings after it
+// has ended.
+func (r *edgeRouter) launch(t *testing.T) {
+	t.Helper()
 	cmd := exec.Command(daemonBinary, "edge")
-	cmd.Env = append(os.Environ(), "FIGSTILE_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "FIGSTILE_CONFIG="+r.settings)
 	r.process = start(t, r.name, cmd)
-	return r
 }
 
 // await polls a condition; the test's own time limit bounds it.
--- /dev/null
+++ b/e2e/soak_proxy_test.go
@@ -0,0 +1,153 @@
+package e2e
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// linkFault is what a proxy does to the connections through it.
+type linkFault int
+
+const (
+	linkGood linkFault = iota
+	// linkSilent passes nothing on and resets nothing.
+	linkSilent
+	// linkMute passes what the caller sends and keeps what comes back.
+	linkMute
+	// linkSlow holds each read back for a while.
+	linkSlow
+)
+
+// slowBy is the delay of a slow link.
+const slowBy = 40 * time.Millisecond
+
+// faultyLink is a loopback proxy whose connections can be made to fail.
+type faultyLink struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cond  *sync.Cond
+	fault linkFault
+	conns map[net.Conn]bool
+	done  bool
+}
+
+func startLink(t *testing.T, target string) *faultyLink {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &faultyLink{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	l.cond = sync.NewCond(&l.mu)
+	t.Cleanup(l.close)
+	go l.accept()
+	return l
+}
+
+func (l *faultyLink) address() string { return l.listener.Addr().String() }
+
+func (l *faultyLink) accept() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.serve(conn)
+	}
+}
+
+func (l *faultyLink) serve(conn net.Conn) {
+	back, err := net.Dial("tcp", l.target)
+	if err != nil {
+		l.drop(conn)
+		return
+	}
+	l.mu.Lock()
+	l.conns[conn], l.conns[back] = true, true
+	l.mu.Unlock()
+	go l.pump(back, conn, linkSilent)
+	l.pump(conn, back, linkSilent, linkMute)
+}
+
+// pump copies until either end fails; it stands still under the given faults.
+func (l *faultyLink) pump(to, from net.Conn, stopped ...linkFault) {
+	defer l.drop(to)
+	defer l.drop(from)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !l.wait(stopped) {
+			return
+		}
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			if err == io.EOF {
+				_ = to.(*net.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, to)
+			}
+			return
+		}
+	}
+}
+
+// wait holds a read back while the link fails; false means that it is closed.
+func (l *faultyLink) wait(stopped []linkFault) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fault == linkSlow {
+		l.mu.Unlock()
+		time.Sleep(slowBy)
+		l.mu.Lock()
+	}
+	for !l.done && l.isAmong(stopped) {
+		l.cond.Wait()
+	}
+	return !l.done
+}
+
+func (l *faultyLink) isAmong(faults []linkFault) bool {
+	for _, f := range faults {
+		if l.fault == f {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *faultyLink) set(fault linkFault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = fault
+	l.cond.Broadcast()
+}
+
+// reset ends all connections with a reset.
+func (l *faultyLink) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+		delete(l.conns, conn)
+	}
+}
+
+func (l *faultyLink) drop(conn net.Conn) {
+	l.mu.Lock()
+	delete(l.conns, conn)
+	l.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (l *faultyLink) close() {
+	_ = l.listener.Close()
+	l.mu.Lock()
+	l.done = true
+	l.cond.Broadcast()
+	l.mu.Unlock()
+	l.reset()
+}
