Count a request against an upstream only once the upstream has fallen

Cause: a broken connection counted as a crash at once. A loss now counts when the upstream's entry goes, it starts again, or it takes no connection. TestLostAnswersShutNobodyOut failed before.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -8,6 +8,7 @@
 	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/directory"
 )
 
 // Ticket follows one request at one upstream.
@@ -270,5 +271,10 @@
 
 // Run names the run of the upstream that the request was sent to.
 func (t *Ticket) Run() quarantine.Run {
-	return quarantine.Run{Upstream: t.upstream, Boot: strconv.FormatInt(t.born, 10)}
+	return RunOf(directory.Upstream{ID: t.upstream, Born: t.born})
+}
+
+// RunOf names an upstream's run.
+func RunOf(u directory.Upstream) quarantine.Run {
+	return quarantine.Run{Upstream: u.ID, Boot: strconv.FormatInt(u.Born, 10)}
 }
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -27,17 +27,21 @@
 	now      func() time.Time
 	pressure *pressure
 
-	mu       sync.Mutex
-	table    *routing.Table
-	picture  *placement.Picture
-	ledger   *shares.Ledger
-	budgets  map[state.Service]*budget.Budget
-	blocked  *quarantine.List
-	longest  map[string]time.Duration
-	routers  int
-	heard    time.Time
-	draining time.Time
-	watched  map[*placement.Ticket]func()
+	mu      sync.Mutex
+	table   *routing.Table
+	picture *placement.Picture
+	ledger  *shares.Ledger
+	budgets map[state.Service]*budget.Budget
+	blocked *quarantine.List
+	// suspicions are requests whose connection broke, lostRuns the runs of
+	// upstreams that those were on.
+	suspicions quarantine.Suspicions
+	lostRuns   map[state.Upstream]quarantine.Run
+	longest    map[string]time.Duration
+	routers    int
+	heard      time.Time
+	draining   time.Time
+	watched    map[*placement.Ticket]func()
 	// urgent asks for this router's load to be told at once.
 	urgent chan struct{}
 	onLost func(f state.Fingerprint, run quarantine.Run)
@@ -52,6 +56,7 @@
 		ledger:   shares.New(),
 		budgets:  make(map[state.Service]*budget.Budget),
 		blocked:  quarantine.New(quarantine.DefaultCapacity),
+		lostRuns: make(map[state.Upstream]quarantine.Run),
 		longest:  make(map[string]time.Duration),
 		watched:  make(map[*placement.Ticket]func()),
 		routers:  1,
@@ -150,9 +155,14 @@
 // End implements ingress.Desk.
 func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	delete(d.watched, t)
 	d.picture.End(d.now(), t, outcome)
+	var news []lostRequest
+	if outcome == placement.Unconnected {
+		news = d.fell(t.Upstream())
+	}
+	d.mu.Unlock()
+	d.tellLost(news)
 }
 
 func (d *desk) budget(service state.Service) *budget.Budget {
@@ -205,14 +215,45 @@
 	return d.blocked.Blocked(d.now(), f)
 }
 
-// Lost implements ingress.Desk.
+// Lost implements ingress.Desk. A lost connection is no proof that the request
+// took the upstream down: answers are lost on good upstreams too, and two such
+// losses would shut out a page that many callers fetch. It counts once the
+// upstream is seen to have fallen.
 func (d *desk) Lost(f state.Fingerprint, t *placement.Ticket) {
-	run := t.Run()
 	d.mu.Lock()
-	news := d.blocked.Record(d.now(), f, run)
-	d.mu.Unlock()
-	if news {
-		d.onLost(f, run)
+	defer d.mu.Unlock()
+	d.suspicions.Add(d.now(), f, t.Upstream())
+	d.lostRuns[t.Upstream()] = t.Run()
+}
+
+// fell counts the requests whose connections an upstream took along, and
+// returns what peers have to know. The caller holds the lock.
+func (d *desk) fell(id state.Upstream) []lostRequest {
+	run, ok := d.lostRuns[id]
+	if !ok {
+		return nil
+	}
+	delete(d.lostRuns, id)
+	now := d.now()
+	var news []lostRequest
+	for _, f := range d.suspicions.Confirm(now, id) {
+		if d.blocked.Record(now, f, run) {
+			news = append(news, lostRequest{f, run})
+		}
+	}
+	return news
+}
+
+// lostRequest is a request that was running when a run of an upstream fell.
+type lostRequest struct {
+	fingerprint state.Fingerprint
+	run         quarantine.Run
+}
+
+// tellLost tells peers; it is called without the lock.
+func (d *desk) tellLost(news []lostRequest) {
+	for _, n := range news {
+		d.onLost(n.fingerprint, n.run)
 	}
 }
 
@@ -267,12 +308,17 @@
 // gone.
 func (d *desk) setUpstream(id state.Upstream, u directory.Upstream, present bool) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !present {
+	var news []lostRequest
+	if !present || d.lostRuns[id] != placement.RunOf(u) {
+		news = d.fell(id)
+	}
+	if present {
+		d.picture.SetUpstream(u)
+	} else {
 		d.picture.RemoveUpstream(id)
-		return
 	}
-	d.picture.SetUpstream(u)
+	d.mu.Unlock()
+	d.tellLost(news)
 }
 
 // confirm notes that the configuration is the newest as of now.
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -28,6 +28,8 @@
 	lose := func(x *fixture, excluded ...state.Upstream) {
 		_, ticket := x.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Excluded: excluded}}, true)
 		x.desk.Lost(7, ticket)
+		x.desk.End(ticket, placement.Broken)
+		x.catalogue.take(KindUpstream, removal(string(ticket.Upstream()), 2), sourceStore)
 	}
 	lose(f, "a")
 	require.False(t, g.desk.Blocked(7))
@@ -36,6 +38,21 @@
 	require.True(t, g.desk.Blocked(7))
 }
 
+// Answers of a popular page are lost on their way, again and again, while the
+// workers live. The page must not be shut out for it.
+func TestLostAnswersShutNobodyOut(t *testing.T) {
+	f := newFixture()
+	f.catalogue.take(KindUpstream, upstreamObject("a", 1, false), sourceStore)
+	f.catalogue.take(KindUpstream, upstreamObject("b", 2, false), sourceStore)
+	for range 6 {
+		_, ticket := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s"}}, true)
+		f.desk.Lost(7, ticket)
+		f.desk.End(ticket, placement.Broken)
+	}
+	f.catalogue.take(KindUpstream, upstreamObject("a", 3, true), sourceStore)
+	require.False(t, f.desk.Blocked(7))
+}
+
 // A caller that was refused comes back with less patience; the rest has been
 // spent already.
 func TestElapsedFromPatience(t *testing.T) {
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -198,7 +198,7 @@
 // lost notes a request whose upstream went away under it, unless the router
 // itself ended the attempt.
 func (x *exchange) lost(err error, ticket *placement.Ticket) {
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, upstream.ErrCrossed) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, upstream.ErrCrossed) || errors.Is(err, errStalled) {
 		return
 	}
 	x.h.Desk.Lost(x.fingerprint, ticket)
