--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"net"
 	"slices"
 	"strings"
 
@@ -58,10 +57,7 @@
 // Route returns the route with the longest prefix that begins the path, among
 // those of the host. A port in the host is ignored.
 func (t *Table) Route(host, path string) (*Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, route := range t.hosts[strings.ToLower(host)] {
+	for _, route := range t.hosts[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route, true
 		}
@@ -69,6 +65,15 @@
 	return nil, false
 }
 
+// withoutPort drops the port of a host; colons in brackets belong to an IPv6
+// address.
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		return host[:i]
+	}
+	return host
+}
+
 // Service returns a service by name.
 func (t *Table) Service(name state.Service) (*Service, bool) {
 	service, ok := t.services[name]
--- a/state/routing/table_test.go
+++ b/state/routing/table_test.go
@@ -11,12 +11,15 @@
 	table := NewTable(Config{Routes: []Route{
 		{Name: "short", Host: "h.example", Prefix: "/a/"},
 		{Name: "long", Host: "h.example", Prefix: "/a/b/"},
+		{Name: "six", Host: "[::1]", Prefix: "/"},
 		{Name: "other", Host: "g.example", Prefix: "/a/b/c/"},
 	}})
 	for _, c := range []struct{ host, path, want string }{
 		{"h.example", "/a/x", "short"},
 		{"H.Example:8080", "/a/b/c/x", "long"},
 		{"h.example", "/a", ""},
+		{"[::1]", "/x", "six"},
+		{"[::1]:80", "/x", "six"},
 		{"h.example", "/", ""},
 		{"none.example", "/a/", ""},
 	} {
