Wait for urgent loads without holding up the scan

Cause: the pause before an urgent message stood in the loop that also looks for stalled requests and measures lateness.

--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -49,8 +49,8 @@
 	active []*Ticket
 	// heard is when the upstream last sent anything.
 	heard time.Time
-	// overtaken is the sequence of the latest request with output, and when
-	// that began.
+	// sequence numbers this router's requests; latest is that of the last one
+	// sent that has output, latestAt when its output began.
 	sequence uint64
 	latest   uint64
 	latestAt time.Time
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -32,8 +32,8 @@
 	// lapsed are upstreams whose entries went while the store was away, and
 	// when that counts.
 	lapsed map[state.Upstream]time.Time
-	// awaySince is set while the store does not answer; returned is when it
-	// last came back.
+	// away is set while the store does not answer; returned is when it last
+	// came back.
 	away     bool
 	returned time.Time
 }
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -16,7 +16,6 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
-	"github.com/figstile/figstile/transport/pause"
 	"github.com/figstile/figstile/transport/peer"
 )
 
@@ -111,27 +110,44 @@
 func (f *fleet) run(ctx context.Context) {
 	ticker := time.NewTicker(scanEvery)
 	defer ticker.Stop()
-	var loadsTold, spendingTold time.Time
+	// urgent fires when a long prompt has waited its gap.
+	urgent := time.NewTimer(time.Hour)
+	urgent.Stop()
+	defer urgent.Stop()
+	waiting := false
+	var told timesTold
 	for {
-		urgent := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.desk.urgent:
-			urgent = true
-			_ = pause.For(ctx, time.Duration(f.pace()*float64(urgentGap)))
+			if !waiting {
+				waiting = true
+				urgent.Reset(time.Duration(f.pace() * float64(urgentGap)))
+			}
+		case <-urgent.C:
+			waiting = false
+			told.loads = f.tellLoads(f.now(), told.loads)
 		case <-ticker.C:
 			f.catalogue.settleLapsed()
 			f.giveUpStalled()
+			f.tellInTurn(&told)
 		}
-		now, pace := f.now(), f.pace()
-		if urgent || now.Sub(loadsTold) >= time.Duration(pace*float64(loadsEvery)) {
-			loadsTold = f.tellLoads(now, loadsTold)
-		}
-		if now.Sub(spendingTold) >= time.Duration(pace*float64(spendingEvery)) {
-			spendingTold = now
-			f.sendSpending()
-		}
+	}
+}
+
+// timesTold are when peers were last told of loads and of spending.
+type timesTold struct{ loads, spending time.Time }
+
+// tellInTurn tells peers what is due by the fleet's pace.
+func (f *fleet) tellInTurn(told *timesTold) {
+	now, pace := f.now(), f.pace()
+	if now.Sub(told.loads) >= time.Duration(pace*float64(loadsEvery)) {
+		told.loads = f.tellLoads(now, told.loads)
+	}
+	if now.Sub(told.spending) >= time.Duration(pace*float64(spendingEvery)) {
+		told.spending = now
+		f.sendSpending()
 	}
 }
 
