--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -87,6 +87,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	if !repeat {
+		d.pressure.request()
 		d.budget(r.Service).Request(now, d.retryLimits())
 		d.ledger.Asked(now, r.Workspace, r.Cost)
 	}
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -53,6 +53,20 @@
 	require.False(t, f.desk.Blocked(7))
 }
 
+// Traffic begins at a small VM. Its requests stream for seconds, and must count
+// as work when they arrive and not when they end.
+func TestRequestsCountAsWorkOnArrival(t *testing.T) {
+	f := newFixture()
+	f.desk.pressure = newPressure(0, 0.2)
+	for range 30 {
+		for range 45 {
+			f.desk.Admit(admission.Request{Work: placement.Work{Service: "s"}}, false)
+		}
+		f.desk.pressure.observe(0, scanEvery)
+	}
+	require.True(t, f.desk.pressure.busy.Load())
+}
+
 // A caller that was refused comes back with less patience; the rest has been
 // spent already.
 func TestElapsedFromPatience(t *testing.T) {
--- a/transport/edge/observer.go
+++ b/transport/edge/observer.go
@@ -16,7 +16,6 @@
 
 // Finished implements ingress.Observer.
 func (o observer) Finished(rec ingress.Record) {
-	o.pressure.request()
 	series := o.metrics.For(rec.Workspace, rec.Class)
 	for range rec.Attempts {
 		series.Dispatched(rec.Wait)
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -51,8 +51,9 @@
 	busyLag = 120 * time.Millisecond
 	// lagLearning is the weight of one round.
 	lagLearning = 0.2
-	// usageLearning is the same for the processor: over about a second.
-	usageLearning = 0.1
+	// usageLearning is the same for the processor: over half a second, in
+	// which a start of traffic fills a small VM.
+	usageLearning = 0.2
 )
 
 // pressure tells how near the process is to its limits.
