Drop a field and a wrapper of the ingress that added nothing

Cause: reading the change once more. The caller's deadline was kept beside the limit that is worked out from it and read nowhere else; a method passed one call on and gave it a field of its own receiver. No behaviour changes. Checked: formatter, vet, staticcheck, and the tests of ingress, edge, layout and the edge's end-to-end tests.

--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -120,8 +120,7 @@
 	if patience <= 0 {
 		patience = defaultDeadline
 	}
-	x.deadline = x.arrived.Add(patience)
-	x.limit = x.deadline
+	x.limit = x.arrived.Add(patience)
 	if x.route.Timeout > 0 && x.route.Timeout < patience {
 		x.limit = x.arrived.Add(x.route.Timeout)
 	}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -8,7 +8,6 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/placement"
-	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
 	"github.com/figstile/figstile/transport/endtoend"
@@ -203,6 +202,3 @@
 	}
 	x.h.Desk.Lost(x.fingerprint, ticket)
 }
-
-// served notes a whole answer.
-func (x *exchange) served(f state.Fingerprint) { x.h.Desk.Served(f) }
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -87,10 +87,9 @@
 	body        []byte
 	fingerprint state.Fingerprint
 	request     admission.Request
-	// deadline is when the caller leaves, limit when its answer is due: the
-	// sooner of the deadline and the route's timeout.
-	deadline time.Time
-	limit    time.Time
+	// limit is when the answer is due: when the caller leaves or the route's
+	// timeout passes, whichever is sooner.
+	limit time.Time
 
 	// sent is set once an upstream may have run the request.
 	sent bool
--- a/transport/ingress/held.go
+++ b/transport/ingress/held.go
@@ -47,7 +47,7 @@
 		// A stream that was to go on got another answer instead.
 		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, "The stream could not be resumed.")}, placement.Failed
 	}
-	x.served(x.fingerprint)
+	x.h.Desk.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, x.deliver(held)}, outcome
 }
 
@@ -94,6 +94,6 @@
 		x.lost(err, ticket)
 		return attemptEnd{fateDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
 	}
-	x.served(x.fingerprint)
+	x.h.Desk.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, result.New(result.OK, "")}, placement.Answered
 }
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -82,6 +82,6 @@
 		x.begin(&heldAnswer{status: answer.Status, header: answer.Header})
 		x.w.WriteHeader(http.StatusOK)
 	}
-	x.served(x.fingerprint)
+	x.h.Desk.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, result.New(result.OK, "")}, placement.Answered
 }
