--- a/transport/logging/async.go
+++ b/transport/logging/async.go
@@ -1,7 +1,6 @@
 package logging
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -13,36 +12,50 @@
 	flushEvery = 100 * time.Millisecond
 	// maxPending bounds what waits for a slow reader of the output.
 	maxPending = 256 << 10
+	// usualPending bounds it for lines of success: refusals and failures still
+	// find room when those have filled their part.
+	usualPending = maxPending / 2
 )
 
-// Async writes lines from a goroutine of its own. A line that finds the buffer
-// full is dropped and counted, so that a reader that stops never holds up a
-// request.
+// Async writes lines from a goroutine of its own. A line beyond the rate of
+// its kind, or that finds the buffer full, is dropped and counted, so that
+// neither a flood of requests nor a reader that stops holds up a request. A
+// line of its own tells how many of which kind were dropped.
 type Async struct {
-	out     io.Writer
-	mu      sync.Mutex
-	pending []byte
-	spare   []byte
-	dropped int
-	wake    chan struct{}
-	stop    chan struct{}
-	done    chan struct{}
+	out      io.Writer
+	now      func() time.Time
+	mu       sync.Mutex
+	throttle *throttle
+	pending  []byte
+	spare    []byte
+	wake     chan struct{}
+	stop     chan struct{}
+	done     chan struct{}
 }
 
 // NewAsync returns a writer before out; Close writes what is left.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{out: out, wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{})}
+	a := newAsync(out, time.Now)
 	go a.run()
 	return a
 }
 
+func newAsync(out io.Writer, now func() time.Time) *Async {
+	return &Async{
+		out: out, now: now, throttle: newThrottle(),
+		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
 // Write takes one line. It never blocks on the output and never fails.
 func (a *Async) Write(line []byte) (int, error) {
 	a.mu.Lock()
 	first := len(a.pending) == 0
-	if len(a.pending)+len(line) > maxPending {
-		a.dropped++
-	} else {
+	kind := a.throttle.kind(line)
+	switch {
+	case len(a.pending)+len(line) > kind.room(), !kind.rate.AllowN(a.now(), 1):
+		kind.dropped++
+	default:
 		a.pending = append(a.pending, line...)
 	}
 	a.mu.Unlock()
@@ -74,13 +87,9 @@
 
 func (a *Async) flush() {
 	a.mu.Lock()
-	lines := a.pending
+	lines := a.throttle.appendDropped(a.pending, a.now())
 	a.pending = a.spare[:0]
 	a.spare = nil
-	if a.dropped > 0 {
-		lines = fmt.Appendf(lines, "level=warn event=\"log lines dropped\" lines=%d\n", a.dropped)
-		a.dropped = 0
-	}
 	a.mu.Unlock()
 	// There is nobody to tell if the output is gone.
 	_, _ = a.out.Write(lines)
--- /dev/null
+++ b/transport/logging/async_test.go
@@ -0,0 +1,103 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// frozen is the time of day of these tests.
+func frozen() time.Time { return time.Unix(1000, 0) }
+
+func write(t *testing.T, a *Async, lines int, format string, args ...any) {
+	t.Helper()
+	for range lines {
+		n, err := a.Write(fmt.Appendf(nil, format+"\n", args...))
+		require.NoError(t, err)
+		require.Positive(t, n)
+	}
+}
+
+// A burst of refusals fills the log. Without a rate for each kind it would push
+// out the line that names the lost dependency, which is what the engineer on
+// call is looking for; and nobody could tell that lines are missing.
+func TestFloodOfOneKindLeavesTheOthers(t *testing.T) {
+	var out bytes.Buffer
+	a := newAsync(&out, frozen)
+	write(t, a, 2*troubleRate, "time=x level=warn event=request code=2010")
+	write(t, a, usualRate+7, "time=x level=info event=request code=0")
+	write(t, a, 1, `time=x level=warn event="store lost" error=refused`)
+	a.flush()
+	log := out.String()
+	require.Equal(t, troubleRate, strings.Count(log, "code=2010"))
+	require.Equal(t, usualRate, strings.Count(log, "code=0"))
+	require.Contains(t, log, `event="store lost"`)
+	require.Contains(t, log, `event="log lines dropped" lines=600 of="level=warn event=request"`)
+	require.Contains(t, log, `event="log lines dropped" lines=7 of="level=info event=request"`)
+	out.Reset()
+	a.flush()
+	require.Empty(t, out.String())
+}
+
+func TestRateRecovers(t *testing.T) {
+	var out bytes.Buffer
+	now := frozen()
+	a := newAsync(&out, func() time.Time { return now })
+	write(t, a, 2*usualRate, "time=x level=info event=request")
+	now = now.Add(time.Second)
+	write(t, a, usualRate, "time=x level=info event=request")
+	a.flush()
+	require.Equal(t, 2*usualRate, strings.Count(out.String(), "level=info"+" event=request\n"))
+}
+
+// The reader of the output has stopped. What waits is bounded, and lines of
+// failures are kept when those of successes no longer are.
+func TestFullBufferKeepsFailures(t *testing.T) {
+	var out bytes.Buffer
+	a := newAsync(&out, frozen)
+	long := strings.Repeat("x", maxPending/usualRate)
+	write(t, a, usualRate, "time=x level=info event=request detail=%s", long)
+	require.LessOrEqual(t, len(a.pending), usualPending)
+	write(t, a, 10, "time=x level=warn event=request detail=%s", long)
+	require.LessOrEqual(t, len(a.pending), maxPending)
+	a.flush()
+	require.Equal(t, 10, strings.Count(out.String(), "level=warn event=request"))
+	require.Regexp(t, `lines=1[5-9]\d of="level=info event=request"`, out.String())
+}
+
+func TestKindOfLine(t *testing.T) {
+	for line, want := range map[string]string{
+		"time=x level=info event=request id=a":         "level=info event=request",
+		`time=x level=warn event="store lost" error=a`: `level=warn event="store lost"`,
+		`time=x level=warn event="cut`:                 `level=warn event="cut`,
+		"time=x level=info event=stopped\n":            "level=info event=stopped",
+		"time=x level=info":                            "level=info",
+		"rubbish":                                      otherKind,
+		"":                                             otherKind,
+	} {
+		require.Equal(t, want, string(kindOf([]byte(line))), line)
+	}
+}
+
+func TestKindsAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	a := newAsync(&out, frozen)
+	for i := range 10 * maxKinds {
+		write(t, a, 1, "time=x level=info event=invented-%d", i)
+	}
+	require.LessOrEqual(t, len(a.throttle.kinds), maxKinds+1)
+}
+
+// BenchmarkAsync takes a line as long as that of a request.
+func BenchmarkAsync(b *testing.B) {
+	a := newAsync(&bytes.Buffer{}, frozen)
+	line := []byte("time=x level=info event=request " + strings.Repeat("x", 350))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = a.Write(line)
+	}
+}
