Count decisions and attempts by upstream, show the age of views

Cause: an engineer could see results by workspace and class, but not which upstream broke attempts off, why requests were refused, or how old the router's view of routes and of its peers' loads was.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -143,6 +143,15 @@
 	Withdrawn
 )
 
+// String returns the outcome's name in figures.
+func (o Outcome) String() string {
+	names := [...]string{"answered", "rejected", "failed", "broken", "unconnected", "withdrawn"}
+	if int(o) >= len(names) {
+		return "invalid"
+	}
+	return names[o]
+}
+
 // End notes the end of a request at its upstream. It may be called once more
 // without effect.
 func (p *Picture) End(now time.Time, t *Ticket, outcome Outcome) {
@@ -269,6 +278,18 @@
 	}
 }
 
+// LoadsAge is how long ago the peer that has been silent for longest told its
+// loads; zero if none has.
+func (p *Picture) LoadsAge(now time.Time) time.Duration {
+	oldest := now
+	for _, heard := range p.heard {
+		if heard.Before(oldest) {
+			oldest = heard
+		}
+	}
+	return now.Sub(oldest)
+}
+
 // Run names the run of the upstream that the request was sent to.
 func (t *Ticket) Run() quarantine.Run {
 	return RunOf(directory.Upstream{ID: t.upstream, Born: t.born})
--- /dev/null
+++ b/transport/edge/bench_test.go
@@ -0,0 +1,148 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/ingress"
+	"github.com/figstile/figstile/transport/logging"
+)
+
+const (
+	// benchCallers run streams at the same time, as many as a router of a
+	// large fleet relays.
+	benchCallers = 200
+	// benchEvents and benchPace are a usual stream's.
+	benchEvents = 55
+	benchPace   = 5 * time.Millisecond
+)
+
+// benchPlatform takes every answer for an upstream's own.
+type benchPlatform struct{ *fakePlatform }
+
+func (benchPlatform) Answer(int, http.Header) ingress.AnswerHead {
+	return ingress.AnswerHead{Signed: true}
+}
+
+// BenchmarkRouter relays paced streams through a whole router: listeners,
+// decisions, metrics and log lines. Its processor time includes that of the
+// callers and the upstream, which are plain loops over sockets.
+func BenchmarkRouter(b *testing.B) {
+	address := startRouter(b, startPacedEngine(b))
+	work := make(chan struct{})
+	var callers sync.WaitGroup
+	for range benchCallers {
+		callers.Go(func() { callInTurn(b, address, work) })
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		work <- struct{}{}
+	}
+	close(work)
+	callers.Wait()
+}
+
+func callInTurn(b *testing.B, address string, work <-chan struct{}) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for range work {
+		_, _ = io.WriteString(conn, "POST /a/ HTTP/1.1\r\nHost: h\r\nAttempt: x\r\nContent-Length: 5\r\n\r\nhello")
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+}
+
+func startRouter(b *testing.B, engine string) string {
+	b.Helper()
+	spec, err := json.Marshal(routing.Config{
+		Version:  1,
+		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/a/", Kind: routing.Stream, Backends: []routing.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1, Public: true}},
+		Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 2 * benchCallers, CacheTokens: 1000}}},
+	})
+	require.NoError(b, err)
+	upstream := fmt.Appendf(nil, `{"Service":"s","Address":%q,"DataCentre":"dc","Slots":%d}`, engine, 2*benchCallers)
+	platform := benchPlatform{&fakePlatform{}}
+	platform.list = func(kind Kind) ([]Object, uint64, error) {
+		if kind == KindConfig {
+			return []Object{{Name: "main", Revision: 1, Spec: spec}}, 1, nil
+		}
+		return []Object{{Name: "u", Revision: 1, Spec: upstream}}, 1, nil
+	}
+	platform.watch = func(Kind, uint64) ([]Object, uint64, error) { return nil, 1, nil }
+	router, err := New(Settings{
+		Router: "r1", DataCentre: "dc", MaxFiles: 10000, GracePeriod: time.Second,
+		Addresses: Addresses{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+	}, platform, logging.New(logging.NewAsync(io.Discard), "info"))
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(b.Context())
+	done := make(chan error, 1)
+	go func() { done <- router.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		require.NoError(b, <-done)
+	})
+	require.Eventually(b, router.desk.ready, 5*time.Second, 10*time.Millisecond)
+	return router.callers.Addr().String()
+}
+
+// startPacedEngine answers each request with events at a steady pace.
+func startPacedEngine(b *testing.B) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = listener.Close() })
+	event := fmt.Sprintf("%x\r\nid: 1\ndata: %s\n\n\r\n", 13+60, strings.Repeat("x", 60-1))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go servePaced(conn, event)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func servePaced(conn net.Conn, event string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	ticker := time.NewTicker(benchPace)
+	defer ticker.Stop()
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range benchEvents {
+			<-ticker.C
+			if _, err := io.WriteString(conn, event); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
--- /dev/null
+++ b/transport/edge/figures.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"context"
+	"time"
+)
+
+// figuresEvery is how often the state of the router is measured; scrapers ask
+// every five seconds and more seldom.
+const figuresEvery = time.Second
+
+// measure keeps the figures of the router's state until the context ends.
+func (r *Router) measure(ctx context.Context) {
+	ticker := time.NewTicker(figuresEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.measureOnce()
+		}
+	}
+}
+
+func (r *Router) measureOnce() {
+	ages := r.desk.viewAges()
+	r.metrics.ViewAge("configuration", ages.configuration)
+	r.metrics.ViewAge("loads", ages.loads)
+	r.metrics.Gauge("routers_live", float64(r.desk.liveRouters()))
+	r.metrics.Gauge("ready", flag(r.desk.ready()))
+	r.metrics.Gauge("caller_connections", float64(r.pressure.callers.Load()))
+	r.metrics.Gauge("upstream_connections", float64(r.pressure.upstreams.Load()))
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// viewAges are the ages of what a router decides on.
+type viewAges struct {
+	// configuration was last known to be the newest so long ago; zero if it
+	// never was.
+	configuration time.Duration
+	// loads is the age of the oldest loads that count.
+	loads time.Duration
+}
+
+func (d *desk) viewAges() viewAges {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	ages := viewAges{loads: d.picture.LoadsAge(now)}
+	if !d.heard.IsZero() {
+		ages.configuration = now.Sub(d.heard)
+	}
+	return ages
+}
+
+// liveRouters counts the routers that share the retry budget.
+func (d *desk) liveRouters() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.routers
+}
--- /dev/null
+++ b/transport/edge/figures_test.go
@@ -0,0 +1,24 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/state"
+)
+
+// Routes that were added ten seconds ago are unknown at one router. Its figures
+// must show that it has heard nothing for so long, else nobody finds it.
+func TestAgesOfViews(t *testing.T) {
+	f := newFixture()
+	require.Zero(t, f.desk.viewAges())
+	f.desk.confirm()
+	f.desk.heardLoads("r2", map[state.Upstream]placement.Load{}, true)
+	f.clock.advance(2 * time.Second)
+	f.desk.heardLoads("r3", map[state.Upstream]placement.Load{}, true)
+	f.clock.advance(time.Second)
+	require.Equal(t, viewAges{configuration: 3 * time.Second, loads: 3 * time.Second}, f.desk.viewAges())
+}
--- a/transport/edge/observer.go
+++ b/transport/edge/observer.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/transport/ingress"
 	"github.com/figstile/figstile/transport/metrics"
@@ -14,6 +16,16 @@
 	pressure *pressure
 }
 
+// Decided implements ingress.Observer.
+func (o observer) Decided(service state.Service, reason admission.Reason) {
+	o.metrics.Decided(service, reason.String())
+}
+
+// Attempted implements ingress.Observer.
+func (o observer) Attempted(upstream state.Upstream, outcome placement.Outcome) {
+	o.metrics.Attempted(upstream, outcome.String())
+}
+
 // Finished implements ingress.Observer.
 func (o observer) Finished(rec ingress.Record) {
 	series := o.metrics.For(rec.Workspace, rec.Class)
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -179,6 +179,7 @@
 	group.Go(func() error { return r.mesh.Run(inner) })
 	group.Go(func() error { r.fleet.run(inner); return nil })
 	group.Go(func() error { r.probe(inner); return nil })
+	group.Go(func() error { r.measure(inner); return nil })
 	for _, f := range r.followers {
 		group.Go(func() error { f.run(inner); return nil })
 	}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -50,6 +50,9 @@
 	for {
 		verdict, ticket := x.h.Desk.Admit(x.request, x.attempts > 0 || unsent > 0)
 		x.verdict = verdict
+		if x.h.Observer != nil {
+			x.h.Observer.Decided(x.service, verdict.Reason)
+		}
 		if !verdict.Admit() {
 			return x.settle(refusal(verdict))
 		}
@@ -131,6 +134,9 @@
 		outcome = placement.Withdrawn
 	}
 	x.h.Desk.End(ticket, outcome)
+	if x.h.Observer != nil {
+		x.h.Observer.Attempted(ticket.Upstream(), outcome)
+	}
 	if end.fate != fateDelivered {
 		x.logAttempt(ticket, end)
 	}
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
@@ -58,6 +59,10 @@
 
 // Observer hears of requests, for metrics. It must not block.
 type Observer interface {
+	// Decided hears each decision to send or refuse a request.
+	Decided(service state.Service, reason admission.Reason)
+	// Attempted hears how an attempt ended at its upstream.
+	Attempted(upstream state.Upstream, outcome placement.Outcome)
 	Finished(rec Record)
 	Between(ws state.Workspace, class string, gap time.Duration)
 }
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -33,8 +33,10 @@
 	closer  io.Closer
 	handler http.Handler
 
-	mu     sync.Mutex
-	series map[seriesKey]*Series
+	mu        sync.Mutex
+	series    map[seriesKey]*Series
+	decisions counters
+	attempts  counters
 }
 
 type seriesKey struct {
@@ -71,6 +73,9 @@
 		closer:  closer,
 		handler: reporter.HTTPHandler(),
 		series:  make(map[seriesKey]*Series),
+
+		decisions: newCounters(scope, "decisions", "service", "decision"),
+		attempts:  newCounters(scope, "upstream_attempts", "upstream", "outcome"),
 	}
 }
 
@@ -102,6 +107,27 @@
 	m.scope.Counter(name).Inc(delta)
 }
 
+// Decided counts a decision on a request to a service.
+func (m *Metrics) Decided(service state.Service, decision string) {
+	m.count(&m.decisions, string(service), decision)
+}
+
+// Attempted counts how an attempt ended at an upstream.
+func (m *Metrics) Attempted(upstream state.Upstream, outcome string) {
+	m.count(&m.attempts, string(upstream), outcome)
+}
+
+func (m *Metrics) count(c *counters, subject, what string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c.get(subject, what).Inc(1)
+}
+
+// ViewAge sets the age of what the router knows of something, in seconds.
+func (m *Metrics) ViewAge(view string, age time.Duration) {
+	m.scope.Tagged(map[string]string{"view": view}).Gauge("view_age_seconds").Update(age.Seconds())
+}
+
 // For returns the histograms of a workspace and class.
 func (m *Metrics) For(ws state.Workspace, class string) *Series {
 	m.mu.Lock()
--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -35,3 +35,29 @@
 	require.Same(t, m.For("ws", "another"), m.For("ws", "yet another"))
 	require.NoError(t, m.Close())
 }
+
+func TestCountersByUpstreamAndDecision(t *testing.T) {
+	m := New("r1", "dc")
+	m.Decided("drafts", "overload")
+	m.Attempted("e1", "broken")
+	m.Attempted("e1", "broken")
+	m.ViewAge("configuration", 1500*time.Millisecond)
+	require.NoError(t, m.Close())
+
+	page := httptest.NewRecorder()
+	m.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	require.Contains(t, page.Body.String(), `figstile_decisions{data_centre="dc",decision="overload",router="r1",service="drafts"} 1`)
+	require.Contains(t, page.Body.String(), `figstile_upstream_attempts{data_centre="dc",outcome="broken",router="r1",upstream="e1"} 2`)
+	require.Contains(t, page.Body.String(), `figstile_view_age_seconds{data_centre="dc",router="r1",view="configuration"} 1.5`)
+}
+
+// Upstreams are replaced all day long, each with a new id. A counter for each
+// would grow until the router is killed for its memory.
+func TestUpstreamsThatComeAndGoShareOneCounter(t *testing.T) {
+	m := New("r1", "dc")
+	for i := range 3 * maxCounters {
+		m.Attempted(state.Upstream(fmt.Sprint(i)), "answered")
+	}
+	require.LessOrEqual(t, len(m.attempts.subjects), maxCounters+1)
+	require.NoError(t, m.Close())
+}
