Refuse by the work under way, and send nothing for callers who left

A stream costs such a router of 0.19 cores little until its engine begins to answer, and then 25 microseconds an event; it looked at what it had done lately and admitted twice what it could relay. The close of a caller waited in the kernel, as the goroutine that reads it ran late as well. Ruled out: garbage collection (11 cycles in 20 s) and the scheduler's queue (99 in 100 within 50 ms, by the runtime's histogram); the engines, which served other routers in time; the lateness of a timer, which stays at some milliseconds, since timers go before waiting goroutines. Change: coordination/workload expects what all streams under way will take once they have begun; a router is not ready from 0.55 of its share on and refuses from 0.75 on. Before a request is sent, a look at the socket tells whether its caller has closed it. Failed first: a stream under way counted nothing before its first event; a request whose caller had closed was sent.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -37,6 +37,12 @@
 // Upstream returns where the request runs.
 func (t *Ticket) Upstream() state.Upstream { return t.upstream }
 
+// Engine says whether it runs at an engine.
+func (t *Ticket) Engine() bool { return t.engine }
+
+// Answering says whether an engine's answer has begun.
+func (t *Ticket) Answering() bool { return t.engine && !t.pending }
+
 // Place notes that a request is sent to an estimate's upstream.
 func (p *Picture) Place(now time.Time, w Work, e Estimate) *Ticket {
 	t := &Ticket{
--- /dev/null
+++ b/coordination/workload/workload.go
@@ -0,0 +1,123 @@
+package workload
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// requestTime, refusalTime and eventTime are what a request, one that is
+	// refused, and an event of a stream take of a processor: the first and the
+	// last fitted to 12.1 s of processor time for 7,404 requests with 263,000
+	// events, the other to a third of a request, as there is no upstream. The
+	// process's own clock is no measure where a VM's share is less than a core.
+	requestTime = 400 * time.Microsecond
+	refusalTime = 130 * time.Microsecond
+	eventTime   = 25 * time.Microsecond
+	// learning is the weight of one round of a tenth of a second: rates follow
+	// within half a second, in which a start of traffic fills a small VM.
+	learning = 0.2
+	// initialPace is how many events a second a stream is taken to have until
+	// some were seen; between those of full and of idle engines.
+	initialPace = 20.0
+	// minEmitting is the number of streams from which a pace is learned.
+	minEmitting = 5
+)
+
+// Estimate counts a router's work. The counting methods and Expected are safe
+// for concurrent use; Observe is for one periodic task.
+type Estimate struct {
+	// processors is the VM's share in cores; 0 if not known.
+	processors float64
+
+	requests atomic.Int64
+	refusals atomic.Int64
+	events   atomic.Int64
+	// active are the streams under way, emitting those of them whose answer
+	// has begun.
+	active   atomic.Int64
+	emitting atomic.Int64
+
+	rates  atomic.Pointer[rates]
+	before counts
+}
+
+// counts are totals at the last round.
+type counts struct{ requests, refusals, events int64 }
+
+// rates are averages over some rounds.
+type rates struct {
+	// arrivals is the part of the share that requests and refusals take,
+	// events that of the events.
+	arrivals, events float64
+	// pace is the number of events a second of a stream that has begun.
+	pace float64
+}
+
+// New returns an estimate for a VM's processor share in cores; 0 if not known.
+func New(processors float64) *Estimate {
+	e := &Estimate{processors: processors}
+	e.rates.Store(&rates{pace: initialPace})
+	return e
+}
+
+// Request counts a request that was read, Refusal one that was turned away for
+// want of room.
+func (e *Estimate) Request() { e.requests.Add(1) }
+
+// Refusal counts a request that was turned away unread.
+func (e *Estimate) Refusal() { e.refusals.Add(1) }
+
+// Event counts an event of a stream.
+func (e *Estimate) Event() { e.events.Add(1) }
+
+// Began counts a stream that was sent to an engine.
+func (e *Estimate) Began() { e.active.Add(1) }
+
+// Emitting counts a stream whose answer has begun.
+func (e *Estimate) Emitting() { e.emitting.Add(1) }
+
+// Ended takes a stream out of the counts; emitting says whether its answer had
+// begun.
+func (e *Estimate) Ended(emitting bool) {
+	e.active.Add(-1)
+	if emitting {
+		e.emitting.Add(-1)
+	}
+}
+
+// Observe takes the length of the round since the last call.
+func (e *Estimate) Observe(round time.Duration) {
+	now := counts{e.requests.Load(), e.refusals.Load(), e.events.Load()}
+	done := counts{now.requests - e.before.requests, now.refusals - e.before.refusals, now.events - e.before.events}
+	e.before = now
+	if e.processors <= 0 || round <= 0 {
+		return
+	}
+	next := *e.rates.Load()
+	share := e.processors * float64(round)
+	next.arrivals += learning * ((float64(done.requests)*float64(requestTime)+float64(done.refusals)*float64(refusalTime))/share - next.arrivals)
+	next.events += learning * (float64(done.events)*float64(eventTime)/share - next.events)
+	if emitting := e.emitting.Load(); emitting >= minEmitting {
+		next.pace += learning * (float64(done.events)/round.Seconds()/float64(emitting) - next.pace)
+	}
+	e.rates.Store(&next)
+}
+
+// Used returns the part of the processor share that relaying took lately.
+func (e *Estimate) Used() float64 {
+	r := e.rates.Load()
+	return r.arrivals + r.events
+}
+
+// Expected returns the part of the share that relaying takes once all streams
+// under way have begun, at least what it took lately; 0 if the share is not
+// known.
+func (e *Estimate) Expected() float64 {
+	if e.processors <= 0 {
+		return 0
+	}
+	r := e.rates.Load()
+	streams := float64(e.active.Load()) * r.pace * eventTime.Seconds() / e.processors
+	return r.arrivals + max(r.events, streams)
+}
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -91,7 +91,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	if !repeat {
-		d.pressure.request()
+		d.pressure.work.Request()
 		d.budget(r.Service).Request(now, d.retryLimits())
 		d.ledger.Asked(now, r.Workspace, r.Cost)
 	}
@@ -109,7 +109,11 @@
 		default:
 		}
 	}
-	return verdict, d.picture.Place(now, r.Work, best)
+	ticket := d.picture.Place(now, r.Work, best)
+	if ticket.Engine() {
+		d.pressure.work.Began()
+	}
+	return verdict, ticket
 }
 
 // judge judges a request by its workspace's standing.
@@ -133,6 +137,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if first {
+		if t.Engine() {
+			d.pressure.work.Emitting()
+		}
 		d.picture.FirstOutput(d.now(), t)
 		return
 	}
@@ -158,6 +165,9 @@
 func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
 	delete(d.watched, t)
+	if t.Engine() {
+		d.pressure.work.Ended(t.Answering())
+	}
 	d.picture.End(d.now(), t, outcome)
 	var news []lostRequest
 	if outcome == placement.Unconnected {
@@ -288,7 +298,13 @@
 }
 
 // Full implements ingress.Desk.
-func (d *desk) Full() bool { return d.pressure.full() }
+func (d *desk) Full() bool {
+	if !d.pressure.full() {
+		return false
+	}
+	d.pressure.work.Refusal()
+	return true
+}
 
 func (d *desk) drain() {
 	d.mu.Lock()
--- /dev/null
+++ b/transport/edge/left.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// connKey is the context key of a caller's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// callerLeft says whether the caller has closed its connection, by what the
+// kernel has received. net/http learns it from a read in a goroutine of its
+// own; on a processor that is used up that goroutine runs too late, and of the
+// requests of callers who had left two dozen were sent on within seconds. One
+// look costs a system call.
+func callerLeft(r *http.Request) bool {
+	conn, ok := r.Context().Value(connKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	var first [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, failed := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = failed == nil && n == 0 || failed == unix.ECONNRESET
+	})
+	return left && err == nil
+}
--- /dev/null
+++ b/transport/edge/left_test.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A caller gives up while its request waits for the processor. Its close has
+// arrived, but nothing has read it yet; the request must not be sent on.
+func TestCallerThatClosedHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	request = request.WithContext(withConn(context.Background(), conn))
+
+	require.False(t, callerLeft(request))
+	_, err = io.WriteString(caller, "another request")
+	require.NoError(t, err)
+	require.Never(t, func() bool { return callerLeft(request) }, 50*time.Millisecond, 10*time.Millisecond)
+	first := make([]byte, len("another request"))
+	_, err = io.ReadFull(conn, first)
+	require.NoError(t, err)
+	require.Equal(t, "another request", string(first), "looking takes nothing away")
+	require.NoError(t, caller.Close())
+	require.Eventually(t, func() bool { return callerLeft(request) }, time.Second, time.Millisecond)
+	require.False(t, callerLeft(httptest.NewRequest(http.MethodGet, "/", nil)), "no connection is known")
+}
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/figstile/figstile/coordination/workload"
 )
 
 // Balancers choose a router by a hash of the caller, so that one router may
@@ -31,29 +33,20 @@
 	// reservedFiles are descriptors that are not for sockets.
 	reservedFiles = 200
 	// busyProcessor is the part of the VM's processor share that relaying may
-	// take before the router counts as busy, and calmProcessor what it must
-	// fall to. Streams that run on hold the load for seconds after new callers
-	// have gone elsewhere.
+	// be expected to take before the router counts as busy, and calmProcessor
+	// what it must fall to. Streams that run on hold the load for seconds after
+	// new callers have gone elsewhere.
 	busyProcessor = 0.55
 	calmProcessor = 0.4
 	// fullProcessor is the part from which requests are refused, to come back
 	// at once: their callers then reach another router, and the requests that
 	// run here are not late.
-	fullProcessor = 0.85
-	// requestTime and eventTime are what a request and an event of a stream
-	// take of a processor: fitted to 12.1 s of processor time for 7,404
-	// requests with 263,000 events. The process's own clock is no measure
-	// where a VM's share is less than a core.
-	requestTime = 400 * time.Microsecond
-	eventTime   = 25 * time.Microsecond
+	fullProcessor = 0.75
 	// busyLag is the lateness of a periodic task, on average over some
 	// rounds, from which the processor counts as overloaded.
 	busyLag = 120 * time.Millisecond
 	// lagLearning is the weight of one round.
 	lagLearning = 0.2
-	// usageLearning is the same for the processor: over half a second, in
-	// which a start of traffic fills a small VM.
-	usageLearning = 0.2
 )
 
 // pressure tells how near the process is to its limits.
@@ -64,36 +57,12 @@
 	busy      atomic.Bool
 	// lag is the average lateness; only the periodic task writes it.
 	lag atomic.Int64
-	// work is the processor time of what was relayed so far, in nanoseconds.
-	work atomic.Int64
-	// processors is the VM's processor share in cores; 0 if not known.
-	processors float64
-	// used is the average part of that share which relaying took, workBefore
-	// the work at the last round; only the periodic task uses them.
-	used       float64
-	workBefore int64
-	// spent is set while relaying takes the processor's whole share.
-	spent atomic.Bool
+	// work estimates the processor's use.
+	work *workload.Estimate
 }
 
 func newPressure(maxFiles int, processors float64) *pressure {
-	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0)), processors: processors}
-}
-
-func (p *pressure) request() { p.work.Add(int64(requestTime)) }
-func (p *pressure) event()   { p.work.Add(int64(eventTime)) }
-
-// usage averages the use of the processor's share over a round of a length.
-func (p *pressure) usage(round time.Duration) float64 {
-	work := p.work.Load()
-	done := work - p.workBefore
-	p.workBefore = work
-	if p.processors <= 0 || round <= 0 {
-		return 0
-	}
-	seen := float64(done) / float64(round) / p.processors
-	p.used += usageLearning * (seen - p.used)
-	return p.used
+	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0)), work: workload.New(processors)}
 }
 
 // changed is the callers' server's hook on the state of connections.
@@ -143,7 +112,9 @@
 }
 
 // full says whether there is no room for another request.
-func (p *pressure) full() bool { return p.spent.Load() || p.exceeds(p.open(), fullShare) }
+func (p *pressure) full() bool {
+	return p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare)
+}
 
 // observe takes how late a periodic task ran and how long after the last time,
 // and says whether the router became busy or calm.
@@ -151,14 +122,14 @@
 	lag := p.lag.Load()
 	lag += int64(lagLearning * float64(int64(late)-lag))
 	p.lag.Store(lag)
-	used := p.usage(round)
+	p.work.Observe(round)
+	expected := p.work.Expected()
 	was := p.busy.Load()
 	files, lateness, processor := busyShare, busyLag, busyProcessor
 	if was {
 		files, lateness, processor = calmShare, busyLag/2, calmProcessor
 	}
-	busy = p.exceeds(p.open(), files) || time.Duration(lag) > lateness || used > processor
+	busy = p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
 	p.busy.Store(busy)
-	p.spent.Store(used > fullProcessor)
 	return busy, busy != was
 }
--- a/transport/edge/pressure_test.go
+++ b/transport/edge/pressure_test.go
@@ -73,7 +73,7 @@
 	relay := func(perSecond int) {
 		for range 40 {
 			for range perSecond / 10 {
-				p.event()
+				p.work.Event()
 			}
 			p.observe(0, scanEvery)
 		}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -111,6 +111,7 @@
 		Log:      r.log,
 		Now:      boottime.Now,
 		Crowded:  r.pressure.crowded,
+		Left:     callerLeft,
 	})
 }
 
@@ -221,6 +222,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         r.pressure.changed,
+		ConnContext:       withConn,
 		MaxHeaderBytes:    headerBytes,
 	}
 	all := []server{{r.callers, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -153,6 +153,10 @@
 func (x *exchange) exchange(ctx context.Context, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	now := x.h.Now()
 	x.record.Wait = now.Sub(x.arrived)
+	if x.h.Left != nil && x.h.Left(x.r) {
+		x.record.Abandoned, x.abort = true, true
+		return attemptEnd{fateDelivered, result.New(result.DeadlinePassed, "The caller left before the request was sent.")}, placement.Withdrawn
+	}
 	answer, err := x.h.Client.Send(ctx, x.outgoing(now, ticket))
 	if err != nil {
 		return x.unanswered(err, ticket)
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -120,6 +120,7 @@
 		Client:  upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true}),
 		Log:     zerolog.Nop(),
 		Now:     time.Now,
+		Left:    func(*http.Request) bool { return desk.left },
 	}))
 	t.Cleanup(server.Close)
 	return &door{url: server.URL, desk: desk}
@@ -145,6 +146,8 @@
 
 // scriptedDesk sends each request to its upstreams in turn.
 type scriptedDesk struct {
+	// left is what the kernel knows of the caller's connection.
+	left    bool
 	table   *routing.Table
 	picture *placement.Picture
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -41,6 +41,9 @@
 	// Crowded says whether callers should close their connections after an
 	// answer, because so many are open; nil means never.
 	Crowded func() bool
+	// Left says whether a request's caller has closed its connection, even if
+	// the request's context does not show it yet; nil leaves it to that.
+	Left func(r *http.Request) bool
 }
 
 // Record describes one finished request to an Observer.
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -246,6 +246,19 @@
 	require.Empty(t, spare.seen())
 }
 
+// A caller gave up while its request waited for the processor. Nothing has read
+// its close yet, but the kernel has it: the request goes to no upstream, and the
+// connection ends without anything that could be taken for an answer.
+func TestRequestOfACallerWhoLeftIsNotSent(t *testing.T) {
+	u := startUpstream(t, say(whole(200, "page")))
+	d := openDoor(t, repeatable, u)
+	d.desk.left = true
+	_, err := http.DefaultClient.Do(d.request(t, context.Background(), "hello")) //nolint:bodyclose // There is no answer.
+	require.Error(t, err)
+	require.Empty(t, u.seen())
+	require.Equal(t, []placement.Outcome{placement.Withdrawn}, d.desk.outcomes)
+}
+
 // The operator's timeout passes while a worker is at it. The caller gets an
 // answer then, one that does not say that the request did not run.
 func TestTimeoutWhileRunning(t *testing.T) {
