Try the routers on the users' platform with one command

Cause: a newcomer without the users' bench could not see figstiled edge at work: figstile dev knew the product's own interface only, and the stand-in of the store lived in a test file, with the platform's names spelled again.

--- a/cmd/figstile/internal/cli/dev.go
+++ b/cmd/figstile/internal/cli/dev.go
@@ -18,11 +18,14 @@
 	Load      devfleet.Load `help:"Load to send with --once or to write: ${enum}." enum:"idle,usual,rush,saturated,flood" default:"rush"`
 	Workload  string        `help:"Write the load as a workload file for figstile load and stop." type:"path" placeholder:"FILE"`
 	Describe  string        `help:"File to write the fleet's addresses to, for figstile load --fleet." type:"path" placeholder:"FILE"`
+	Platform  bool          `help:"Start routers on stand-ins of the users' platform instead; of the other flags --once, --duration and --log-level count."`
 	NoRouters bool          `help:"Start the stand-ins only."`
 	LogLevel  string        `help:"Least level of the routers' log." enum:"debug,info,warn,error" default:"warn"`
 }
 
 const (
+	// defaultLogLevel is that of the flag.
+	defaultLogLevel = "warn"
 	// defaultTrial is the length of the load of dev --once: the engine that
 	// leaves is away for six seconds of it.
 	defaultTrial = 8 * time.Second
@@ -41,6 +44,9 @@
 func (promiseError) exitCode() int { return exitInternal }
 
 func (d devCommand) Run(a *app) error {
+	if d.Platform {
+		return d.onPlatform(a)
+	}
 	sample, err := devfleet.SampleByName(d.Sample)
 	if err != nil {
 		return usageError(err.Error())
@@ -105,6 +111,44 @@
 	return err
 }
 
+// onPlatform starts routers on stand-ins of the users' platform.
+func (d devCommand) onPlatform(a *app) (err error) {
+	ctx, cancel := context.WithTimeout(a.ctx, startTimeout)
+	defer cancel()
+	level := d.LogLevel
+	if level == defaultLogLevel {
+		// These routers log each refusal as a warning.
+		level = "error"
+	}
+	fleet, err := devfleet.StartEdge(ctx, logging.New(os.Stderr, level))
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if stopped := fleet.Stop(); err == nil {
+			err = stopped
+		}
+	}()
+	if !d.Once {
+		if err := fleet.WriteAddresses(a.out.w); err != nil {
+			return err
+		}
+		d.wait(a.ctx)
+		return nil
+	}
+	trial, err := fleet.Try(a.ctx, d.length(defaultTrial))
+	if err != nil {
+		return err
+	}
+	if err := a.out.show(trial, func() { err = trial.WriteText(a.out.w) }); err != nil {
+		return err
+	}
+	if err == nil && !trial.Held() {
+		err = promiseError{}
+	}
+	return err
+}
+
 // wait ends with the command or after the given time.
 func (d devCommand) wait(ctx context.Context) {
 	if d.Duration > 0 {
--- /dev/null
+++ b/devfleet/edge_promises_test.go
@@ -0,0 +1,88 @@
+package devfleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/standin/server"
+	"github.com/figstile/figstile/state"
+)
+
+// soundEdge returns evidence of a run in which every promise held.
+func soundEdge() edgeEvidence {
+	call := func(ws state.Workspace, path, attempt string, status int) edgeRecord {
+		return edgeRecord{workspace: ws, path: path, attempt: attempt, router: "router-1", began: began, status: status, own: status == 200}
+	}
+	former := call(revokedWorkspace, mapsPath, "f1", 401)
+	former.began = began.Add(time.Minute)
+	held := call("tours", server.HeldPath, "h1", 200)
+	held.left = true
+	return edgeEvidence{
+		records: []edgeRecord{
+			call("tours", draftsPath, "t1", 200),
+			call("tours", publishPath, "t2", 200),
+			call(floodWorkspace, mapsPath, "x1", 200),
+			call(floodWorkspace, mapsPath, "x2", 429),
+			former, held,
+		},
+		runs: map[state.Upstream][]server.Run{
+			"drafts-1": {{Attempt: "t1", Began: began, Whole: true, Ended: true}, {Attempt: "h1", Began: began, Ended: true}},
+			"pages-1":  {{Attempt: "t2", Began: began, Whole: true, Ended: true}, {Attempt: "x1", Began: began, Whole: true, Ended: true}},
+		},
+		leaving: "drafts-1", leftAt: began, revokedAt: began,
+	}
+}
+
+func edgeFailures(e edgeEvidence) []string {
+	var failed []string
+	for _, v := range e.check() {
+		if !v.Held {
+			failed = append(failed, v.Promise)
+		}
+	}
+	return failed
+}
+
+func TestSoundEdgeEvidenceHolds(t *testing.T) {
+	require.Empty(t, edgeFailures(soundEdge()))
+	require.Len(t, edgeFailures(edgeEvidence{}), 7, "silence shows nothing; that no call broke off is all there is")
+}
+
+// A broken promise must not pass unseen: each case breaks one thing in sound
+// evidence, and exactly the promise concerned must fail.
+func TestEachEdgeCheckFails(t *testing.T) {
+	cases := map[string]struct {
+		change  func(e *edgeEvidence)
+		promise string
+	}{
+		"another's answer": {func(e *edgeEvidence) { e.records[0].own = false }, "each answer is whole, its caller's own, and no key is passed on"},
+		"a key passed on":  {func(e *edgeEvidence) { e.leaked = true }, "each answer is whole, its caller's own, and no key is passed on"},
+		"a broken call":    {func(e *edgeEvidence) { e.records[3].broken = "EOF" }, "every caller who stayed got an answer or a refusal"},
+		"a refusal that ran": {func(e *edgeEvidence) {
+			e.runs["pages-1"] = append(e.runs["pages-1"], server.Run{Attempt: "x2", Began: began, Ended: true})
+		}, "a refusal that says that nothing ran is true"},
+		"a second run": {func(e *edgeEvidence) {
+			e.runs["pages-2"] = []server.Run{{Attempt: "t2", Began: began, Ended: true}}
+		}, "what must not be repeated ran at most once"},
+		"an old key": {func(e *edgeEvidence) { e.records[4].status = 503 }, "a key that is taken away is refused on every router, for good"},
+		"late work": {func(e *edgeEvidence) {
+			e.runs["drafts-1"] = append(e.runs["drafts-1"], server.Run{Attempt: "t9", Began: began.Add(time.Minute), Ended: true})
+		}, "an upstream that leaves gets nothing new"},
+		"work for nobody":           {func(e *edgeEvidence) { e.runs["drafts-1"][1].Ended = false }, "work ends when its caller leaves"},
+		"a whole answer for nobody": {func(e *edgeEvidence) { e.runs["drafts-1"][1].Whole = true }, "work ends when its caller leaves"},
+		"a starved workspace": {func(e *edgeEvidence) {
+			for range 20 {
+				e.records = append(e.records, edgeRecord{workspace: "tours", path: mapsPath, attempt: "t8", began: began, status: 429})
+			}
+		}, "nobody starves beside a flood"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := soundEdge()
+			c.change(&e)
+			require.Equal(t, []string{c.promise}, edgeFailures(e))
+		})
+	}
+}
--- a/devfleet/print.go
+++ b/devfleet/print.go
@@ -44,7 +44,15 @@
 		return err
 	}
 	fmt.Fprintln(w)
-	for _, v := range t.Verdicts {
+	if err := writeVerdicts(w, t.Verdicts); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(w, "Not checked here: partitions, crashes, a platform that is away, planned stops of routers.")
+	return err
+}
+
+func writeVerdicts(w io.Writer, verdicts []Verdict) error {
+	for _, v := range verdicts {
 		word := "held   "
 		if !v.Held {
 			word = "FAILED "
@@ -53,6 +61,5 @@
 			return err
 		}
 	}
-	_, err := fmt.Fprintln(w, "Not checked here: partitions, crashes, a platform that is away, planned stops of routers.")
-	return err
+	return nil
 }
--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -9,47 +9,27 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/standin/objects"
+	"github.com/figstile/figstile/transport/edge"
 )
 
-// objectStore is a small stand-in of the platform's store: lists and watches.
+// objectStore is the stand-in of the platform's store with its address.
 type objectStore struct {
+	*objects.Store
 	server *httptest.Server
-
-	mu       sync.Mutex
-	cond     *sync.Cond
-	revision int
-	objects  map[string]map[string]storedObject
-	changes  []storedChange
-	away     bool
-}
-
-type storedObject struct {
-	Metadata struct {
-		Name     string
-		Revision int
-	}
-	Spec any
-}
-
-type storedChange struct {
-	kind    string
-	removed bool
-	object  storedObject
 }
 
 func startObjectStore(t *testing.T) *objectStore {
 	t.Helper()
-	s := &objectStore{objects: make(map[string]map[string]storedObject), revision: 1}
-	s.cond = sync.NewCond(&s.mu)
+	s := &objectStore{Store: objects.New()}
 	s.server = httptest.NewServer(s)
 	t.Cleanup(func() {
-		s.setAway(true)
+		s.SetAway(true)
 		s.server.Close()
 	})
 	return s
@@ -57,72 +37,11 @@
 
 func (s *objectStore) address() string { return s.server.Listener.Addr().String() }
 
-func (s *objectStore) put(kind, name string, spec any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	o := storedObject{Spec: spec}
-	o.Metadata.Name, o.Metadata.Revision = name, s.revision
-	if s.objects[kind] == nil {
-		s.objects[kind] = make(map[string]storedObject)
-	}
-	s.objects[kind][name] = o
-	s.changes = append(s.changes, storedChange{kind: kind, object: o})
-	s.cond.Broadcast()
-}
-
-// setAway makes the store refuse all calls.
-func (s *objectStore) setAway(away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = away
-	s.cond.Broadcast()
-}
-
-func (s *objectStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind := filepath.Base(r.URL.Path)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if text := r.URL.Query().Get("Subscribe"); text != "" {
-		after, _ := strconv.Atoi(text)
-		wait, _ := strconv.Atoi(r.URL.Query().Get("WaitTimeoutMs"))
-		s.watch(w, kind, after, time.Duration(wait)*time.Millisecond)
-		return
-	}
-	if s.away {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	entries := []storedObject{}
-	for _, o := range s.objects[kind] {
-		entries = append(entries, o)
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"Entries": entries, "HasMore": false, "At": s.revision})
-}
-
-func (s *objectStore) watch(w http.ResponseWriter, kind string, after int, wait time.Duration) {
-	over := false
-	timer := time.AfterFunc(wait, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		over = true
-		s.cond.Broadcast()
-	})
-	defer timer.Stop()
-	for !over && !s.away && s.revision <= after {
-		s.cond.Wait()
-	}
-	if s.away {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	events := []map[string]any{}
-	for _, c := range s.changes {
-		if c.kind == kind && c.object.Metadata.Revision > after {
-			events = append(events, map[string]any{"Removed": c.removed, "Resource": c.object})
-		}
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "At": s.revision})
+// put writes what an operator or upstream would; only this package's own maps
+// are encoded, which cannot fail.
+func (s *objectStore) put(kind edge.Kind, name string, spec any) {
+	text, _ := json.Marshal(spec)
+	s.Put(kind, name, text)
 }
 
 // edgeConfig is a configuration with one stream route, one that must not be
@@ -177,7 +96,7 @@
 	}))
 	t.Cleanup(e.server.Close)
 	t.Cleanup(func() { close(e.release) })
-	s.put("servers", id, map[string]any{
+	s.put(edge.KindUpstream, id, map[string]any{
 		"Service": "engines", "Address": e.server.Listener.Addr().String(), "Zone": "z1", "BatchSlots": 8, "State": "ready", "born": 1,
 	})
 	return e
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -3,17 +3,21 @@
 import (
 	"io"
 	"net/http"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/transport/edge"
 )
 
 // startEdgeFleet runs two routers before one engine.
 func startEdgeFleet(t *testing.T) (*objectStore, *edgeEngine, []*edgeRouter) {
 	t.Helper()
 	s := startObjectStore(t)
-	s.put("config", "main", edgeConfig(1, "k1"))
+	s.put(edge.KindConfig, "main", edgeConfig(1, "k1"))
 	e := startEdgeEngine(t, s, "i-1")
 	first := startEdgeRouter(t, s, 0)
 	second := startEdgeRouter(t, s, 1, first.peers)
@@ -45,7 +49,7 @@
 // them reads the store.
 func TestEdgeTakesChangesEverywhere(t *testing.T) {
 	s, _, routers := startEdgeFleet(t)
-	s.put("config", "main", edgeConfig(2, "k2"))
+	s.put(edge.KindConfig, "main", edgeConfig(2, "k2"))
 	for _, r := range routers {
 		await(t, func() bool { return r.status(t, "/pages/now", "k1") == http.StatusUnauthorized })
 		require.Equal(t, http.StatusOK, r.status(t, "/pages/now", "k2"))
@@ -56,7 +60,7 @@
 // configuration and the list of upstreams from a peer and serves.
 func TestEdgeStartsWithoutTheStore(t *testing.T) {
 	s, _, routers := startEdgeFleet(t)
-	s.setAway(true)
+	s.SetAway(true)
 	late := startEdgeRouter(t, s, 2, routers[0].peers)
 	late.awaitReady(t)
 	await(t, func() bool { return late.status(t, "/pages/now", "k1") == http.StatusOK })
@@ -97,6 +101,15 @@
 func TestEdgeSurvivesAKilledPeer(t *testing.T) {
 	s, _, routers := startEdgeFleet(t)
 	routers[0].kill()
-	s.put("config", "main", edgeConfig(3, "k3"))
+	s.put(edge.KindConfig, "main", edgeConfig(3, "k3"))
 	await(t, func() bool { return routers[1].status(t, "/pages/now", "k3") == http.StatusOK })
 }
+
+// A newcomer tries the routers on the users' platform with nothing but this
+// repository: one command starts them on stand-ins, floods them, takes an
+// engine, a key and the store away, and checks what callers and upstreams saw.
+func TestDevOnThePlatformKeepsEveryPromise(t *testing.T) {
+	out, err := exec.Command(cliBinary, "dev", "--platform", "--once").CombinedOutput()
+	require.NoError(t, err, string(out))
+	require.Equal(t, 8, strings.Count(string(out), "held    "), string(out))
+}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/transport/edge"
 )
 
 const (
@@ -70,7 +72,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, draw: rand.New(rand.NewPCG(seed, 3)), store: startObjectStore(t), ledger: newSoakLedger(), version: 1}
-	s.store.put("config", "main", edgeConfig(s.version, "k1"))
+	s.store.put(edge.KindConfig, "main", edgeConfig(s.version, "k1"))
 	for i := range soakEngines {
 		s.addEngine(fmt.Sprintf("i-%d", i))
 	}
@@ -94,7 +96,7 @@
 	s.t.Cleanup(server.Close)
 	link := startLink(s.t, server.Listener.Addr().String())
 	s.links = append(s.links, link)
-	s.store.put("servers", id, map[string]any{
+	s.store.put(edge.KindUpstream, id, map[string]any{
 		"Service": "engines", "Address": link.address(), "Zone": "z1", "BatchSlots": 8, "State": "ready", "born": 1,
 	})
 }
@@ -154,11 +156,11 @@
 	case 6:
 		store.reset()
 	case 7:
-		s.store.setAway(true)
-		return func() { s.store.setAway(false) }
+		s.store.SetAway(true)
+		return func() { s.store.SetAway(false) }
 	case 8:
 		s.version++
-		s.store.put("config", "main", edgeConfig(s.version, "k1", fmt.Sprintf("k%d", s.version)))
+		s.store.put(edge.KindConfig, "main", edgeConfig(s.version, "k1", fmt.Sprintf("k%d", s.version)))
 	}
 	return func() {}
 }
@@ -174,7 +176,7 @@
 
 // heal ends all faults and waits until every router serves.
 func (s *soak) heal() {
-	s.store.setAway(false)
+	s.store.SetAway(false)
 	for _, link := range append(s.links, s.stores...) {
 		link.set(linkGood)
 	}
--- a/layers_test.go
+++ b/layers_test.go
@@ -14,7 +14,7 @@
 
 // layers maps each layer to its rank; a package imports only its own rank and
 // lower ones.
-var layers = map[string]int{"state": 0, "coordination": 1, "protocol": 2, "transport": 3, "standin": 4}
+var layers = map[string]int{"state": 0, "coordination": 1, "protocol": 2, "transport": 3, "platform": 4, "standin": 5}
 
 // TestImportsGoDownwards holds the layout: deciders stay free of transports.
 func TestImportsGoDownwards(t *testing.T) {
--- /dev/null
+++ b/standin/objects/objects.go
@@ -0,0 +1,120 @@
+// Package objects is a small stand-in of the users' platform's store: it lists
+// and watches, and can be away.
+package objects
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/platform"
+	"github.com/figstile/figstile/transport/edge"
+)
+
+// Store is an http.Handler.
+type Store struct {
+	mu       sync.Mutex
+	changed  *sync.Cond
+	revision uint64
+	held     map[edge.Kind]map[string]edge.Object
+	// history holds every change; the store lives for a run only.
+	history map[edge.Kind][]edge.Object
+	away    bool
+}
+
+// New returns an empty store.
+func New() *Store {
+	s := &Store{revision: 1, held: make(map[edge.Kind]map[string]edge.Object), history: make(map[edge.Kind][]edge.Object)}
+	s.changed = sync.NewCond(&s.mu)
+	return s
+}
+
+// Put writes an object.
+func (s *Store) Put(kind edge.Kind, name string, spec []byte) {
+	s.write(kind, edge.Object{Name: name, Spec: spec})
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind edge.Kind, name string) {
+	s.write(kind, edge.Object{Name: name, Removed: true, Spec: []byte("null")})
+}
+
+func (s *Store) write(kind edge.Kind, o edge.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o.Revision = s.revision
+	if s.held[kind] == nil {
+		s.held[kind] = make(map[string]edge.Object)
+	}
+	if o.Removed {
+		delete(s.held[kind], o.Name)
+	} else {
+		s.held[kind][o.Name] = o
+	}
+	s.history[kind] = append(s.history[kind], o)
+	s.changed.Broadcast()
+}
+
+// SetAway makes the store refuse all calls, or serve again.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.changed.Broadcast()
+}
+
+// ServeHTTP answers lists and watches.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, ok := platform.KindOf(r.URL.Path)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	after, wait, watches := platform.WatchOf(r.URL.Query())
+	if watches {
+		s.awaitChange(after, wait)
+	}
+	if s.away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	answer, err := s.answer(kind, after, watches)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(answer)
+}
+
+// awaitChange waits for a change after a revision, at most for a time.
+func (s *Store) awaitChange(after uint64, wait time.Duration) {
+	over := false
+	timer := time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		over = true
+		s.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for !over && !s.away && s.revision <= after {
+		s.changed.Wait()
+	}
+}
+
+func (s *Store) answer(kind edge.Kind, after uint64, watches bool) ([]byte, error) {
+	if watches {
+		news := slices.DeleteFunc(slices.Clone(s.history[kind]), func(o edge.Object) bool { return o.Revision <= after })
+		return platform.EncodeChanges(news, s.revision)
+	}
+	var all []edge.Object
+	for _, o := range s.held[kind] {
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b edge.Object) int { return strings.Compare(a.Name, b.Name) })
+	return platform.EncodeList(all, s.revision)
+}
