Take the limits on heads and unused connections from the configuration

Cause: the configuration's limits on the size of a head and on unused connections were decoded and not used; fixed ones of 64 KB and 15 s stood in their place. Operators who allow unused connections for longer had them closed under callers who counted on them; heads beyond their limit were served. Ruled out: http.Server's own fields, which cannot change while it serves. Change: a head beyond the limit is refused with the new code 1007 (431); connections are closed when they were unused for longer than the limit in force, looked at once a second. The time for a head stays fixed at 5 s: callers stay within any, and net/http takes it once.

--- a/cmd/figstile/internal/cli/dev.go
+++ b/cmd/figstile/internal/cli/dev.go
@@ -102,13 +102,7 @@
 	if err != nil {
 		return err
 	}
-	if err := a.out.show(trial, func() { err = trial.WriteText(a.out.w) }); err != nil {
-		return err
-	}
-	if err == nil && !trial.Held() {
-		err = promiseError{}
-	}
-	return err
+	return showTrial(a, trial)
 }
 
 // onPlatform starts routers on stand-ins of the users' platform.
@@ -140,13 +134,25 @@
 	if err != nil {
 		return err
 	}
-	if err := a.out.show(trial, func() { err = trial.WriteText(a.out.w) }); err != nil {
+	return showTrial(a, trial)
+}
+
+// trial is a load and what came of it.
+type trial interface {
+	WriteText(w io.Writer) error
+	Held() bool
+}
+
+// showTrial prints a trial and fails if it broke a promise.
+func showTrial(a *app, t trial) error {
+	var writeErr error
+	if err := a.out.show(t, func() { writeErr = t.WriteText(a.out.w) }); err != nil {
 		return err
 	}
-	if err == nil && !trial.Held() {
-		err = promiseError{}
+	if writeErr == nil && !t.Held() {
+		return promiseError{}
 	}
-	return err
+	return writeErr
 }
 
 // wait ends with the command or after the given time.
--- a/devfleet/edge_trial.go
+++ b/devfleet/edge_trial.go
@@ -251,7 +251,7 @@
 func (t EdgeTrial) WriteText(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "WORKSPACE\tASKED\tSERVED\tREFUSED\n")
-	asked, served := t.byWorkspace()
+	asked, served := countByWorkspace(t.Records)
 	for _, ws := range edgeConfig().Workspaces {
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\n", ws.Name, asked[ws.Name], served[ws.Name], asked[ws.Name]-served[ws.Name])
 	}
@@ -262,10 +262,6 @@
 	return writeVerdicts(w, t.Verdicts)
 }
 
-func (t EdgeTrial) byWorkspace() (asked, served map[state.Workspace]int) {
-	return countByWorkspace(t.Records)
-}
-
 func countByWorkspace(records []edgeRecord) (asked, served map[state.Workspace]int) {
 	asked, served = make(map[state.Workspace]int), make(map[state.Workspace]int)
 	for _, r := range records {
--- a/state/result/result.go
+++ b/state/result/result.go
@@ -44,6 +44,7 @@
 	UnknownService Code = 1004
 	UnknownModel   Code = 1005
 	BodyTooLarge   Code = 1006
+	HeaderTooLarge Code = 1007
 
 	QueueFull        Code = 2001
 	QueueBytesFull   Code = 2002
@@ -105,6 +106,7 @@
 	{UnknownService, "unknown-service", http.StatusNotFound, RanNo, false, "No service has this name."},
 	{UnknownModel, "unknown-model", http.StatusNotFound, RanNo, false, "The service offers no such model."},
 	{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, RanNo, false, "The body exceeds the service's limit."},
+	{HeaderTooLarge, "header-too-large", http.StatusRequestHeaderFieldsTooLarge, RanNo, false, "The head of the request exceeds the limit."},
 	{QueueFull, "queue-full", http.StatusTooManyRequests, RanNo, true, "The workspace has as many requests waiting as it may."},
 	{QueueBytesFull, "queue-bytes-full", http.StatusTooManyRequests, RanNo, true, "The workspace's waiting requests hold as many bytes as they may."},
 	{DeadlineTooShort, "deadline-too-short", http.StatusServiceUnavailable, RanNo, true, "The estimated wait exceeds the request's deadline."},
--- a/transport/edge/figures.go
+++ b/transport/edge/figures.go
@@ -5,25 +5,27 @@
 	"time"
 )
 
-// figuresEvery is how often the state of the router is measured; scrapers ask
-// every five seconds and more seldom.
-const figuresEvery = time.Second
+// tendEvery is how often the state of the router is measured; scrapers ask every
+// five seconds and more seldom.
+const tendEvery = time.Second
 
-// measure keeps the figures of the router's state until the context ends.
-func (r *Router) measure(ctx context.Context) {
-	ticker := time.NewTicker(figuresEvery)
+// tend keeps the figures of the router's state, and closes connections that
+// were unused for too long, until the context ends.
+func (r *Router) tend(ctx context.Context) {
+	ticker := time.NewTicker(tendEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.measureOnce()
+			r.measure()
+			r.idle.closeUnused(r.desk.idleLimit())
 		}
 	}
 }
 
-func (r *Router) measureOnce() {
+func (r *Router) measure() {
 	ages := r.desk.viewAges()
 	r.metrics.ViewAge("configuration", ages.configuration)
 	r.metrics.ViewAge("loads", ages.loads)
@@ -66,3 +68,12 @@
 	defer d.mu.Unlock()
 	return d.routers
 }
+
+// idleLimit is the configuration's, zero without one.
+func (d *desk) idleLimit() time.Duration {
+	table := d.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Limits().IdleTimeout
+}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -39,9 +39,9 @@
 	// upstreamIdle bounds unused connections to one upstream: all routers
 	// share what it accepts.
 	upstreamIdle = 8
-	// headerTimeout, idleTimeout and headerBytes bound callers.
+	// headerTimeout and headerBytes bound callers' heads before the
+	// configuration's own limit is looked at.
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 15 * time.Second
 	headerBytes   = 64 << 10
 	// fleetName keeps routers apart that talk to different stores.
 	fleetName = "edge"
@@ -59,6 +59,7 @@
 	metrics   *metrics.Metrics
 	handler   http.Handler
 	pressure  *pressure
+	idle      *idleConns
 
 	callers net.Listener
 	ready   net.Listener
@@ -75,6 +76,7 @@
 		log:      log,
 		desk:     newDesk(settings, boottime.Now),
 		pressure: newPressure(settings.MaxFiles, settings.Processors),
+		idle:     newIdleConns(boottime.Now),
 		metrics:  metrics.New(settings.Router, settings.DataCentre),
 	}
 	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
@@ -196,7 +198,7 @@
 	group.Go(func() error { return r.mesh.Run(inner) })
 	group.Go(func() error { r.fleet.run(inner); return nil })
 	group.Go(func() error { r.probe(inner); return nil })
-	group.Go(func() error { r.measure(inner); return nil })
+	group.Go(func() error { r.tend(inner); return nil })
 	for _, f := range r.followers {
 		group.Go(func() error { f.run(inner); return nil })
 	}
@@ -233,10 +235,12 @@
 	callers := &http.Server{
 		Handler:           r.handler,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         r.pressure.changed,
-		ConnContext:       withConn,
-		MaxHeaderBytes:    headerBytes,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			r.pressure.changed(conn, state)
+			r.idle.changed(conn, state)
+		},
+		ConnContext:    withConn,
+		MaxHeaderBytes: headerBytes,
 	}
 	all := []server{{r.callers, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
 	if r.figures != nil {
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -23,6 +23,9 @@
 	if x.table == nil {
 		return result.New(result.NotReady, ""), false
 	}
+	if limit := x.table.Limits().HeaderBytes; limit > 0 && headBytes(x.r) > limit {
+		return result.New(result.HeaderTooLarge, ""), false
+	}
 	if res, ok := x.readBody(); !ok {
 		return res, false
 	}
@@ -39,6 +42,18 @@
 	return result.Result{}, true
 }
 
+// headBytes is the size of a request's head as its caller sent it.
+func headBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + separators
+		}
+	}
+	return n
+}
+
 func (x *exchange) readBody() (result.Result, bool) {
 	limit := x.table.Limits().BodyBytes
 	if limit <= 0 {
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -109,6 +109,7 @@
 		Version:    1,
 		Routes:     []routing.Route{route},
 		Services:   []routing.Service{{Name: "s"}},
+		Limits:     routing.Limits{HeaderBytes: 2000},
 		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"secret"}}},
 	}))
 	for i, u := range upstreams {
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +139,7 @@
 		"no table":        {func(d *door, _ *http.Request) { d.desk.table = nil }, 503},
 		"stale, no key":   {func(d *door, r *http.Request) { d.desk.stale = true; r.Header.Del("Key") }, 503},
 		"stale, no route": {func(d *door, r *http.Request) { d.desk.stale = true; r.Host = "other" }, 503},
+		"long head":       {func(_ *door, r *http.Request) { r.Header.Set("Filler", strings.Repeat("x", 2000)) }, 431},
 		"blocked":         {func(d *door, _ *http.Request) { d.desk.blocked = true }, 503},
 		"full":            {func(d *door, _ *http.Request) { d.desk.full = true }, 429},
 		"closing":         {func(d *door, _ *http.Request) { d.desk.closing = true }, 503},
