--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -114,8 +114,10 @@
 	fallback *heldAnswer
 	verdict  admission.Verdict
 	record   Record
-	// lastRead is when the last part of a stream came.
+	// lastRead is when the last part of a stream came, longest the longest time
+	// between two.
 	lastRead time.Time
+	longest  time.Duration
 }
 
 // ServeHTTP runs one request to its final answer. An answer that broke off
@@ -197,10 +199,17 @@
 		Int64("own_ms", x.verdict.Estimate.Own.Milliseconds()).
 		Int64("limit_ms", x.verdict.Limit.Milliseconds()).
 		Float64("share_used", x.verdict.Standing.Use).
+		Uint64("fingerprint", uint64(x.fingerprint)).
+		Int("prompt", x.in.PromptTokens).
+		Int("unread", x.verdict.Estimate.Unread).
+		Int("output", x.request.Output).
+		Int64("elapsed_ms", x.request.Elapsed.Milliseconds()).
+		Int64("target_ms", x.request.Target.Milliseconds()).
 		Int("attempts", x.attempts).
 		Int("code", int(res.Code)).
 		Stringer("ran", res.Ran).
 		Int64("first_ms", x.record.First.Milliseconds()).
+		Int64("pause_ms", x.longest.Milliseconds()).
 		Int64("total_ms", x.record.Total.Milliseconds())
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -59,6 +59,9 @@
 	if !x.lastRead.IsZero() && x.h.Observer != nil {
 		x.h.Observer.Between(x.workspace, x.record.Class, now.Sub(x.lastRead))
 	}
+	if !x.lastRead.IsZero() {
+		x.longest = max(x.longest, now.Sub(x.lastRead))
+	}
 	x.lastRead = now
 	if _, err := x.w.Write(whole); err != nil {
 		return err
