Measure shares by what the fleet takes on where that is more than stated

Hypothesis: operators state 240,000 units a second, the engines of the new customer do 400,000. Change: how much of its share a workspace has used is taken from the level at which the fleet's admitted cost is divided, if that is more than the stated.

--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -82,8 +82,11 @@
 	own   map[state.Workspace]*meter
 	peers map[state.Source]peerUsage
 	// level is the max-min share over the window; recomputed when stale.
-	level    float64
-	limited  bool
+	level   float64
+	limited bool
+	// reached is the max-min share of what the fleet takes on, if that is
+	// more; 0 if it takes on all that is asked for.
+	reached  float64
 	total    map[state.Workspace]Usage
 	computed time.Time
 }
@@ -210,14 +213,23 @@
 		add(total, peer.usage)
 	}
 	asked := make([]float64, 0, len(total))
+	admitted := 0.0
 	for _, usage := range total {
 		asked = append(asked, usage.Asked)
+		admitted += usage.Admitted
 	}
-	l.level, l.limited = Level(asked, throughput*Window.Seconds())
+	stated := throughput * Window.Seconds()
+	l.level, l.limited = Level(asked, stated)
+	l.reached, _ = Level(asked, max(stated, headroom*admitted))
 	l.total = total
 	l.computed = now
 }
 
+// headroom is how much more than lately the fleet may take on: enough that a
+// level follows a fleet that has become faster within some windows, too little
+// to let the workspaces that ask for most run ahead of the others.
+const headroom = 1.05
+
 // refreshEvery bounds the work of recomputing the level to ten times a second.
 const refreshEvery = 100 * time.Millisecond
 
@@ -226,8 +238,11 @@
 	// Limited is set if all workspaces together ask for more than the fleet
 	// produces and this one got its max-min share already.
 	Limited bool
-	// Use is what the workspace got over its max-min share; 0 if the
-	// fleet is not short.
+	// Use is what the workspace got over its max-min share of what the fleet
+	// takes on; 0 if the fleet is not short. Engines often do more than
+	// operators state. By the stated share alone, workspaces beyond it were
+	// served by luck: of two that asked for several times as much, one got 2.4
+	// times what the other did over six seconds.
 	Use float64
 }
 
@@ -241,8 +256,12 @@
 	if !l.limited || l.level <= 0 {
 		return Standing{}
 	}
-	use := l.total[ws].Admitted / l.level
-	return Standing{Limited: use >= 1, Use: use}
+	admitted := l.total[ws].Admitted
+	standing := Standing{Limited: admitted >= l.level}
+	if l.reached > 0 {
+		standing.Use = admitted / l.reached
+	}
+	return standing
 }
 
 // Level returns the max-min share: the greatest amount such that everybody
