Decide by what engines do to running streams, and know who comes back

Who comes back. Elapsed time was guessed from the longest deadline of a route, but callers' patience differs by 15 %: the middle first request counted as 0.6 s old and might wait for 4 s. Routers now remember what they refused and tell their neighbours. Cost of whole prompts. Re-reading counts 8 instead of 6 times, another data centre 100 instead of 30 ms.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -20,13 +20,23 @@
 	plainOnTime = 0.9
 	// overShare is the part of its target that a request of a workspace
 	// beyond its fair share may wait. It is small, so that such requests
-	// fill idle capacity but build no queue before the others.
-	overShare = 0.03
+	// fill idle capacity but build no queue before the others: over fifteen
+	// days of mixed faults 0.56 of all requests were on time and 0.071 late
+	// at 0.03, 0.55 and 0.063 at 0.01.
+	overShare = 0.01
 	// nearShare is the part of its fair share from which a workspace's requests
 	// may wait less and less, down to overShare at all of it. The share is
 	// worked out from a throughput that operators state; where the engines do
 	// less, the workspaces furthest from their shares go first.
 	nearShare = 0.5
+	// rereading is the part of its target that a request's reading may grow by
+	// at another engine than the best while the fleet is short.
+	rereading = 0.05
+	// maxStalled is the most running streams whose pauses the reading of an
+	// admitted prompt may make too long. One caller served for several that
+	// are late is no gain; a few are borne, or long prompts would be served
+	// by idle engines only.
+	maxStalled = 5
 	// least is the part of its target that a request may wait even if its
 	// own prompt takes the rest. Long prompts would otherwise never be
 	// admitted, however idle the engines.
@@ -75,13 +85,13 @@
 // Request is what admission needs to know.
 type Request struct {
 	placement.Work
-	Workspace state.Workspace
+	// Fingerprint recognises the request if its caller sends it again.
+	Fingerprint state.Fingerprint
+	Workspace   state.Workspace
 	// Cost is the request's expected cost in cost units.
 	Cost float64
-	// Target is the latency within which the answer is on time, counted from
-	// the caller's first attempt; zero means none.
-	Target time.Duration
-	// Elapsed is the time since the caller's first attempt.
+	// Elapsed is the time since the caller's first attempt; zero unless it was
+	// refused since.
 	Elapsed time.Duration
 	// Patience is how long the caller will wait from now.
 	Patience time.Duration
@@ -115,6 +125,49 @@
 // Admit says whether the request is to be sent.
 func (v Verdict) Admit() bool { return v.Reason == Admitted }
 
+// Upstreams is what admission asks of the picture of upstreams.
+type Upstreams interface {
+	// Candidates returns the upstream that serves a request best, all callers
+	// considered, and the one that answers it first.
+	Candidates(now time.Time, w placement.Work) (best, soonest placement.Estimate, found bool)
+}
+
+// Judge decides on a request and the upstream that it goes to. Where the best
+// one has too long a queue, the request may go to the one that answers first,
+// though prompt parts are read there once more: with two subjects that get half
+// of the requests, 0.91 of all were on time without this, as engines idled
+// beside those that held the subjects, and 0.99 with it (replayed with eight
+// routers and twelve engines).
+func Judge(now time.Time, upstreams Upstreams, r Request, standing shares.Standing, spread float64) Verdict {
+	best, soonest, found := upstreams.Candidates(now, r.Work)
+	verdict := Decide(r, best, found, standing, spread)
+	if verdict.Admit() || verdict.Reason == NoUpstream {
+		return verdict
+	}
+	if !mayReadAgain(r, standing, best, soonest) {
+		return verdict
+	}
+	if second := Decide(r, soonest, found, standing, spread); second.Admit() {
+		return second
+	}
+	return verdict
+}
+
+// mayReadAgain says whether a request may go to the upstream that answers first
+// instead of the best one. While the fleet is short, what is read again is taken
+// from others: it must be little, and a workspace near its share or beyond gets
+// it only where nothing else is waiting.
+func mayReadAgain(r Request, standing shares.Standing, best, soonest placement.Estimate) bool {
+	switch {
+	case standing.Use <= 0:
+		return true
+	case soonest.Own-best.Own > share(r.Target, rereading):
+		return false
+	default:
+		return standing.Use <= nearShare || soonest.Free
+	}
+}
+
 // Decide judges a request on the estimate of its best upstream; found is false
 // if it has none. Spread is drawn evenly from [0, 1).
 func Decide(r Request, best placement.Estimate, found bool, standing shares.Standing, spread float64) Verdict {
@@ -131,7 +184,7 @@
 	if r.Target > 0 && standing.Use > nearShare {
 		v.Limit = min(v.Limit, shareLimit(r.Target, standing.Use))
 	}
-	if best.Free || best.Wait <= v.Limit {
+	if best.Stalled <= maxStalled && (best.Free || best.Wait <= v.Limit) {
 		return v
 	}
 	v.Reason = Overload
@@ -159,6 +212,10 @@
 		return share(r.Patience, returned)
 	}
 	limit := share(left, r.onTime()) - best.Own
+	if len(r.Prompt) > 0 && best.Own > left {
+		// Late wherever it goes: it waits for a part of what it takes itself.
+		limit = share(best.Own, 0.5)
+	}
 	return min(max(limit, share(r.Target, least)), share(r.Patience, onTime))
 }
 
--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -16,14 +16,23 @@
 	born     int64
 	service  state.Service
 	placed   time.Time
-	unread   int
-	// ahead is what the upstream had to read at placing, this request's own
-	// part included.
-	ahead   int
+	// unread is the number of prompt tokens that the upstream lacks, total
+	// that of all.
+	unread int
+	total  int
+	// work is the reading of the former, in tokens at the rate of short
+	// prompts.
+	work int
+	// output is the expected number of generated tokens.
+	output int
+	// alone says that the upstream had nothing to read at placing.
+	alone   bool
 	pending bool
 	ended   bool
-	host    *host
-	engine  bool
+	// began is when the answer's first event came.
+	began  time.Time
+	host   *host
+	engine bool
 	// sequence numbers the requests of this router at one upstream.
 	sequence uint64
 	// heard is when the upstream last sent something of the answer.
@@ -46,7 +55,8 @@
 func (p *Picture) Place(now time.Time, w Work, e Estimate) *Ticket {
 	t := &Ticket{
 		upstream: e.Upstream, born: e.Born, service: w.Service, placed: now, heard: now,
-		unread: e.Unread, pending: true, repeatable: w.Repeatable,
+		unread: e.Unread, total: tokens(w.Prompt), work: e.work, output: w.Output,
+		pending: true, repeatable: w.Repeatable,
 	}
 	h := p.hosts[e.Upstream]
 	if h == nil {
@@ -56,11 +66,14 @@
 	_, t.engine = p.engines[w.Service]
 	t.host = h
 	_, unread := h.load()
-	t.ahead = unread + e.Unread
+	t.alone = unread == 0
 	h.begin(t)
+	if e.Stalls {
+		h.stall(now)
+	}
 	h.cache.Touch(w.Prompt)
 	if len(w.Prompt) > 0 {
-		p.placed = append(p.placed, Placed{Upstream: e.Upstream, Prompt: w.Prompt})
+		p.placed = append(p.placed, Placed{Upstream: e.Upstream, Prompt: w.Prompt, Stalls: e.Stalls})
 	}
 	return t
 }
@@ -73,15 +86,19 @@
 		return
 	}
 	t.pending = false
-	t.host.unread -= t.unread
+	t.host.unread -= t.work
+	t.began = now
 	if t.sequence > t.host.latest {
 		t.host.latest, t.host.latestAt = t.sequence, now
 	}
-	p.learnRate(now, t)
+	p.learnReading(now, t)
 }
 
 // Output notes that an upstream sent a part of an answer.
 func (p *Picture) Output(now time.Time, t *Ticket) {
+	if t.Answering() && !t.ended && t.host != nil && !t.began.IsZero() {
+		p.learnPause(now, t)
+	}
 	t.heard = now
 	if t.host == nil {
 		return
@@ -90,21 +107,44 @@
 	t.host.unreachable = false
 }
 
-func (p *Picture) learnRate(now time.Time, t *Ticket) {
+// learnReading learns how fast an engine reads from a prompt that found it idle.
+// With others ahead of it, how much of those was read already is not known:
+// learned from all, the rate came out a fifth above what engines do.
+func (p *Picture) learnReading(now time.Time, t *Ticket) {
 	took := now.Sub(t.placed) - startup
-	if t.ahead < minLesson || took <= 0 {
+	if !t.alone || t.unread < minLesson || took <= 0 {
+		return
+	}
+	r, h := p.readings[t.service], t.host
+	if t.unread >= straightLesson {
+		r.learnCurvature(t.unread, t.total, h.speed, took)
 		return
 	}
-	seen := min(max(float64(t.ahead)/took.Seconds(), minRate), maxRate)
-	usual := p.rate(t.service)
-	p.rates[t.service] = usual + learning*(seen-usual)
-	ratio := seen / usual
-	t.host.speed = min(max(t.host.speed+learning*(ratio-t.host.speed), minSpeed), 1)
+	ratio := r.learnRate(r.work(t.unread, t.total), took)
+	h.speed = min(max(towards(h.speed, ratio), minSpeed), maxSpeed)
+}
+
+// learnPause learns from the time between two events of a stream.
+func (p *Picture) learnPause(now time.Time, t *Ticket) {
+	r, h := p.readings[t.service], t.host
+	if _, unread := h.load(); unread == 0 {
+		r.learnPause(now.Sub(t.heard), 0, h.speed)
+		return
+	}
+	for _, o := range h.active {
+		if o.pending && !o.placed.After(t.heard) && now.Sub(o.placed) < maxCover && o.total < straightLesson {
+			r.learnPause(now.Sub(t.heard), o.total, h.speed)
+			return
+		}
+	}
 }
 
 // minSpeed bounds how slow an engine may look next to the others, so that it
-// is still tried and can show that it has recovered.
-const minSpeed = 0.1
+// is still tried and can show that it has recovered, maxSpeed how fast.
+const (
+	minSpeed = 0.1
+	maxSpeed = 4
+)
 
 // Outcome says how a request ended at an upstream.
 type Outcome uint8
@@ -148,6 +188,7 @@
 		p.Output(now, t)
 		h.succeed()
 		p.learnWork(now.Sub(t.placed), t)
+		p.learnStream(now, t)
 	case Failed:
 		p.Output(now, t)
 		h.failures += failureWeight * (1 - h.failures)
@@ -170,7 +211,7 @@
 
 func (h *host) begin(t *Ticket) {
 	h.running++
-	h.unread += t.unread
+	h.unread += t.work
 	h.sequence++
 	t.sequence = h.sequence
 	h.active = append(h.active, t)
@@ -180,7 +221,7 @@
 	h.running--
 	if t.pending {
 		t.pending = false
-		h.unread -= t.unread
+		h.unread -= t.work
 	}
 	h.active = slices.DeleteFunc(h.active, func(o *Ticket) bool { return o == t })
 }
@@ -197,6 +238,31 @@
 	t.host.hold += holdLearning * (float64(took) - t.host.hold)
 }
 
+// initialTokenTime is how long a stream takes for a token until some have ended.
+const initialTokenTime = 8 * time.Millisecond
+
+// learnStream learns how long streams take for a token.
+func (p *Picture) learnStream(now time.Time, t *Ticket) {
+	if t.began.IsZero() || t.output <= 0 {
+		return
+	}
+	usual := p.tokenTime(t.service)
+	seen := float64(now.Sub(t.began)) / float64(t.output)
+	p.tokenTimes[t.service] = usual + holdLearning*(seen-usual)
+}
+
+func (p *Picture) tokenTime(service state.Service) float64 {
+	if usual, ok := p.tokenTimes[service]; ok {
+		return usual
+	}
+	return float64(initialTokenTime)
+}
+
+// streamTime is the expected time from a request's first event to its last.
+func (p *Picture) streamTime(w Work) time.Duration {
+	return time.Duration(p.tokenTime(w.Service) * float64(w.Output))
+}
+
 // Run names the run of the upstream that the request was sent to.
 func (t *Ticket) Run() quarantine.Run {
 	return RunOf(directory.Upstream{ID: t.upstream, Born: t.born})
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -16,28 +15,16 @@
 const (
 	// distance is the handicap of another data centre. The way there and back
 	// takes 2 ms; the rest stands for the bytes, which are paid for, and for
-	// links that can be cut. It is well below what a shared part of a long
-	// prompt weighs, so that those still go where they are held.
-	distance = 30 * time.Millisecond
+	// links that can be cut. It is above what short prompts wait for at most,
+	// so that those stay in their data centre, and well below what a shared
+	// part of a long prompt weighs, so that those still go where it is held.
+	distance = 100 * time.Millisecond
 	// startup is the time to a first token beyond reading: a step of the
 	// batch, the engine's own overhead and the way there and back.
 	startup = 45 * time.Millisecond
 	// initialWork is assumed for a plain request until answers have taught
 	// better.
 	initialWork = 50 * time.Millisecond
-	// initialRate is the reading rate of an engine, in tokens a second, until
-	// answers have taught better; between the slowest and the fastest known.
-	initialRate = 40000
-	// minRate and maxRate bound what answers may teach, so that one odd
-	// answer does not make an engine look dead or free.
-	minRate = 5000
-	maxRate = 400000
-	// learning is the weight of a new observation. A fiftieth averages a few
-	// seconds of an engine's answers.
-	learning = 0.02
-	// minLesson is the least number of tokens ahead from which a rate is
-	// learned: below it the startup dominates.
-	minLesson = 1500
 	// failureWeight is the weight of one answer in an upstream's failure
 	// rate: it follows within some ten answers.
 	failureWeight = 0.08
@@ -53,6 +40,12 @@
 	Prompt []prefix.Part
 	// Output is the expected number of generated tokens.
 	Output int
+	// Target is the latency within which the answer is on time, counted from
+	// the caller's first attempt; zero means none.
+	Target time.Duration
+	// Pause is the longest time between two events of a stream with which it
+	// is still on time; zero means none.
+	Pause time.Duration
 	// Repeatable requests may be given up at one upstream and sent to
 	// another.
 	Repeatable bool
@@ -95,6 +88,12 @@
 	// Free is set while less than half of the upstream's slots are taken and
 	// nothing waits there.
 	Free bool
+	// Stalls says that reading the prompt makes the pauses of the streams that
+	// the engine runs too long, Stalled is how many those are.
+	Stalls  bool
+	Stalled int
+	// work is the reading of the prompt, in tokens at the rate of short ones.
+	work int
 	// score is the time that candidates are compared by.
 	score time.Duration
 }
@@ -106,7 +105,8 @@
 type Load struct {
 	// Running counts the requests sent and not ended.
 	Running int
-	// Unread is the sum of prompt tokens not read yet.
+	// Unread is the work of reading prompts that have not begun to be
+	// answered, in tokens at the rate of short ones.
 	Unread int
 }
 
@@ -121,8 +121,10 @@
 	services map[state.Service][]*host
 	hosts    map[state.Upstream]*host
 	work     map[state.Service]float64
-	rates    map[state.Service]float64
-	placed   []Placed
+	readings map[state.Service]*reading
+	// tokenTimes is how long streams take for a token, in nanoseconds.
+	tokenTimes map[state.Service]float64
+	placed     []Placed
 	// drawn counts the draws of scatter, which begin at a seed.
 	drawn uint64
 	// heard is when each source last told its loads.
@@ -132,13 +134,14 @@
 // New returns an empty picture of a router in a data centre.
 func New(self state.DataCentre) *Picture {
 	return &Picture{
-		self:     self,
-		engines:  make(map[state.Service]routing.Engine),
-		services: make(map[state.Service][]*host),
-		hosts:    make(map[state.Upstream]*host),
-		work:     make(map[state.Service]float64),
-		rates:    make(map[state.Service]float64),
-		heard:    make(map[state.Source]time.Time),
+		self:       self,
+		engines:    make(map[state.Service]routing.Engine),
+		services:   make(map[state.Service][]*host),
+		hosts:      make(map[state.Upstream]*host),
+		work:       make(map[state.Service]float64),
+		readings:   make(map[state.Service]*reading),
+		tokenTimes: make(map[state.Service]float64),
+		heard:      make(map[state.Source]time.Time),
 	}
 }
 
@@ -147,6 +150,9 @@
 	for _, service := range services {
 		if service.Engine != nil {
 			p.engines[service.Name] = *service.Engine
+			if p.readings[service.Name] == nil {
+				p.readings[service.Name] = newReading(service.Engine.TokensPerEvent)
+			}
 		}
 	}
 }
@@ -188,21 +194,32 @@
 	return n
 }
 
-// Choose returns the best upstream for a request, or false if the service has
-// none.
+// Choose returns the upstream that serves a request best, all callers
+// considered, or false if the service has none.
 func (p *Picture) Choose(now time.Time, w Work) (Estimate, bool) {
+	best, _, found := p.Candidates(now, w)
+	return best, found
+}
+
+// Candidates returns the upstream that serves a request best, all callers
+// considered, and the one that answers it first, or false if the service has
+// none.
+func (p *Picture) Candidates(now time.Time, w Work) (best, soonest Estimate, found bool) {
 	pool := p.pool(now, w)
 	if len(pool) == 0 {
-		return Estimate{}, false
+		return Estimate{}, Estimate{}, false
 	}
 	home, reach := homeOf(pool, w), p.scatterReach(w.Service)
-	best := Estimate{score: math.MaxInt64}
-	for _, h := range pool {
-		if e := p.estimate(h, w, h == home, reach); e.score < best.score {
+	for i, h := range pool {
+		e := p.estimate(now, h, w, h == home, reach)
+		if i == 0 || e.score < best.score {
 			best = e
 		}
+		if i == 0 || e.Total() < soonest.Total() {
+			soonest = e
+		}
 	}
-	return best, true
+	return best, soonest, true
 }
 
 // homeOf returns the engine that a shared part goes to while nobody is known to
@@ -255,24 +272,17 @@
 	return z ^ z>>31
 }
 
-func (p *Picture) estimate(h *host, w Work, home bool, reach time.Duration) Estimate {
+func (p *Picture) estimate(now time.Time, h *host, w Work, home bool, reach time.Duration) Estimate {
 	e := Estimate{Upstream: h.ID, Address: h.Address, Born: h.Born}
-	running, unread := h.load()
 	engine, isEngine := p.engines[w.Service]
 	slots := h.slots(engine)
 	if isEngine {
-		e.Unread = h.cache.Unread(w.Prompt)
-		rate := h.rate(p.rate(w.Service))
-		e.Wait = seconds(float64(unread) / rate)
-		e.Own = seconds(float64(e.Unread)/rate) + startup
-		if !home {
-			again := max(e.Unread-w.ownTokens(), 0)
-			e.score = seconds(reread * float64(again) / rate)
-		}
+		p.estimateEngine(now, &e, h, w, home)
 	} else {
 		e.Own = p.workTime(w.Service)
 		e.score = p.scatter(reach)
 	}
+	running, unread := h.load()
 	if slots > 0 && running >= slots {
 		e.Wait += seconds(float64(running-slots+1) / float64(slots) * h.holdTime(p.workTime(w.Service)).Seconds())
 	}
@@ -289,6 +299,30 @@
 	return e
 }
 
+// estimateEngine estimates when an engine would answer, and what that costs the
+// callers of the streams that it runs.
+func (p *Picture) estimateEngine(now time.Time, e *Estimate, h *host, w Work, home bool) {
+	r := p.readings[w.Service]
+	rate := r.at(h.speed)
+	running, unread := h.load()
+	total := tokens(w.Prompt)
+	e.Unread = h.cache.Unread(w.Prompt)
+	e.work = r.work(e.Unread, total)
+	e.Wait = seconds(float64(unread) / rate)
+	e.Own = seconds(float64(e.work)/rate) + startup
+	if !home {
+		again := max(e.Unread-w.ownTokens(), 0)
+		e.score = seconds(reread * float64(again) / rate)
+	}
+	if w.Pause <= 0 {
+		return
+	}
+	if r.pause(unread+e.work, total, h.speed) > time.Duration(pauseMargin*float64(w.Pause)) {
+		e.Stalls, e.Stalled = true, running
+	}
+	e.score += time.Duration(float64(w.Target) * (float64(e.Stalled) + h.stallRisk(now, p.streamTime(w))))
+}
+
 // Seed makes this router's draws differ from those of others.
 func (p *Picture) Seed(seed uint64) { p.drawn = seed }
 
@@ -342,21 +376,20 @@
 
 // reread is how much dearer the reading of shared parts counts than its time:
 // it delays the requests behind as well, and takes memory from the parts of
-// others.
-const reread = 6.0
+// others. Replayed with eight routers and twelve engines beside a flood, 0.95 of
+// the other requests are on time at 6 and 8, and 0.93 at 10 and 15.
+const reread = 8.0
 
 // crowding is the handicap of an upstream with all slots taken: a full batch
 // takes some three times as long for a step as an empty one.
 const crowding = 60 * time.Millisecond
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// pauseMargin is the part of a stream's longest pause up to which an engine's
+// reading may lengthen it. The rest is for the way to the caller and for what
+// peers have placed unseen.
+const pauseMargin = 0.9
 
-func (p *Picture) rate(service state.Service) float64 {
-	if rate, ok := p.rates[service]; ok {
-		return rate
-	}
-	return initialRate
-}
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (p *Picture) workTime(service state.Service) time.Duration {
 	if work, ok := p.work[service]; ok {
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -55,6 +55,9 @@
 	// Target is the latency within which an answer, or a stream's first
 	// event, is on time.
 	Target time.Duration
+	// Pause is the longest time between two events of a stream with which it
+	// is still on time; zero means none.
+	Pause time.Duration
 	// Priority ranks the route; 0 is the highest.
 	Priority int
 	Backends []Backend
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -39,7 +39,7 @@
 	// upstreams that those were on.
 	suspicions quarantine.Suspicions
 	lostRuns   map[state.Upstream]quarantine.Run
-	longest    map[string]time.Duration
+	returns    admission.Returns
 	routers    int
 	heard      time.Time
 	draining   time.Time
@@ -61,7 +61,6 @@
 		budgets:  make(map[state.Service]*budget.Budget),
 		blocked:  quarantine.New(quarantine.DefaultCapacity),
 		lostRuns: make(map[state.Upstream]quarantine.Run),
-		longest:  make(map[string]time.Duration),
 		watched:  make(map[*placement.Ticket]func()),
 		routers:  1,
 		urgent:   make(chan struct{}, 1),
@@ -94,16 +93,19 @@
 		d.budget(r.Service).Request(now, d.retryLimits())
 		d.ledger.Asked(now, r.Workspace, r.Cost)
 	}
-	best, found := d.picture.Choose(now, r.Work)
-	verdict := d.judge(now, r, best, found)
+	verdict := d.judge(now, r)
 	if !verdict.Admit() {
 		d.pressure.work.Refusal()
+		if len(r.Prompt) > 0 {
+			d.returns.Refused(now, r.Fingerprint, r.Elapsed)
+		}
 		return verdict, nil
 	}
 	d.pressure.work.Request()
 	if !repeat {
 		d.ledger.Admitted(now, r.Workspace, r.Cost)
 	}
+	best := verdict.Estimate
 	if best.Unread >= longPrompt {
 		select {
 		case d.urgent <- struct{}{}:
@@ -118,12 +120,12 @@
 }
 
 // judge judges a request by its workspace's standing.
-func (d *desk) judge(now time.Time, r admission.Request, best placement.Estimate, found bool) admission.Verdict {
+func (d *desk) judge(now time.Time, r admission.Request) admission.Verdict {
 	standing := shares.Standing{}
 	if r.Cost > 0 && d.table != nil {
 		standing = d.ledger.Standing(now, r.Workspace, d.table.Limits().Throughput)
 	}
-	return admission.Decide(r, best, found, standing, rand.Float64())
+	return admission.Judge(now, d.picture, r, standing, rand.Float64())
 }
 
 // Watch implements ingress.Desk.
@@ -198,27 +200,11 @@
 	return d.budget(service).Repeat(d.now(), d.retryLimits(), d.routers)
 }
 
-// elapsedNoise is the difference of deadlines that says nothing: callers count
-// whole milliseconds, and the way here takes some.
-const elapsedNoise = 20 * time.Millisecond
-
-// Elapsed implements ingress.Desk. Callers of one route wait equally long, so
-// one that waits less than others have done has spent the difference already.
-func (d *desk) Elapsed(route *routing.Route, deadline time.Duration) time.Duration {
-	if deadline <= 0 {
-		return 0
-	}
+// Elapsed implements ingress.Desk.
+func (d *desk) Elapsed(f state.Fingerprint) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	longest := d.longest[route.Name]
-	if deadline >= longest {
-		d.longest[route.Name] = deadline
-		return 0
-	}
-	if elapsed := longest - deadline; elapsed > elapsedNoise {
-		return elapsed
-	}
-	return 0
+	return d.returns.Elapsed(d.now(), f)
 }
 
 // Blocked implements ingress.Desk.
--- a/transport/edge/desk_peers.go
+++ b/transport/edge/desk_peers.go
@@ -50,10 +50,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, prompt := range placed {
-		d.picture.HeardPlaced(prompt)
+		d.picture.HeardPlaced(d.now(), prompt)
 	}
 }
 
+// takeRefused returns the requests refused since the last call.
+func (d *desk) takeRefused() []uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.returns.TakeRefused()
+}
+
+func (d *desk) heardRefused(keys []uint32) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.returns.Heard(d.now(), keys)
+}
+
 func (d *desk) unreachable() []directory.Upstream {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/transport/edge/hear.go
+++ b/transport/edge/hear.go
@@ -88,7 +88,7 @@
 // message it came in.
 func (f *fleet) onLoads(from peer.Peer, m *peerpb.Loads, env *peerpb.Envelope) {
 	source, ok := f.source(from, m.GetDataCentre())
-	if !ok || len(m.GetEntries()) > wire.MaxEntries {
+	if !ok || max(len(m.GetEntries()), len(m.GetRefused())) > wire.MaxEntries {
 		return
 	}
 	loads := make(map[state.Upstream]placement.Load, len(m.GetEntries()))
@@ -97,6 +97,7 @@
 	}
 	f.desk.heardLoads(source, loads, m.GetFull())
 	f.desk.heardPlaced(placedPrompts(m.GetPrompts()))
+	f.desk.heardRefused(m.GetRefused())
 	if source.Router != "" && source.DataCentre == f.self.DataCentre {
 		f.keepForFar(m.GetPrompts())
 	}
--- a/transport/edge/tell.go
+++ b/transport/edge/tell.go
@@ -97,13 +97,13 @@
 // tellLoads tells what has changed, or after a while that nothing has, and
 // returns when peers were last told.
 func (f *fleet) tellLoads(now, last time.Time) time.Time {
-	loads, placed := f.desk.takeChangedLoads(), f.desk.takePlaced()
-	if len(loads) == 0 && len(placed) == 0 && now.Sub(last) < aliveEvery {
+	loads, placed, refused := f.desk.takeChangedLoads(), f.desk.takePlaced(), f.desk.takeRefused()
+	if len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last) < aliveEvery {
 		return last
 	}
 	env := loadsEnvelope("", loads, false)
 	prompts := promptMessages(placed)
-	env.GetLoads().Prompts = prompts
+	env.GetLoads().Prompts, env.GetLoads().Refused = prompts, refused
 	f.keepForFar(prompts)
 	f.mesh.SendEach(f.planned().Near, env)
 	return now
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -11,7 +11,6 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/placement"
-	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
@@ -164,14 +163,16 @@
 			Service: x.service,
 			Prompt:  x.in.Prompt,
 			Output:  x.expectedOutput(),
+			Target:  x.route.Target,
+			Pause:   x.route.Pause,
 			// A stream that cannot be resumed must not be begun twice.
 			Repeatable: x.route.Repeatable() && x.route.MaxAttempts > 1,
 		},
-		Workspace: x.workspace,
-		Cost:      x.cost(),
-		Target:    x.route.Target,
-		Elapsed:   x.h.Desk.Elapsed(x.route, x.in.Deadline),
-		Patience:  patience,
+		Fingerprint: x.fingerprint,
+		Workspace:   x.workspace,
+		Cost:        x.cost(),
+		Elapsed:     x.h.Desk.Elapsed(x.fingerprint),
+		Patience:    patience,
 	}
 	if x.h.Desk.Blocked(x.fingerprint) {
 		return result.New(result.Suspected, "").After(patience / 2), false
@@ -193,18 +194,12 @@
 	return x.in.MaxOutput
 }
 
-// cost counts a generation's own prompt tokens once and its expected output
-// twice, as engines' throughput is stated. Shared parts are left out: they are
-// read once for many requests.
+// cost counts a generation's prompt tokens once and its expected output twice,
+// as engines' throughput is stated. Parts that an engine may still hold count as
+// well: whether they do is luck, and a workspace whose prompts share much would
+// else be given several times what it is owed.
 func (x *exchange) cost() float64 {
-	return float64(own(x.in.Prompt) + 2*x.expectedOutput())
-}
-
-func own(prompt []prefix.Part) int {
-	if len(prompt) == 0 {
-		return 0
-	}
-	return prompt[len(prompt)-1].Tokens
+	return float64(x.in.PromptTokens + 2*x.expectedOutput())
 }
 
 // digest recognises a request that is sent again: same workspace, path and
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -30,9 +30,9 @@
 	End(t *placement.Ticket, outcome placement.Outcome)
 	// Repeat spends one repeat of a service's budget, if it has one.
 	Repeat(service state.Service) bool
-	// Elapsed guesses how long ago the caller first sent a request, from the
-	// time it still has.
-	Elapsed(route *routing.Route, deadline time.Duration) time.Duration
+	// Elapsed returns how long ago the caller first sent a request, as far as
+	// it was refused since.
+	Elapsed(f state.Fingerprint) time.Duration
 	// Blocked says whether a request has taken down upstreams and must not
 	// run again.
 	Blocked(f state.Fingerprint) bool
