--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -88,6 +88,9 @@
 	// Free is set while less than half of the upstream's slots are taken and
 	// nothing waits there.
 	Free bool
+	// Idle is set while less than a quarter of them are taken and nothing
+	// waits there.
+	Idle bool
 	// Stalls says that reading the prompt makes the pauses of the streams that
 	// the engine runs too long, Stalled is how many those are.
 	Stalls  bool
@@ -287,6 +290,7 @@
 		e.Wait += seconds(float64(running-slots+1) / float64(slots) * h.holdTime(p.workTime(w.Service)).Seconds())
 	}
 	e.Free = running*2 < slots && unread == 0
+	e.Idle = running*4 < slots && unread == 0
 	e.score += e.Total() + time.Duration(h.failures*float64(failurePenalty))
 	if h.DataCentre != p.self {
 		e.score += distance
