Read again only what is little, unless engines are idle

Cause: while the fleet counted as having its stated throughput, a request went to the engine that answered first whatever was read there again.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -154,20 +154,21 @@
 }
 
 // mayReadAgain says whether a request may go to the upstream that answers first
-// instead of the best one. While the fleet is short, what is read again is taken
-// from others: it must be little, and a workspace near its share or beyond gets
-// it from idle engines only. Over ten to fifteen days of mixed faults 0.55 of all requests
+// instead of the best one. What is read again is taken from others: it must be
+// little unless the fleet has engines to spare, and a workspace near its share or
+// beyond gets it from idle engines only. Over ten to fifteen days of mixed faults 0.55 of all requests
 // were on time without that, 0.59 with it, and 0.62 where an engine with half of
 // its slots taken counted as idle, which left the workspaces worst served 0.55
 // instead of 0.60 of what they were owed.
 func mayReadAgain(r Request, standing shares.Standing, best, soonest placement.Estimate) bool {
+	little := soonest.Own-best.Own <= share(r.Target, rereading)
 	switch {
 	case standing.Use <= 0:
-		return true
-	case soonest.Own-best.Own > share(r.Target, rereading):
-		return false
+		return little || soonest.Idle
+	case standing.Use <= nearShare:
+		return little
 	default:
-		return standing.Use <= nearShare || soonest.Idle
+		return little && soonest.Idle
 	}
 }
 
