Add up a prompt once per engine, and drop checks that others imply

Cause: the tokens of a prompt were summed twice for each engine of each request; an attempt whose answer has begun always has its engine and its first event, and a verdict without an upstream is one for which none was found. Ruled out: summing once a request, which would give the work a field that callers must keep equal to its parts.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -146,10 +146,7 @@
 func Judge(now time.Time, upstreams Upstreams, r Request, standing shares.Standing, spread float64) Verdict {
 	best, soonest, found := upstreams.Candidates(now, r.Work)
 	verdict := Decide(r, best, found, standing, spread)
-	if verdict.Admit() || verdict.Reason == NoUpstream {
-		return verdict
-	}
-	if !mayReadAgain(r, standing, best, soonest) {
+	if verdict.Admit() || !found || !mayReadAgain(r, standing, best, soonest) {
 		return verdict
 	}
 	if second := Decide(r, soonest, found, standing, spread); second.Admit() {
--- a/coordination/placement/interference.go
+++ b/coordination/placement/interference.go
@@ -14,12 +14,12 @@
 // an engine, and what later prompts may cost the stream of this one. A stream
 // whose pauses are too long is late, which is as bad for its caller as to wait
 // for the whole target.
-func (p *Picture) estimateInterference(now time.Time, e *Estimate, h *host, w Work) {
+func (p *Picture) estimateInterference(now time.Time, e *Estimate, h *host, w Work, total int) {
 	if w.Pause <= 0 {
 		return
 	}
 	running, unread := h.load()
-	pause := p.readings[w.Service].pause(unread+e.work, tokens(w.Prompt), h.speed)
+	pause := p.readings[w.Service].pause(unread+e.work, total, h.speed)
 	if pause > time.Duration(pauseMargin*float64(w.Pause)) {
 		e.Interferes, e.Disturbed = true, running
 	}
--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -96,7 +96,7 @@
 
 // Output notes that an upstream sent a part of an answer.
 func (p *Picture) Output(now time.Time, t *Ticket) {
-	if t.Answering() && !t.ended && t.host != nil && !t.began.IsZero() {
+	if t.Answering() && !t.ended {
 		p.learnPause(now, t)
 	}
 	t.heard = now
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -318,7 +318,7 @@
 		again := max(e.Unread-w.ownTokens(), 0)
 		e.score = seconds(reread * float64(again) / rate)
 	}
-	p.estimateInterference(now, e, h, w)
+	p.estimateInterference(now, e, h, w, total)
 }
 
 // Seed makes this router's draws differ from those of others.
