Say in the log which requests a stop cut off, and how old the order to stop was

Callers' requests were cut off at stops, and nothing told which ones: the process ended before the requests wrote their lines, and a line did not say whether its request had come before or after the order to stop. No decision changes.

--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -277,6 +277,16 @@
 	return !d.draining.IsZero()
 }
 
+// StopAge implements ingress.Desk.
+func (d *desk) StopAge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining.IsZero() {
+		return 0
+	}
+	return d.now().Sub(d.draining)
+}
+
 // Closing implements ingress.Desk.
 func (d *desk) Closing() bool {
 	d.mu.Lock()
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -57,7 +57,7 @@
 	mesh      *peer.Mesh
 	followers []*follower
 	metrics   *metrics.Metrics
-	handler   http.Handler
+	handler   *ingress.Handler
 	pressure  *pressure
 	idle      *idleConns
 
@@ -257,6 +257,17 @@
 	})
 }
 
+// awaitLines gives the requests that were cut off time to write their log
+// lines: without them nobody can tell afterwards which ones those were.
+func (r *Router) awaitLines() {
+	for range 20 {
+		if r.handler.Running() == 0 {
+			return
+		}
+		time.Sleep(lastWords / 40)
+	}
+}
+
 // stop lets balancers and callers move on, then waits for what runs.
 func (r *Router) stop(servers []server) {
 	began := boottime.Now()
@@ -267,6 +278,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, lastWords))
 	defer cancel()
 	if err := servers[0].server.Shutdown(ctx); err != nil {
-		r.log.Warn().Err(err).Msg("requests cut off at the end of the grace period")
+		r.log.Warn().Err(err).Int64("requests", r.handler.Running()).Msg("requests cut off at the end of the grace period")
+		_ = servers[0].server.Close()
+		r.awaitLines()
 	}
 }
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -42,6 +42,9 @@
 	Served(f state.Fingerprint)
 	// Draining says whether the router is about to stop.
 	Draining() bool
+	// StopAge returns how long ago the router was told to stop, zero if it
+	// was not.
+	StopAge() time.Duration
 	// Full says whether the process has no room for another request.
 	Full() bool
 	// Closing says whether the router is so near its end that a request
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -234,6 +234,7 @@
 
 func (d *scriptedDesk) Served(state.Fingerprint) {}
 func (d *scriptedDesk) Draining() bool           { return d.closing }
+func (d *scriptedDesk) StopAge() time.Duration   { return 0 }
 func (d *scriptedDesk) Full() bool               { return d.full }
 func (d *scriptedDesk) Closing() bool            { return d.closing }
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -73,11 +74,15 @@
 // Handler serves callers.
 type Handler struct {
 	Options
+	running atomic.Int64
 }
 
 // NewHandler returns a handler.
 func NewHandler(opts Options) *Handler { return &Handler{Options: opts} }
 
+// Running counts the requests under way.
+func (h *Handler) Running() int64 { return h.running.Load() }
+
 // exchange is one caller's request under way. It belongs to the goroutine of
 // its HTTP handler.
 type exchange struct {
@@ -114,6 +119,8 @@
 	fallback *heldAnswer
 	verdict  admission.Verdict
 	record   Record
+	// stopAge is how long before the request the router was told to stop.
+	stopAge time.Duration
 	// lastRead is when the last part of a stream came, longest the longest time
 	// between two.
 	lastRead time.Time
@@ -123,7 +130,9 @@
 // ServeHTTP runs one request to its final answer. An answer that broke off
 // ends with its connection, so that the caller's HTTP library sees it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now()}
+	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now(), stopAge: h.Desk.StopAge()}
+	h.running.Add(1)
+	defer h.running.Add(-1)
 	defer x.recovered()
 	if h.Desk.Draining() || h.Crowded != nil && h.Crowded() {
 		w.Header().Set("Connection", "close")
@@ -214,6 +223,9 @@
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
 	}
+	if x.stopAge > 0 {
+		event.Int64("stop_age_ms", x.stopAge.Milliseconds())
+	}
 	if x.record.Abandoned {
 		event.Bool("abandoned", true)
 	}
