Test that fails: a request read late in a stop is dropped without an answer

A caller sends a request over a connection that was opened before the router was told to stop. Its head ends when the router takes no more connections and only waits for a page. The caller's connection is closed (unexpected EOF), and the router's log does not name the request.

--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// heldPage is a page that the stand-in holds like its streams.
+const heldPage = "/pages/held"
+
 // edgeEngine is a stand-in of an engine that holds its streams until told to
 // end them.
 type edgeEngine struct {
@@ -87,6 +90,12 @@
 			fmt.Fprint(w, "page")
 			return
 		}
+		if r.URL.Path == heldPage {
+			e.begun <- struct{}{}
+			<-e.release
+			fmt.Fprint(w, "page")
+			return
+		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		fmt.Fprint(w, "id: 1\ndata: a\n\n")
 		w.(http.Flusher).Flush()
--- /dev/null
+++ b/e2e/stop_test.go
@@ -0,0 +1,53 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A router is told to stop while a caller's request comes in slowly: half of
+// its head is there, the rest follows when the router takes no connections any
+// more and only waits for a page to end. The caller's connection was closed
+// without an answer, and no log line named the request.
+func TestEdgeAnswersRequestsUntilItIsGone(t *testing.T) {
+	_, e, routers := startEdgeFleet(t)
+	r := routers[0]
+	held := make(chan int, 1)
+	go func() { held <- r.status(t, heldPage, "k1") }()
+	<-e.begun
+	slow, err := net.Dial("tcp", r.callers)
+	require.NoError(t, err)
+	defer slow.Close()
+	_, err = fmt.Fprint(slow, "GET /pages/now HTTP/1.1\r\nHost: h.example\r\n")
+	require.NoError(t, err)
+
+	r.terminate()
+	await(t, func() bool { return !takesConnections(r.callers) })
+	_, err = fmt.Fprint(slow, "Authorization: Bearer k1\r\nAttempt-Id: a1\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+	require.True(t, answer.Close)
+
+	e.release <- struct{}{}
+	require.Equal(t, http.StatusOK, <-held)
+	<-r.done
+	require.NoError(t, r.err)
+}
+
+func takesConnections(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
