Test that fails: a stopping router takes a stream that it may well cut off

A router was told to stop two seconds ago and will cut off in 5.5 s what has not ended. A stream of 600 expected tokens at 8 ms a token is taken, though such expectations are too low half of the time; its caller may see it break off.

--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -105,3 +105,22 @@
 	f.clock.advance(turnAway + time.Second)
 	require.True(t, f.desk.Closing())
 }
+
+// A router is told to stop and has 7.5 s until it cuts off what has not ended.
+// Long streams that arrive in the next seconds are taken like all others; 7.5 s
+// after the order their callers see the stream break off.
+func TestStoppingRouterTakesWhatCanEnd(t *testing.T) {
+	f := newFixture()
+	f.desk.settings.GracePeriod = 8 * time.Second
+	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
+	admits := func(output int) bool {
+		verdict, _ := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}}, false)
+		return verdict.Admit()
+	}
+	require.True(t, admits(600))
+	f.desk.drain()
+	f.clock.advance(2 * time.Second)
+	require.True(t, admits(50))
+	require.False(t, admits(600))
+}
