Test that fails: what has not ended at the end of a stop gets no answer

A router stops while an engine reads a caller's prompt. Half a second before the grace period ends the caller's connection is closed (unexpected EOF).

--- a/transport/edge/bench_test.go
+++ b/transport/edge/bench_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,10 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/figstile/figstile/state/routing"
-	"github.com/figstile/figstile/transport/ingress"
-	"github.com/figstile/figstile/transport/logging"
 )
 
 const (
@@ -29,13 +23,6 @@
 	benchPace   = 5 * time.Millisecond
 )
 
-// benchPlatform takes every answer for an upstream's own.
-type benchPlatform struct{ *fakePlatform }
-
-func (benchPlatform) Answer(int, http.Header) ingress.AnswerHead {
-	return ingress.AnswerHead{Signed: true}
-}
-
 // BenchmarkRouter relays paced streams through a whole router: listeners,
 // decisions, metrics and log lines. Its processor time includes that of the
 // callers and the upstream, which are plain loops over sockets.
@@ -75,34 +62,7 @@
 
 func startRouter(b *testing.B, engine string) string {
 	b.Helper()
-	spec, err := json.Marshal(routing.Config{
-		Version:  1,
-		Routes:   []routing.Route{{Name: "r", Host: "h", Prefix: "/a/", Kind: routing.Stream, Backends: []routing.Backend{{Service: "s", Weight: 1}}, MaxAttempts: 1, Public: true}},
-		Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 2 * benchCallers, CacheTokens: 1000}}},
-	})
-	require.NoError(b, err)
-	upstream := fmt.Appendf(nil, `{"Service":"s","Address":%q,"DataCentre":"dc","Slots":%d}`, engine, 2*benchCallers)
-	platform := benchPlatform{&fakePlatform{}}
-	platform.list = func(kind Kind) ([]Object, uint64, error) {
-		if kind == KindConfig {
-			return []Object{{Name: "main", Revision: 1, Spec: spec}}, 1, nil
-		}
-		return []Object{{Name: "u", Revision: 1, Spec: upstream}}, 1, nil
-	}
-	platform.watch = func(Kind, uint64) ([]Object, uint64, error) { return nil, 1, nil }
-	router, err := New(Settings{
-		Router: "r1", DataCentre: "dc", MaxFiles: 10000, GracePeriod: time.Second,
-		Addresses: Addresses{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
-	}, platform, logging.New(logging.NewAsync(io.Discard), "info"))
-	require.NoError(b, err)
-	ctx, cancel := context.WithCancel(b.Context())
-	done := make(chan error, 1)
-	go func() { done <- router.Run(ctx) }()
-	b.Cleanup(func() {
-		cancel()
-		require.NoError(b, <-done)
-	})
-	require.Eventually(b, router.desk.ready, 5*time.Second, 10*time.Millisecond)
+	router, _ := runRouter(b, engine, 2*benchCallers)
 	return router.callers.Addr().String()
 }
 
--- /dev/null
+++ b/transport/edge/stop_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A router stops while an engine still reads a caller's prompt. At the end of
+// the grace period the caller's connection is closed without an answer, so that
+// it cannot tell a router that is gone from one that never had the request.
+func TestStopAnswersWhatHasNotBegun(t *testing.T) {
+	engine, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer engine.Close()
+	reached := make(chan net.Conn, 1)
+	go func() {
+		conn, err := engine.Accept()
+		if err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+		}
+		reached <- conn
+	}()
+	router, stop := runRouter(t, engine.Addr().String(), 8)
+	caller, err := net.Dial("tcp", router.callers.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "POST /a/ HTTP/1.1\r\nHost: h\r\nAttempt: x\r\nContent-Length: 5\r\n\r\nhello")
+	require.NoError(t, err)
+	defer (<-reached).Close()
+
+	go stop()
+	answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode, "it may have run")
+	require.Empty(t, answer.Header.Get("Retry-After"))
+	_, err = io.ReadAll(answer.Body)
+	require.NoError(t, err)
+}
