Test that fails: a stream is given up with nowhere to go on

An engine makes a long pause in a stream and lives. The router takes the stream for stalled and ends it, though there is no other engine to go on at, or the budget for retries is spent. Its caller sees it break off.

--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -128,3 +128,40 @@
 	require.True(t, admits(50))
 	require.False(t, admits(600))
 }
+
+// An engine makes a long pause in a stream, as it reads long prompts, and lives.
+// The router takes the stream for stalled and gives it up, though no other
+// engine takes it or its retry budget is spent: the caller, who has read half of
+// it, sees it break off where it would have gone on.
+func TestStreamIsGivenUpOnlyIfItCanGoOnElsewhere(t *testing.T) {
+	f := newFixture()
+	f.desk.settings.RetryWindow, f.desk.settings.RetrySlack = 10*time.Second, 2
+	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.desk.setUpstream("slow", directory.Upstream{ID: "slow", Service: "s", Slots: 64}, true)
+	begin := func() *int {
+		_, ticket := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Repeatable: true}}, false)
+		require.Equal(t, state.Upstream("slow"), ticket.Upstream())
+		f.desk.Output(ticket, true)
+		givenUp := new(int)
+		f.desk.Watch(ticket, func() { *givenUp++ })
+		return givenUp
+	}
+	alone := begin()
+	f.clock.advance(2 * time.Second)
+	f.desk.giveUpStalled()
+	require.Zero(t, *alone, "there is no other engine")
+
+	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
+	f.desk.giveUpStalled()
+	require.Equal(t, 1, *alone)
+
+	f.desk.picture.Reached(f.clock.now(), "slow")
+	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64, Leaving: true}, true)
+	unpaid := begin()
+	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
+	for f.desk.Repeat("s") {
+	}
+	f.clock.advance(2 * time.Second)
+	f.desk.giveUpStalled()
+	require.Zero(t, *unpaid, "the budget for retries is spent")
+}
