Give up a stream only if it can go on elsewhere

Callers who had read part of an answer saw it break off though its engine lived.

Cause: an attempt whose engine falls silent is ended so that the request can go to another upstream. Whether one takes it, an attempt is left and the budget grants a retry was asked only afterwards; if not, the caller's stream was broken off, where it might have gone on a moment later. Ruled out: the stop itself. It was found in a test of stops, in which a single engine held a stream, and shows on a router that does not stop.

An attempt is now given up only while another upstream can be reached and an attempt is left, and the retry of a stream that has begun is spent before its attempt is ended. A request without an answer is still ended when the budget is spent: it gets a failure that its caller may act on. A long answer that is passed on as it comes is no longer watched, as nothing tells of its progress.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -40,6 +40,11 @@
 	// repeatable requests can be given up here and sent elsewhere.
 	repeatable bool
 	givenUp    bool
+	// resumed is set if the caller has the beginning of the answer from an
+	// earlier upstream, excluded are the upstreams that this request may not
+	// go to.
+	resumed  bool
+	excluded []state.Upstream
 }
 
 // Upstream returns where the request runs.
@@ -56,7 +61,7 @@
 	t := &Ticket{
 		upstream: e.Upstream, born: e.Born, service: w.Service, placed: now, heard: now,
 		unread: e.Unread, total: tokens(w.Prompt), work: e.work, output: w.Output,
-		pending: true, repeatable: w.Repeatable,
+		pending: true, repeatable: w.Repeatable, resumed: w.Resumed, excluded: w.Excluded,
 	}
 	h := p.hosts[e.Upstream]
 	if h == nil {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -47,8 +47,10 @@
 	// is still on time; zero means none.
 	Pause time.Duration
 	// Repeatable requests may be given up at one upstream and sent to
-	// another.
+	// another, if one is left.
 	Repeatable bool
+	// Resumed is set if the caller has the beginning of the answer.
+	Resumed bool
 	// Excluded are upstreams that failed or rejected this request.
 	Excluded []state.Upstream
 }
--- a/coordination/placement/stall.go
+++ b/coordination/placement/stall.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figstile/figstile/state"
@@ -31,21 +32,42 @@
 // Stalled returns the requests that are given up where they are, because they
 // can be sent again and their answer will not come: their upstream is silent,
 // or has begun later requests, or goes on with others. Each is returned once.
-// It also marks upstreams, and with them data centres, as unreachable.
-func (p *Picture) Stalled(now time.Time) []*Ticket {
+// A request whose caller has the beginning of its answer is returned only if
+// repeat, asked once for it, grants a retry at its service: a caller whose
+// stream breaks off has nothing, one that waits may see an upstream go on that
+// was only slow. The others can still be answered, if by a failure.
+// Stalled also marks upstreams, and with them data centres, as unreachable.
+func (p *Picture) Stalled(now time.Time, repeat func(state.Service) bool) []*Ticket {
 	p.markSilent(now)
 	var stalled []*Ticket
 	for _, h := range p.hosts {
 		for _, t := range h.active {
-			if t.repeatable && !t.givenUp && p.stalled(now, t) {
-				t.givenUp = true
-				stalled = append(stalled, t)
+			if !p.mayGiveUp(t) || !p.stalled(now, t) {
+				continue
 			}
+			if t.delivering() && !repeat(t.service) {
+				continue
+			}
+			t.givenUp = true
+			stalled = append(stalled, t)
 		}
 	}
 	return stalled
 }
 
+// mayGiveUp says whether a request can be sent to another upstream than its own.
+func (p *Picture) mayGiveUp(t *Ticket) bool {
+	if !t.repeatable || t.givenUp {
+		return false
+	}
+	return slices.ContainsFunc(p.services[t.service], func(h *host) bool {
+		return h != t.host && !h.Leaving && !h.unreachable && !slices.Contains(t.excluded, h.ID)
+	})
+}
+
+// delivering says whether the caller has the beginning of the answer.
+func (t *Ticket) delivering() bool { return t.resumed || t.Answering() }
+
 func (p *Picture) stalled(now time.Time, t *Ticket) bool {
 	quiet := now.Sub(t.heard)
 	switch {
--- a/coordination/placement/stall_test.go
+++ b/coordination/placement/stall_test.go
@@ -10,6 +10,9 @@
 	"github.com/figstile/figstile/state/directory"
 )
 
+// anyRepeat grants every retry.
+func anyRepeat(state.Service) bool { return true }
+
 // placeAt sends a request to one upstream.
 func (p *Picture) placeAt(now time.Time, id state.Upstream, w Work) *Ticket {
 	u := p.hosts[id]
@@ -23,13 +26,13 @@
 	p := picture()
 	lost := p.placeAt(at(0), "e1", prompt(1, 10))
 	later := p.placeAt(at(10), "e1", prompt(2, 10))
-	require.Empty(t, p.Stalled(at(500)), "nothing shows yet")
+	require.Empty(t, p.Stalled(at(500), anyRepeat), "nothing shows yet")
 	p.FirstOutput(at(510), later)
 	p.Output(at(900), later)
-	require.Empty(t, p.Stalled(at(800)))
+	require.Empty(t, p.Stalled(at(800), anyRepeat))
 	p.Output(at(1000), later)
-	require.Equal(t, []*Ticket{lost}, p.Stalled(at(1000)))
-	require.Empty(t, p.Stalled(at(1010)), "told once")
+	require.Equal(t, []*Ticket{lost}, p.Stalled(at(1000), anyRepeat))
+	require.Empty(t, p.Stalled(at(1010), anyRepeat), "told once")
 }
 
 // What must not run twice waits on: its silence proves nothing.
@@ -41,7 +44,7 @@
 	later := p.placeAt(at(10), "e1", prompt(2, 10))
 	p.FirstOutput(at(510), later)
 	p.Output(at(5000), later)
-	require.Empty(t, p.Stalled(at(5000)))
+	require.Empty(t, p.Stalled(at(5000), anyRepeat))
 }
 
 // One stream of an engine stops, others go on.
@@ -53,7 +56,7 @@
 	for ms := 200; ms <= 1400; ms += 100 {
 		p.Output(at(ms), talking)
 	}
-	require.Equal(t, []*Ticket{silent}, p.Stalled(at(1400)))
+	require.Equal(t, []*Ticket{silent}, p.Stalled(at(1400), anyRepeat))
 	require.Empty(t, p.Unreachable())
 }
 
@@ -73,7 +76,7 @@
 	for ms := 200; ms <= 1000; ms += 100 {
 		p.Output(at(ms), near)
 	}
-	require.ElementsMatch(t, []*Ticket{one, two}, p.Stalled(at(1000)))
+	require.ElementsMatch(t, []*Ticket{one, two}, p.Stalled(at(1000), anyRepeat))
 	var unreachable []state.Upstream
 	for _, u := range p.Unreachable() {
 		unreachable = append(unreachable, u.ID)
@@ -88,6 +91,6 @@
 	p := picture()
 	w := Work{Service: "web", Repeatable: true}
 	ticket := p.placeAt(at(0), "p1", w)
-	require.Empty(t, p.Stalled(at(200)))
-	require.Equal(t, []*Ticket{ticket}, p.Stalled(at(300)))
+	require.Empty(t, p.Stalled(at(200), anyRepeat))
+	require.Equal(t, []*Ticket{ticket}, p.Stalled(at(300), anyRepeat))
 }
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -156,7 +156,7 @@
 // giveUpStalled ends the attempts whose answers will not come.
 func (d *desk) giveUpStalled() int {
 	d.mu.Lock()
-	stalled := d.picture.Stalled(d.now())
+	stalled := d.picture.Stalled(d.now(), d.repeat)
 	var giveUp []func()
 	for _, t := range stalled {
 		giveUp = append(giveUp, d.watched[t])
@@ -201,6 +201,11 @@
 func (d *desk) Repeat(service state.Service) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.repeat(service)
+}
+
+// repeat is Repeat for callers that hold the lock.
+func (d *desk) repeat(service state.Service) bool {
 	return d.budget(service).Repeat(d.now(), d.retryLimits(), d.routers)
 }
 
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -130,9 +130,11 @@
 }
 
 // An engine makes a long pause in a stream, as it reads long prompts, and lives.
-// The router takes the stream for stalled and gives it up, though no other
-// engine takes it or its retry budget is spent: the caller, who has read half of
-// it, sees it break off where it would have gone on.
+// The router took the stream for stalled and gave it up, though no other engine
+// took it or the retry budget was spent: the caller, who had read half of it, saw
+// it break off where it would have gone on. The router asked for a place and a
+// retry only after it had closed the upstream's connection: "stalled requests
+// given up requests=1", then code=3002 decision=no-upstream.
 func TestStreamIsGivenUpOnlyIfItCanGoOnElsewhere(t *testing.T) {
 	f := newFixture()
 	f.desk.settings.RetryWindow, f.desk.settings.RetrySlack = 10*time.Second, 2
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -164,8 +164,6 @@
 			Output:  x.expectedOutput(),
 			Target:  x.route.Target,
 			Pause:   x.route.Pause,
-			// A stream that cannot be resumed must not be begun twice.
-			Repeatable: x.route.Repeatable() && x.route.MaxAttempts > 1,
 		},
 		Fingerprint: x.fingerprint,
 		Workspace:   x.workspace,
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -48,6 +48,8 @@
 func (x *exchange) dispatch(ctx context.Context) result.Result {
 	unsent := 0
 	for {
+		x.request.Repeatable = x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
+		x.request.Resumed = x.began
 		verdict, ticket := x.h.Desk.Admit(x.request, x.attempts > 0 || unsent > 0)
 		x.verdict = verdict
 		if x.h.Observer != nil {
@@ -85,7 +87,7 @@
 	case end.fate == fateFailed && !x.route.Repeatable():
 		return false
 	default:
-		return x.h.Desk.Repeat(x.service)
+		return x.repeatPaid || x.h.Desk.Repeat(x.service)
 	}
 }
 
@@ -141,6 +143,7 @@
 	defer cancel(nil)
 	x.h.Desk.Watch(ticket, func() { cancel(errStalled) })
 	end, outcome := x.exchange(inner, ticket)
+	x.repeatPaid = x.began && errors.Is(context.Cause(inner), errStalled)
 	if ctx.Err() != nil {
 		outcome = placement.Withdrawn
 	}
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -21,7 +21,9 @@
 	// before: it counts once. The ticket is nil unless the verdict admits, and
 	// must be ended.
 	Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket)
-	// Watch lets the desk end an attempt whose answer will not come.
+	// Watch lets the desk end an attempt whose answer will not come. If the
+	// caller has the beginning of the answer, the desk has spent a repeat on
+	// it then.
 	Watch(t *placement.Ticket, giveUp func())
 	// Output notes that a part of an answer came; first is set for the first
 	// event of a stream.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -115,6 +115,9 @@
 	attempts int
 	// began is set once the head of the answer went to the caller.
 	began bool
+	// repeatPaid is set if the desk spent a retry when it gave up the last
+	// attempt.
+	repeatPaid bool
 	// abort is set if the answer under way must not be ended cleanly.
 	abort bool
 	// lastEvent is the last event that was passed on whole.
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -226,6 +226,24 @@
 	require.Equal(t, "page", body)
 }
 
+// A stream stalls after its first event. The desk has spent a retry on it when
+// it gives it up, so that the stream goes on at another engine even if nobody
+// else gets a retry now; asked again for one, its caller saw it break off.
+func TestStreamThatWasGivenUpGoesOn(t *testing.T) {
+	u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = conn.Write([]byte(streamHead + chunk(event(1))))
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	spare := startUpstream(t, say(streamHead+chunk(event(2))+"0\r\n\r\n"))
+	d := openDoor(t, resumable, u, spare)
+	d.desk.noRepeats = true
+	response := d.post(t)
+	d.desk.giveUp(0)
+	body, err := bodyOf(t, response)
+	require.NoError(t, err)
+	require.Equal(t, event(1)+event(2), body)
+}
+
 // A caller leaves while its request runs. The worker notices by its connection
 // and stops; nothing is sent anywhere else.
 func TestLeavingCallerEndsTheAttempt(t *testing.T) {
--- a/transport/ingress/held.go
+++ b/transport/ingress/held.go
@@ -80,6 +80,9 @@
 
 // relayLong passes on an answer that is too long to hold.
 func (x *exchange) relayLong(answer *upstream.Answer, held *heldAnswer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
+	// Nothing more is told of this answer: from here on it must not be taken
+	// for stalled, or its caller would see it break off.
+	x.h.Desk.Watch(ticket, func() {})
 	x.begin(held)
 	if length := answer.Header.Get("Content-Length"); length != "" {
 		x.w.Header().Set("Content-Length", length)
