Take what peers know to be gone as gone, not as lapsed

Callers' requests reached an engine up to 2.9 s after it had said that it leaves, some seconds after its data centre had been cut off. Its entry had lapsed during the cut; routers outside, in touch with the store all the time, took it as gone. A router of the data centre reached the store again, found no entry, and used the engine for another 2.2 s as if the store had been away.

The cause is in the catalogue: whatever the store no longer holds within 2.2 s of a router's own return counted as lapsed, and nothing that peers said could change that. Their removal has an older revision than the router's own list, and was dropped as such. The other side of the same mistake: a router that regained the store first told all others "gone" of what it held as lapsed itself, so that those who had not noticed the store's return dropped upstreams that were about to register again.

A removal that may be a lapse now waits beside the directory, is not told, and leaves the digest as it is. A peer's removal is thus always a sure one, and settles it if it is newer than the entry that was held, whatever the revision of the list. A router in doubt asks the peers that read the store and hold other upstreams: each once, one at a time, other data centres first. After an outage of the store all hold the same, so that nobody is asked. What is settled is told to the peers, so that a neighbour that has not reached the store learns of it too.

Ruled out: late words of the readers (the routers outside dropped the engine within 60 ms); the digests' lasting difference as the trigger (engines that come back one by one restart it, up to 2 s); a time since when a peer has followed the store (clocks and words held up by the cut, where a revision per entry needs neither).

The cost: engines of the data centre that live are missed until they register again.

--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -56,6 +56,8 @@
 	// sure is set while the peer asked is such a one.
 	knows state.Router
 	sure  bool
+	// consulted are the peers asked of upstreams that may be gone.
+	consulted map[state.Router]bool
 }
 
 // Holding recognises what a router holds.
@@ -120,10 +122,39 @@
 	if c.known[p.Router] == p.Incarnation {
 		c.done, c.need = false, now
 		clear(c.tried)
+		delete(c.consulted, p.Router)
 	}
 	c.known[p.Router] = p.Incarnation
 }
 
+// Doubt takes that upstreams may be gone that are still used here, and the
+// peers that follow the store and hold other upstreams. One that was in touch
+// with the store all the time knows, and told of it when this router was cut
+// off. A lasting difference shows that too late: upstreams that were cut off as
+// well come back one after the other, and meanwhile requests go to one that is
+// gone. So each of these peers is asked at once, one at a time and each once.
+// Those of other data centres come first, for a cut mostly takes a whole one.
+func (c *CatchUp) Doubt(now time.Time, self scheduler.Peer, readers []scheduler.Peer) {
+	if c.knows != "" || c.sure && now.Sub(c.at) < answerWithin {
+		return
+	}
+	candidates := slices.DeleteFunc(slices.Clone(readers), func(p scheduler.Peer) bool {
+		return p.Router == self.Router || c.consulted[p.Router]
+	})
+	if len(candidates) == 0 {
+		return
+	}
+	best := pick(self, candidates, func(p scheduler.Peer) bool { return p.DataCentre != self.DataCentre })
+	if c.consulted == nil {
+		c.consulted = make(map[state.Router]bool)
+	}
+	c.consulted[best.Router] = true
+	c.done, c.need, c.knows = false, now, best.Router
+}
+
+// Settled takes that no upstream is in doubt.
+func (c *CatchUp) Settled() { clear(c.consulted) }
+
 // Ask returns the peer to ask now, if any: those of the own data centre first,
 // in an order that differs from router to router.
 func (c *CatchUp) Ask(now time.Time, self scheduler.Peer, live []scheduler.Peer) (state.Router, bool) {
@@ -145,13 +176,7 @@
 		c.retry = now.Add(askAgain)
 		return "", false
 	}
-	near := slices.DeleteFunc(slices.Clone(candidates), func(p scheduler.Peer) bool { return p.DataCentre != self.DataCentre })
-	if len(near) > 0 {
-		candidates = near
-	}
-	best := slices.MinFunc(candidates, func(a, b scheduler.Peer) int {
-		return cmp.Compare(pairHash(self.Router, a.Router), pairHash(self.Router, b.Router))
-	})
+	best := pick(self, candidates, func(p scheduler.Peer) bool { return p.DataCentre == self.DataCentre })
 	if c.tried == nil {
 		c.tried = make(map[state.Router]bool)
 	}
@@ -177,4 +202,16 @@
 	clear(c.differences)
 }
 
+// pick returns one of the candidates, a preferred one if there is any, in an
+// order that differs from router to router.
+func pick(self scheduler.Peer, candidates []scheduler.Peer, prefer func(scheduler.Peer) bool) scheduler.Peer {
+	preferred := slices.DeleteFunc(slices.Clone(candidates), func(p scheduler.Peer) bool { return !prefer(p) })
+	if len(preferred) > 0 {
+		candidates = preferred
+	}
+	return slices.MinFunc(candidates, func(a, b scheduler.Peer) int {
+		return cmp.Compare(pairHash(self.Router, a.Router), pairHash(self.Router, b.Router))
+	})
+}
+
 func pairHash(a, b state.Router) uint64 { return xxhash.Sum64String(string(a) + "/" + string(b)) }
--- a/coordination/exchange/catchup_test.go
+++ b/coordination/exchange/catchup_test.go
@@ -187,3 +187,56 @@
 	_, ok := c.Ask(after(time.Minute), live[0], live)
 	require.False(t, ok)
 }
+
+// A cut has healed, and an upstream may be gone that is still used. Whoever
+// follows the store is asked at once and once, other data centres first, and
+// the next one only when the first has answered or stays silent.
+func TestDoubtAsksEachReaderOnce(t *testing.T) {
+	live := run(8, 4)
+	c, self := caughtUp(t, live), live[0]
+	readers := []scheduler.Peer{find(live, "r004"), find(live, "r001"), find(live, "r002")}
+	ask := func(now time.Time) (state.Router, bool) {
+		c.Doubt(now, self, readers)
+		return c.Ask(now, self, live)
+	}
+	first, ok := ask(after(0))
+	require.True(t, ok)
+	require.NotEqualValues(t, "r004", first)
+	_, ok = ask(after(answerWithin - 1))
+	require.False(t, ok, "it may still answer")
+	second, ok := ask(after(answerWithin))
+	require.True(t, ok)
+	require.NotContains(t, []state.Router{first, "r004"}, second)
+	c.Answered(after(answerWithin+1), second, true)
+	third, ok := ask(after(answerWithin + 2))
+	require.True(t, ok)
+	require.EqualValues(t, "r004", third, "its data centre may not have been cut off as a whole")
+	c.Answered(after(answerWithin+3), third, true)
+	_, ok = ask(after(3 * answerWithin))
+	require.False(t, ok, "all have been asked; what they learn later they tell")
+}
+
+// A peer that was asked was cut off again, and what it told meanwhile is
+// missing. It is asked anew, as are all once another upstream is in doubt.
+func TestDoubtAsksAnewAfterASession(t *testing.T) {
+	live := run(8, 4)
+	c, self := caughtUp(t, live), live[0]
+	readers := []scheduler.Peer{find(live, "r001")}
+	c.Session(start, readers[0])
+	requireAsked := func(now time.Time) {
+		t.Helper()
+		c.Doubt(now, self, readers)
+		router, ok := c.Ask(now, self, live)
+		require.True(t, ok)
+		require.EqualValues(t, "r001", router)
+		c.Answered(now, router, true)
+	}
+	requireAsked(after(0))
+	c.Session(after(1), readers[0])
+	requireAsked(after(1))
+	c.Doubt(after(2), self, readers)
+	_, ok := c.Ask(after(2), self, live)
+	require.False(t, ok)
+	c.Settled()
+	requireAsked(after(3))
+}
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -44,20 +44,26 @@
 	return &Directory{entries: make(map[state.Upstream]Entry)}
 }
 
-// Apply takes an entry unless one as new is held, and says whether it did.
-// Revisions only grow, so an old answer of the store, or a peer that was cut
-// off, never brings back an upstream that has left. A removal counts against
-// the revision that it removed.
+// Apply takes an entry if it is newer than what is held, and says whether it
+// did.
 func (d *Directory) Apply(id state.Upstream, entry Entry) bool {
-	held, ok := d.entries[id]
-	removes := !entry.Present && held.Present && held.Revision == entry.Revision
-	if ok && held.Revision >= entry.Revision && !removes {
+	if !d.Newer(id, entry) {
 		return false
 	}
 	d.entries[id] = entry
 	return true
 }
 
+// Newer says whether an entry is newer than what is held. Revisions only grow,
+// so an old answer of the store, or a peer that was cut off, never brings back
+// an upstream that has left. A removal counts against the revision that it
+// removed.
+func (d *Directory) Newer(id state.Upstream, entry Entry) bool {
+	held, ok := d.entries[id]
+	removes := !entry.Present && held.Present && held.Revision == entry.Revision
+	return !ok || held.Revision < entry.Revision || removes
+}
+
 // Entry returns what is held of an id.
 func (d *Directory) Entry(id state.Upstream) (Entry, bool) {
 	entry, ok := d.entries[id]
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -19,6 +19,12 @@
 // about two seconds if it lives.
 const returnGrace = 2200 * time.Millisecond
 
+// lapse is a removal that is not in force yet.
+type lapse struct {
+	removal Object
+	due     time.Time
+}
+
 // catalogue holds the newest known objects of the store, whoever told them:
 // the store or a peer. Revisions only rise.
 type catalogue struct {
@@ -34,9 +40,10 @@
 	upstream *directory.Directory
 	// digest is of what the entries say, without their revisions.
 	digest uint64
-	// lapsed are upstreams whose entries went while the store was away, and
-	// when that counts.
-	lapsed map[state.Upstream]time.Time
+	// lapsed are upstreams whose entries may have lapsed while the store was
+	// away; settled are removals that no longer wait and are yet to be told.
+	lapsed  map[state.Upstream]lapse
+	settled []Object
 	// away is set while the store does not answer; returned is when it last
 	// came back.
 	away     bool
@@ -48,7 +55,7 @@
 		platform: platform, desk: desk, log: log, now: now,
 		objects:  make(map[string]Object),
 		upstream: directory.New(),
-		lapsed:   make(map[state.Upstream]time.Time),
+		lapsed:   make(map[state.Upstream]lapse),
 	}
 }
 
@@ -85,19 +92,39 @@
 }
 
 func (c *catalogue) takeUpstream(o Object, source string) bool {
-	id := state.Upstream(o.Name)
+	entry := c.entryOf(o)
+	if l, ok := c.lapsed[state.Upstream(o.Name)]; ok && c.judgeLapsed(l, o, entry, source) {
+		return false
+	}
+	if source == sourceStore && c.mayHaveLapsed(o, entry) {
+		c.hold(o)
+		return false
+	}
+	return c.apply(o, entry, source)
+}
+
+func (c *catalogue) entryOf(o Object) directory.Entry {
 	entry := directory.Entry{Revision: o.Revision}
-	if !o.Removed {
-		decoded, err := c.platform.DecodeUpstream(o.Name, o.Spec)
-		if err != nil {
-			c.log.Debug().Err(err).Str("upstream", o.Name).Msg("entry names no upstream")
-		}
-		entry.Present, entry.Upstream = err == nil, decoded
+	if o.Removed {
+		return entry
 	}
+	decoded, err := c.platform.DecodeUpstream(o.Name, o.Spec)
+	if err != nil {
+		c.log.Debug().Err(err).Str("upstream", o.Name).Msg("entry names no upstream")
+	}
+	entry.Present, entry.Upstream = err == nil, decoded
+	return entry
+}
+
+// apply puts an entry in force, and says whether that changed anything that is
+// decided on.
+func (c *catalogue) apply(o Object, entry directory.Entry, source string) bool {
+	id := state.Upstream(o.Name)
 	before, _ := c.upstream.Entry(id)
 	if !c.upstream.Apply(id, entry) {
 		return false
 	}
+	delete(c.lapsed, id)
 	c.objects[o.Name] = o
 	c.digest ^= digestOf(before) ^ digestOf(entry)
 	c.show(id, before, entry, source)
@@ -129,37 +156,89 @@
 	if same(before, entry) {
 		return
 	}
-	if !entry.Present && before.Present && !before.Upstream.Leaving && c.mayHaveLapsed() {
-		c.lapsed[id] = c.returned.Add(returnGrace)
-		c.log.Info().Str("upstream", string(id)).Str("source", source).Msg("upstream may have lapsed")
-		return
-	}
-	delete(c.lapsed, id)
 	c.desk.setUpstream(id, entry.Upstream, entry.Present)
 	c.log.Info().Str("upstream", string(id)).Str("service", string(entry.Upstream.Service)).
 		Str("address", entry.Upstream.Address).Bool("present", entry.Present).Bool("leaving", entry.Upstream.Leaving).
 		Uint64("revision", entry.Revision).Str("source", source).Msg("upstream changed")
 }
 
-// mayHaveLapsed says whether an entry that is gone may only have lapsed while
-// the store was away.
-func (c *catalogue) mayHaveLapsed() bool {
+// mayHaveLapsed says whether an entry that the store no longer holds may only
+// have lapsed while the store was away. This router cannot tell that from
+// having been cut off itself, so only the store's word is in doubt: a peer
+// tells of a removal once it is sure.
+func (c *catalogue) mayHaveLapsed(o Object, entry directory.Entry) bool {
+	id := state.Upstream(o.Name)
+	held, _ := c.upstream.Entry(id)
+	if entry.Present || !held.Present || held.Upstream.Leaving || !c.upstream.Newer(id, entry) {
+		return false
+	}
 	return !c.returned.IsZero() && c.now().Sub(c.returned) < returnGrace
 }
 
-// settleLapsed drops upstreams that did not register again in time.
-func (c *catalogue) settleLapsed() {
+// hold keeps an upstream in use whose entry may have lapsed. The directory and
+// its digest keep the entry and peers are not told: they would take the
+// upstream as gone, and drop one that is about to register again.
+func (c *catalogue) hold(o Object) {
+	id := state.Upstream(o.Name)
+	held, ok := c.lapsed[id]
+	if !ok {
+		held.due = c.returned.Add(returnGrace)
+		c.log.Info().Str("upstream", o.Name).Uint64("revision", o.Revision).Msg("upstream may have lapsed")
+	}
+	held.removal = o
+	c.lapsed[id] = held
+}
+
+// judgeLapsed weighs what is told of an upstream that may have lapsed, and says
+// whether nothing else is to be made of it. The upstream is gone if a peer says
+// so, or if it said that it leaves before its entry went. Without the peer's
+// word a router that was cut off itself sends requests for two seconds to an
+// upstream that all others know to be gone. The word holds because peers give
+// it only when they are sure; one no newer than the entry held here is of an
+// earlier end, and does not count.
+func (c *catalogue) judgeLapsed(l lapse, o Object, entry directory.Entry, source string) bool {
+	outdated := o.Revision <= l.removal.Revision
+	removed := !entry.Present && source != sourceStore
+	left := entry.Upstream.Leaving && outdated
+	if !removed && !left || !c.upstream.Newer(state.Upstream(o.Name), entry) {
+		return outdated
+	}
+	if outdated {
+		o = l.removal
+	}
+	c.settle(o, source)
+	return true
+}
+
+// settle takes an upstream as gone that may have lapsed.
+func (c *catalogue) settle(removal Object, source string) {
+	c.log.Info().Str("upstream", removal.Name).Str("source", source).Msg("upstream gone after the store's return")
+	if c.apply(removal, directory.Entry{Revision: removal.Revision}, source) {
+		c.settled = append(c.settled, removal)
+	}
+}
+
+// settleLapsed drops upstreams that did not register again in time, and returns
+// the removals that peers are to be told of.
+func (c *catalogue) settleLapsed() []Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	for id, due := range c.lapsed {
-		if now.Before(due) {
-			continue
+	for _, l := range c.lapsed {
+		if !now.Before(l.due) {
+			c.settle(l.removal, sourceStore)
 		}
-		delete(c.lapsed, id)
-		c.desk.setUpstream(id, directory.Upstream{}, false)
-		c.log.Info().Str("upstream", string(id)).Msg("upstream gone after the store's return")
 	}
+	settled := c.settled
+	c.settled = nil
+	return settled
+}
+
+// doubtful says whether there are upstreams that may have lapsed.
+func (c *catalogue) doubtful() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.lapsed) > 0
 }
 
 // replace takes a whole list: what it lacks is gone.
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -23,6 +23,8 @@
 	clock  *fakeClock
 	nodes  map[state.Router]*node
 	queued []func()
+	// cutOff is a data centre that reaches no other, empty if there is none.
+	cutOff state.DataCentre
 	// messages and bytes are of all routers, far those between data centres.
 	messages, bytes, far int
 }
@@ -64,26 +66,39 @@
 
 // publish opens and closes sessions and tells all routers who lives.
 func (n *network) publish() {
-	var live []scheduler.Peer
-	for i := range len(n.nodes) {
-		if one := n.nodes[state.Router(fmt.Sprintf("r%03d", i))]; !one.dead {
-			live = append(live, one.fleet.self)
-		}
-	}
 	for _, one := range n.nodes {
 		if one.dead {
 			clear(one.sessions)
 			continue
 		}
+		live := n.liveFor(one)
 		one.connect(live)
 		one.fleet.onPeers(live)
 	}
 }
 
+// liveFor returns the routers that one can reach, itself included.
+func (n *network) liveFor(one *node) []scheduler.Peer {
+	var live []scheduler.Peer
+	for i := range len(n.nodes) {
+		other := n.nodes[state.Router(fmt.Sprintf("r%03d", i))]
+		if !other.dead && one.reaches(other) {
+			live = append(live, other.fleet.self)
+		}
+	}
+	return live
+}
+
+// reaches says whether no cut lies between two routers.
+func (o *node) reaches(other *node) bool {
+	from, to, cutOff := o.fleet.self.DataCentre, other.fleet.self.DataCentre, o.network.cutOff
+	return from == to || from != cutOff && to != cutOff
+}
+
 // connect opens sessions with the live routers, before those are published.
 func (o *node) connect(live []scheduler.Peer) {
 	for router := range o.sessions {
-		if o.network.nodes[router].dead {
+		if other := o.network.nodes[router]; other.dead || !o.reaches(other) {
 			delete(o.sessions, router)
 		}
 	}
@@ -106,6 +121,7 @@
 		}
 		for _, one := range n.nodes {
 			if !one.dead {
+				one.fleet.tellSettled()
 				one.fleet.askForCatalogue()
 				one.fleet.tellInTurn(&one.told)
 			}
@@ -115,6 +131,9 @@
 
 func (o *node) Send(to state.Router, env *peerpb.Envelope) bool {
 	other := o.network.nodes[to]
+	if !o.reaches(other) {
+		return false
+	}
 	o.network.messages++
 	o.network.bytes += proto.Size(env)
 	if other.fleet.self.DataCentre != o.fleet.self.DataCentre {
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -61,6 +61,13 @@
 
 var _ sender = (*peer.Mesh)(nil)
 
+// readerWord is a peer's last word that it reads the store.
+type readerWord struct {
+	heard time.Time
+	// upstreams is the digest of those that it holds.
+	upstreams uint64
+}
+
 // fleet talks with the peers.
 type fleet struct {
 	self      scheduler.Peer
@@ -77,7 +84,7 @@
 	mu     sync.Mutex
 	live   []scheduler.Peer
 	plan   exchange.Plan
-	claims map[state.Router]time.Time
+	claims map[state.Router]readerWord
 	// answered is when the store last answered this router, failed when a
 	// call last failed; each kind is followed by itself.
 	answered time.Time
@@ -101,7 +108,7 @@
 func newFleet(self scheduler.Peer, desk *desk, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
 	f := &fleet{
 		self: self, desk: desk, catalogue: catalogue, log: log, now: now, started: now(),
-		claims: make(map[state.Router]time.Time), informed: make(map[state.Router]bool),
+		claims: make(map[state.Router]readerWord), informed: make(map[state.Router]bool),
 	}
 	desk.onLost = f.sendLost
 	return f
--- a/transport/edge/hear.go
+++ b/transport/edge/hear.go
@@ -125,7 +125,7 @@
 	f.mu.Lock()
 	f.catchUp.Heard(f.now(), from, theirs, own)
 	if m.GetStore() {
-		f.claims[from] = f.now()
+		f.claims[from] = readerWord{heard: f.now(), upstreams: theirs.Upstreams}
 		f.catchUp.Compare(f.now(), from, theirs, own)
 	} else {
 		delete(f.claims, from)
--- /dev/null
+++ b/transport/edge/lapse_test.go
@@ -0,0 +1,212 @@
+package edge
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
+)
+
+var errSilent = errors.New("silent")
+
+// storeTells gives routers that follow the store an object, which they pass on.
+func (n *network) storeTells(o Object, routers ...state.Router) {
+	for _, router := range routers {
+		one := n.nodes[router]
+		one.fleet.reading = true
+		one.fleet.onAnswer()
+		if one.fixture.catalogue.take(KindUpstream, o, sourceStore) {
+			one.fleet.sendNews(KindUpstream, []Object{o})
+		}
+	}
+}
+
+// loseStore takes the store away from routers.
+func (n *network) loseStore(routers ...state.Router) {
+	for _, router := range routers {
+		n.nodes[router].fleet.onFailure()
+		n.nodes[router].fixture.catalogue.unreached(errSilent)
+	}
+}
+
+// regainStore gives the store back to a router, which lists it anew.
+func (n *network) regainStore(router state.Router, at uint64, listed ...Object) {
+	one := n.nodes[router]
+	one.fixture.catalogue.reached()
+	one.fleet.reading = true
+	one.fleet.onAnswer()
+	if news := one.fixture.catalogue.replace(listed, at, sourceStore); len(news) > 0 {
+		one.fleet.sendNews(KindUpstream, news)
+	}
+}
+
+// runRead lets time pass while routers go on reading the store.
+func (n *network) runRead(d time.Duration, routers ...state.Router) {
+	for range d / scanEvery {
+		for _, router := range routers {
+			n.nodes[router].fleet.onAnswer()
+		}
+		n.run(scanEvery)
+	}
+}
+
+// usable counts the upstreams that a router uses, without the engines that
+// each router of the network begins with.
+func (n *network) usable(router state.Router) int { return n.nodes[router].fixture.usable() - 4 }
+
+// A caller's request reached an engine 2.9 s after it had said that it leaves.
+// A data centre was cut off, so that the entry of an engine in it lapsed; the
+// routers outside, in touch with the store all the time, took it as gone. The
+// cut healed, the engine said that it leaves, and a router of the data centre
+// reached the store again, which held no entry. It logged "upstream may have
+// lapsed" and used the engine for another 2.2 s, as if the store had been
+// away; but the router was, and its peers knew that the engine was gone.
+func TestEngineGoneDuringACutIsNotTakenAsLapsed(t *testing.T) {
+	n := newNetwork(8, 4)
+	outside := []state.Router{"r001", "r002", "r003"}
+	n.storeTells(upstreamObject("u", 23, false), outside...)
+	n.runRead(time.Second, outside...)
+	require.Equal(t, 1, n.usable("r000"))
+
+	n.cutOff = "0"
+	n.publish()
+	n.loseStore("r000", "r004")
+	n.runRead(3*time.Second, outside...)
+	n.storeTells(removal("u", 47), outside...)
+	n.runRead(3*time.Second, outside...)
+	require.Equal(t, 1, n.usable("r000"), "a data centre that is cut off goes on serving")
+	require.Zero(t, n.usable("r005"))
+
+	n.cutOff = ""
+	n.publish()
+	n.regainStore("r000", 56)
+	n.runRead(500*time.Millisecond, append(outside, "r000")...)
+	require.Zero(t, n.usable("r000"))
+	require.Zero(t, n.usable("r004"), "its neighbour, which has not reached the store yet")
+}
+
+// The store is away from all for some seconds, and an entry lapses. One router
+// regains the store before the others and lists it. Nobody knows better than
+// that the entry may have lapsed, so that all go on using the upstream for two
+// seconds, those too that have not noticed the store's return or its absence.
+// While the first told the others that the entry was gone, they dropped the
+// upstream at once.
+func TestWhatMayHaveLapsedIsNotToldAsGone(t *testing.T) {
+	n := newNetwork(8, 4)
+	readers := []state.Router{"r000", "r001", "r002"}
+	n.storeTells(upstreamObject("lives", 22, false), readers...)
+	n.storeTells(upstreamObject("dead", 23, false), readers...)
+	n.runRead(time.Second, readers...)
+	n.loseStore("r000", "r001", "r002", "r003")
+	n.run(6 * time.Second)
+
+	n.regainStore("r001", 56)
+	n.runRead(500*time.Millisecond, "r001")
+	n.regainStore("r000", 56)
+	n.runRead(time.Second, "r000", "r001")
+	for router := range n.nodes {
+		require.Equal(t, 2, n.usable(router), router)
+	}
+	n.storeTells(upstreamObject("lives", 57, false), "r000", "r001")
+	n.runRead(time.Second, "r000", "r001")
+	for router := range n.nodes {
+		require.Equal(t, 1, n.usable(router), router)
+	}
+}
+
+// The store turns one router away and serves the others. When it lets that one
+// in again, an entry has just gone that the readers have not heard of yet. As
+// soon as one of them does, the upstream is gone for all.
+func TestRouterThatWasTurnedAwayHearsOfTheEnd(t *testing.T) {
+	n := newNetwork(8, 4)
+	readers := []state.Router{"r001", "r002"}
+	n.storeTells(upstreamObject("u", 23, false), readers...)
+	n.runRead(time.Second, readers...)
+	n.loseStore("r000")
+	n.runRead(3*time.Second, readers...)
+	n.regainStore("r000", 56)
+	n.runRead(3*scanEvery, append(readers, "r000")...)
+	require.Equal(t, 1, n.usable("r000"))
+	n.storeTells(removal("u", 47), "r001")
+	n.runRead(2*scanEvery, append(readers, "r000")...)
+	for router := range n.nodes {
+		require.Zero(t, n.usable(router), router)
+	}
+}
+
+// A data centre is cut off, and with it the only routers that read the store.
+// Nobody outside has anything to say of an entry that lapsed meanwhile. It may
+// have lapsed as well because the store was away.
+func TestRoutersCutOffTogetherKnowNoBetter(t *testing.T) {
+	n := newNetwork(8, 4)
+	n.storeTells(upstreamObject("u", 23, false), "r000", "r004")
+	n.runRead(time.Second, "r000", "r004")
+	n.cutOff = "0"
+	n.publish()
+	n.loseStore("r000", "r004")
+	n.run(6 * time.Second)
+	n.cutOff = ""
+	n.publish()
+	n.regainStore("r000", 56)
+	n.regainStore("r004", 56)
+	n.runRead(returnGrace-3*scanEvery, "r000", "r004")
+	for router := range n.nodes {
+		require.Equal(t, 1, n.usable(router), router)
+	}
+	n.runRead(5*scanEvery, "r000", "r004")
+	for router := range n.nodes {
+		require.Zero(t, n.usable(router), router)
+	}
+}
+
+// What peers say of an upstream that may have lapsed here.
+func TestPeersWordOnWhatMayHaveLapsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		word Object
+		want int
+	}{
+		"gone after what was held here":        {removal("u", 47), 0},
+		"gone as the revision that was held":   {removal("u", 23), 0},
+		"gone after the list":                  {removal("u", 60), 0},
+		"gone before what was held here":       {removal("u", 22), 1},
+		"leaving before it went":               {upstreamObject("u", 44, true), 0},
+		"leaving after it came back":           {upstreamObject("u", 60, true), 0},
+		"there before it went":                 {upstreamObject("u", 44, false), 1},
+		"there as it was held":                 {upstreamObject("u", 23, false), 1},
+		"back after the list":                  {upstreamObject("u", 60, false), 1},
+		"another upstream is gone, not this":   {removal("v", 60), 1},
+		"another upstream is there, with this": {upstreamObject("v", 22, true), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.catalogue.take(KindUpstream, upstreamObject("u", 23, false), sourceStore)
+			f.catalogue.unreached(errSilent)
+			f.catalogue.reached()
+			require.Empty(t, f.catalogue.replace(nil, 56, sourceStore), "nothing to tell yet")
+			f.catalogue.take(KindUpstream, c.word, "peer")
+			require.Equal(t, c.want, f.usable())
+		})
+	}
+}
+
+// An upstream that was gone for the peers comes back with a newer revision. No
+// older word of its end may take it away again.
+func TestUpstreamThatIsBackIsUsedAgain(t *testing.T) {
+	f := newFixture()
+	f.catalogue.take(KindUpstream, upstreamObject("u", 23, false), sourceStore)
+	f.catalogue.unreached(errSilent)
+	f.catalogue.reached()
+	f.catalogue.replace(nil, 56, sourceStore)
+	f.catalogue.take(KindUpstream, removal("u", 47), "peer")
+	require.Zero(t, f.usable())
+	f.catalogue.take(KindUpstream, upstreamObject("u", 50, false), "peer")
+	require.Zero(t, f.usable(), "the list was newer")
+	f.catalogue.take(KindUpstream, upstreamObject("u", 58, false), "peer")
+	f.catalogue.take(KindUpstream, removal("u", 56), "peer")
+	f.clock.advance(returnGrace)
+	f.catalogue.settleLapsed()
+	require.Equal(t, 1, f.usable())
+}
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -64,8 +64,8 @@
 // claimants counts the peers that say they read the store, and those of them
 // that come before this router by name.
 func (f *fleet) claimants(now time.Time) (before, all int) {
-	for router, heard := range f.claims {
-		if now.Sub(heard) > claimExpiry || !f.isLive(router) {
+	for router, word := range f.claims {
+		if now.Sub(word.heard) > claimExpiry || !f.isLive(router) {
 			delete(f.claims, router)
 			continue
 		}
@@ -77,6 +77,19 @@
 	return before, all
 }
 
+// otherwiseInformed returns the live peers that read the store and hold other
+// upstreams than this router. One that holds the same has nothing to tell.
+func (f *fleet) otherwiseInformed(now time.Time, upstreams uint64) []scheduler.Peer {
+	var readers []scheduler.Peer
+	for _, p := range f.live {
+		word, ok := f.claims[p.Router]
+		if ok && now.Sub(word.heard) <= claimExpiry && word.upstreams != upstreams {
+			readers = append(readers, p)
+		}
+	}
+	return readers
+}
+
 func (f *fleet) isLive(router state.Router) bool {
 	return slices.ContainsFunc(f.live, func(p scheduler.Peer) bool { return p.Router == router })
 }
--- a/transport/edge/sessions.go
+++ b/transport/edge/sessions.go
@@ -77,9 +77,16 @@
 	}
 }
 
-// askForCatalogue asks a peer for all objects if some may be missing here.
+// askForCatalogue asks a peer for all objects if some may be missing here, or
+// upstreams may be gone that are still used.
 func (f *fleet) askForCatalogue() {
+	doubtful, own := f.catalogue.doubtful(), f.catalogue.holding()
 	f.mu.Lock()
+	if doubtful {
+		f.catchUp.Doubt(f.now(), f.self, f.otherwiseInformed(f.now(), own.Upstreams))
+	} else {
+		f.catchUp.Settled()
+	}
 	router, ask := f.catchUp.Ask(f.now(), f.self, f.live)
 	f.mu.Unlock()
 	if ask {
--- a/transport/edge/tell.go
+++ b/transport/edge/tell.go
@@ -33,7 +33,7 @@
 			waiting = false
 			told.loads = f.tellLoads(f.now(), told.loads)
 		case <-ticker.C:
-			f.catalogue.settleLapsed()
+			f.tellSettled()
 			f.giveUpStalled()
 			f.askForCatalogue()
 			f.tellInTurn(&told)
@@ -41,6 +41,13 @@
 	}
 }
 
+// tellSettled tells peers of upstreams that are gone after it was in doubt.
+func (f *fleet) tellSettled() {
+	if gone := f.catalogue.settleLapsed(); len(gone) > 0 {
+		f.sendNews(KindUpstream, gone)
+	}
+}
+
 // timesTold are when peers were last told of what.
 type timesTold struct {
 	reading             bool
