Ask readers sooner after a cut, not only the neighbour

After a data centre had been cut off, both its routers left it to others to read the store, and went on sending requests to an engine that was gone for 1.2 and 1.9 s after the cut. Their peers outside knew; the two asked each other.

A router that was out of reach asks a peer of its own data centre for what it missed. That peer had missed the same, and its answer also cleared what had been noted of the readers' differing digests. The wait for a lasting difference then began anew with each engine that registered again, so that only the bound of two seconds ended it.

The answer of a peer that was asked without knowing that it holds more no longer clears the differences, and for two seconds after a peer was out of reach a difference of 0.3 s counts although it goes on to change. Changes need some tens of milliseconds between routers, so that two words 0.4 s apart seldom both find one on its way.

Ruled out: asking only peers that were out of reach, since then each router of the fleet would fetch everything from the data centre that was cut off.

--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -24,7 +24,11 @@
 	// in force within two seconds.
 	lacksFor = 300 * time.Millisecond
 	// differsFor is the same while upstreams come and go all the time, so that
-	// two routers are hardly ever seen to hold the same.
+	// two routers are hardly ever seen to hold the same. It is too long for a
+	// router that was cut off: requests go on to an upstream that left
+	// meanwhile, while others that come back change what is held again and
+	// again. For as long after a peer was out of reach any difference of
+	// lacksFor counts.
 	differsFor = 2 * time.Second
 )
 
@@ -39,8 +43,9 @@
 type CatchUp struct {
 	// done is set while nothing can be missing.
 	done bool
-	// need is when something may last have been missed.
-	need time.Time
+	// need is when something may last have been missed; rejoined is when a peer
+	// that was out of reach was last back.
+	need, rejoined time.Time
 	// known are the runs of the peers that sessions were held with.
 	known map[state.Router]state.Incarnation
 	// asked is the peer asked last, empty once it has answered; at is when,
@@ -106,12 +111,20 @@
 		d.theirs, d.own, d.steady = theirs, own, now
 	}
 	c.differences[from] = d
-	if now.Sub(d.steady) >= lacksFor || now.Sub(d.since) >= differsFor {
+	if now.Sub(d.steady) >= lacksFor || now.Sub(d.since) >= c.patience(now) {
 		delete(c.differences, from)
 		c.done, c.need, c.knows = false, now, from
 	}
 }
 
+// patience is how long a difference may last that goes on to change.
+func (c *CatchUp) patience(now time.Time) time.Duration {
+	if now.Sub(c.rejoined) < differsFor {
+		return lacksFor
+	}
+	return differsFor
+}
+
 // Session notes a new session. A peer's run that was known before was out of
 // reach for a while, and what it told meanwhile is missing; a new run has
 // nothing to tell that its peers lack.
@@ -120,7 +133,7 @@
 		c.known = make(map[state.Router]state.Incarnation)
 	}
 	if c.known[p.Router] == p.Incarnation {
-		c.done, c.need = false, now
+		c.done, c.need, c.rejoined = false, now, now
 		clear(c.tried)
 		delete(c.consulted, p.Router)
 	}
@@ -191,6 +204,7 @@
 	if from != c.asked {
 		return
 	}
+	knew := c.sure
 	c.asked, c.sure = "", false
 	if !holds {
 		c.retry = now.Add(askAgain / time.Duration(max(len(c.tried), 1)))
@@ -199,7 +213,11 @@
 	// What was missed after the question was asked may not be in the answer.
 	c.done = !c.need.After(c.at)
 	clear(c.tried)
-	clear(c.differences)
+	// A neighbour may have been cut off together with this router, and its
+	// answer says nothing of what readers hold.
+	if knew {
+		clear(c.differences)
+	}
 }
 
 // pick returns one of the candidates, a preferred one if there is any, in an
--- a/coordination/exchange/catchup_test.go
+++ b/coordination/exchange/catchup_test.go
@@ -240,3 +240,28 @@
 	c.Settled()
 	requireAsked(after(3))
 }
+
+// A data centre is back after a cut. Its routers ask each other first, who have
+// all missed the same, while upstreams that were cut off as well come back one
+// by one. A reader that goes on to hold something else is asked without waiting
+// for the changes to end.
+func TestNeighbourThatMissedTheSameIsNotEnough(t *testing.T) {
+	live := run(8, 4)
+	c, reader := caughtUp(t, live), find(live, "r001")
+	c.Session(start, reader)
+	c.Session(after(time.Minute), reader)
+	ask := func(at time.Duration, changes uint64) (state.Router, bool) {
+		now := after(time.Minute + at)
+		c.Compare(now, reader.Router, Holding{Upstreams: 100 + changes}, Holding{Upstreams: changes})
+		return c.Ask(now, live[0], live)
+	}
+	neighbour, ok := ask(0, 1)
+	require.True(t, ok)
+	require.EqualValues(t, "r004", neighbour)
+	c.Answered(after(time.Minute), neighbour, true)
+	_, ok = ask(lacksFor-1, 2)
+	require.False(t, ok)
+	router, ok := ask(lacksFor, 3)
+	require.True(t, ok)
+	require.Equal(t, reader.Router, router)
+}
--- a/transport/edge/lapse_test.go
+++ b/transport/edge/lapse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,6 +13,16 @@
 
 var errSilent = errors.New("silent")
 
+// newRunningNetwork returns a network in which all routers hold a
+// configuration.
+func newRunningNetwork(routers, dataCentres int) *network {
+	n := newNetwork(routers, dataCentres)
+	for _, one := range n.nodes {
+		one.fixture.catalogue.take(KindConfig, configObject(5, 2), sourceStore)
+	}
+	return n
+}
+
 // storeTells gives routers that follow the store an object, which they pass on.
 func (n *network) storeTells(o Object, routers ...state.Router) {
 	for _, router := range routers {
@@ -65,7 +76,7 @@
 // lapsed" and used the engine for another 2.2 s, as if the store had been
 // away; but the router was, and its peers knew that the engine was gone.
 func TestEngineGoneDuringACutIsNotTakenAsLapsed(t *testing.T) {
-	n := newNetwork(8, 4)
+	n := newRunningNetwork(8, 4)
 	outside := []state.Router{"r001", "r002", "r003"}
 	n.storeTells(upstreamObject("u", 23, false), outside...)
 	n.runRead(time.Second, outside...)
@@ -88,6 +99,34 @@
 	require.Zero(t, n.usable("r004"), "its neighbour, which has not reached the store yet")
 }
 
+// A data centre was cut off, and an engine in it left for good. After the cut
+// its routers left it to others to read the store. Each asked its neighbour for
+// what it had missed, which had missed the same, and went on sending requests
+// to the engine for 1.9 s after the cut. What the readers held differed all the
+// time, but the data centre's other engines registered again one by one, and
+// each began the wait for a lasting difference anew.
+func TestRoutersThatWereCutOffDoNotLearnFromEachOther(t *testing.T) {
+	n := newRunningNetwork(8, 4)
+	outside := []state.Router{"r001", "r002", "r003"}
+	n.storeTells(upstreamObject("u", 23, false), outside...)
+	n.runRead(time.Second, outside...)
+	n.cutOff = "0"
+	n.publish()
+	n.loseStore("r000", "r004")
+	n.runRead(3*time.Second, outside...)
+	n.storeTells(removal("u", 47), outside...)
+	n.runRead(3*time.Second, outside...)
+
+	n.cutOff = ""
+	n.publish()
+	for back := range uint64(5) {
+		n.storeTells(upstreamObject(fmt.Sprintf("back%d", back), 50+back, false), outside...)
+		n.runRead(2*scanEvery, outside...)
+	}
+	require.Equal(t, 5, n.usable("r000"))
+	require.Equal(t, 5, n.usable("r004"))
+}
+
 // The store is away from all for some seconds, and an entry lapses. One router
 // regains the store before the others and lists it. Nobody knows better than
 // that the entry may have lapsed, so that all go on using the upstream for two
@@ -95,7 +134,7 @@
 // While the first told the others that the entry was gone, they dropped the
 // upstream at once.
 func TestWhatMayHaveLapsedIsNotToldAsGone(t *testing.T) {
-	n := newNetwork(8, 4)
+	n := newRunningNetwork(8, 4)
 	readers := []state.Router{"r000", "r001", "r002"}
 	n.storeTells(upstreamObject("lives", 22, false), readers...)
 	n.storeTells(upstreamObject("dead", 23, false), readers...)
@@ -121,7 +160,7 @@
 // in again, an entry has just gone that the readers have not heard of yet. As
 // soon as one of them does, the upstream is gone for all.
 func TestRouterThatWasTurnedAwayHearsOfTheEnd(t *testing.T) {
-	n := newNetwork(8, 4)
+	n := newRunningNetwork(8, 4)
 	readers := []state.Router{"r001", "r002"}
 	n.storeTells(upstreamObject("u", 23, false), readers...)
 	n.runRead(time.Second, readers...)
@@ -141,7 +180,7 @@
 // Nobody outside has anything to say of an entry that lapsed meanwhile. It may
 // have lapsed as well because the store was away.
 func TestRoutersCutOffTogetherKnowNoBetter(t *testing.T) {
-	n := newNetwork(8, 4)
+	n := newRunningNetwork(8, 4)
 	n.storeTells(upstreamObject("u", 23, false), "r000", "r004")
 	n.runRead(time.Second, "r000", "r004")
 	n.cutOff = "0"
