Count a request that was read ahead, or has only arrived, as under way

Two faults that a review of the drain of connections found. A caller that sends two requests at once had the second cut off at its upstream when the router stopped, or when the connection was closed as idle: read ahead with the first, it needs no further read, so that the connection counted as unused.

A connection is now busy as soon as the server begins a request on it. Reading and the decision to close exclude each other, and before the close the kernel is asked whether bytes have arrived; if so, the request is answered. The checks that closed connections are forgotten, and that a request under way protects its connection, are back in the tracker's tests.

Ruled out for the resets that remain: connections that wait to be accepted when the listener closes; no process has them yet.

--- a/transport/conntrack/conn.go
+++ b/transport/conntrack/conn.go
@@ -1,15 +1,21 @@
 package conntrack
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // conn is a tracked connection. It is unused from when it is accepted, or its
-// last request was answered, to the next byte that is read.
+// last request was answered, until bytes of the next request are there.
 type conn struct {
 	*net.TCPConn
+	raw syscall.RawConn
 
 	mu   sync.Mutex
 	busy bool
@@ -17,28 +23,61 @@
 	served bool
 	// unusedSince is when it was last used, or accepted.
 	unusedSince time.Time
-	// retired is set once it was closed as unused.
+	// retired is set once it is to be closed as unused.
 	retired bool
 }
 
-// Read implements net.Conn. A close as unused may cross the arrival of a
-// request. Whichever is first holds: a connection that bytes were read from is
-// not closed, and bytes read after the close are dropped, so that no request
-// goes on to an upstream whose answer cannot be delivered.
+// Read implements net.Conn. The close of an unused connection may cross the
+// arrival of a request, and a request that was read and dropped is lost to its
+// caller, who cannot know whether it ran. So reading and the decision to close
+// exclude each other: a connection that bytes were read from is not closed, and
+// from one that is to be closed nothing is read, which callers see as a reset.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.use() {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	var n int
+	var failed error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, failed = c.tryRead(int(fd), p)
+		return failed != unix.EAGAIN
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", failed)}
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
+	}
+}
+
+// tryRead reads what is there.
+func (c *conn) tryRead(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
 		return 0, net.ErrClosed
 	}
-	return n, err
+	for {
+		n, err := unix.Read(fd, p)
+		if err == unix.EINTR {
+			continue
+		}
+		if n > 0 {
+			c.busy = true
+		}
+		return max(n, 0), err
+	}
 }
 
-// use marks the connection as busy and returns false if it is closed.
-func (c *conn) use() bool {
+// markBusy notes a request that was read ahead with the one before.
+func (c *conn) markBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
-	return !c.retired
 }
 
 func (c *conn) markUnused(now time.Time) {
@@ -56,11 +95,31 @@
 
 // closeUnused closes the connection if it is unused and a condition on it holds.
 func (c *conn) closeUnused(condition func(c *conn) bool) {
+	if c.retire(condition) {
+		_ = c.Close()
+	}
+}
+
+// retire says whether the connection is to be closed. One whose next request has
+// arrived but was not read yet is busy: its caller gets an answer, not a reset.
+func (c *conn) retire(condition func(c *conn) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy || c.retired || !condition(c) {
-		return
+		return false
 	}
-	c.retired = true
-	_ = c.Close()
+	c.busy = c.hasBytes()
+	c.retired = !c.busy
+	return c.retired
+}
+
+// hasBytes looks at what the kernel has received and takes nothing of it.
+func (c *conn) hasBytes() bool {
+	received := false
+	var first [1]byte
+	err := c.raw.Control(func(fd uintptr) {
+		n, _, failed := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		received = failed == nil && n > 0
+	})
+	return err == nil && received
 }
--- a/transport/conntrack/tracker.go
+++ b/transport/conntrack/tracker.go
@@ -43,6 +43,8 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.markBusy()
 	case http.StateIdle:
 		c.markUnused(t.now())
 	case http.StateClosed, http.StateHijacked:
@@ -85,7 +87,7 @@
 // then the server goes on answering: http.Server.Shutdown closes a connection
 // without an answer when a request arrives on it meanwhile, and a caller whose
 // request must not run twice cannot send it again. The listener must be closed
-// already. Drain returns false once the time for it has expired.
+// already, and the server's Serve have returned. Drain returns false once the time for it has expired.
 func (t *Tracker) Drain(expired func() bool) bool {
 	for !t.closeUnlessBusy() {
 		if expired() {
@@ -105,12 +107,16 @@
 	return t.Busy() == 0
 }
 
-func (t *Tracker) add(inner *net.TCPConn) *conn {
-	c := &conn{TCPConn: inner, unusedSince: t.now()}
+func (t *Tracker) add(inner *net.TCPConn) (*conn, error) {
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{TCPConn: inner, raw: raw, unusedSince: t.now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[c] = struct{}{}
-	return c
+	return c, nil
 }
 
 func (t *Tracker) forget(c *conn) {
@@ -135,5 +141,10 @@
 		_ = inner.Close()
 		return nil, errNotTCP
 	}
-	return l.tracker.add(tcp), nil
+	c, err := l.tracker.add(tcp)
+	if err != nil {
+		_ = tcp.Close()
+		return nil, err
+	}
+	return c, nil
 }
--- a/transport/conntrack/tracker_test.go
+++ b/transport/conntrack/tracker_test.go
@@ -78,13 +78,19 @@
 	require.Equal(t, "whole", string(body))
 }
 
-// closed says whether the other end has closed the connection; it looks for a
-// moment only.
-func (c *caller) closed() bool {
+// open says whether the other end still holds the connection open; it looks for
+// a moment only.
+func (c *caller) open() bool {
 	_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 	_, err := c.reader.ReadByte()
 	_ = c.SetReadDeadline(time.Time{})
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// awaitClosed waits until the other end has closed the connection.
+func (c *caller) awaitClosed(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return !c.open() }, 10*time.Second, time.Millisecond)
 }
 
 func (f *fixture) awaitBusy(t *testing.T, count int) {
@@ -92,6 +98,15 @@
 	require.Eventually(t, func() bool { return f.tracker.Busy() == count }, 10*time.Second, time.Millisecond)
 }
 
+func (f *fixture) awaitOpen(t *testing.T, count int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		f.tracker.mu.Lock()
+		defer f.tracker.mu.Unlock()
+		return len(f.tracker.conns) == count
+	}, 10*time.Second, time.Millisecond)
+}
+
 // Operators raise the limit on unused connections. Callers then count on theirs
 // for longer; one that is closed by the old limit costs them a new connection,
 // and the request that crosses the close may be lost.
@@ -108,10 +123,10 @@
 
 	f.seconds.Add(20)
 	f.tracker.CloseIdle(30 * time.Second)
-	require.False(t, idle.closed())
+	require.True(t, idle.open())
 	f.tracker.CloseIdle(15 * time.Second)
-	require.True(t, idle.closed())
-	require.False(t, fresh.closed(), "its first request may be on its way")
+	idle.awaitClosed(t)
+	require.True(t, fresh.open(), "its first request may be on its way")
 	f.release <- struct{}{}
 	busy.receive(t)
 }
@@ -136,7 +151,7 @@
 	held.receive(t)
 	require.True(t, <-drained)
 	for _, c := range []*caller{held, late, unused} {
-		require.True(t, c.closed())
+		c.awaitClosed(t)
 	}
 }
 
@@ -150,22 +165,83 @@
 	held.receive(t)
 }
 
-// A request's bytes and the close of its connection as unused cross. Read first,
-// they hold the connection open; read after it, they are dropped, as nothing
-// could be answered.
-func TestCloseAndRequestCross(t *testing.T) {
+// Half of a request's head was read when its connection is to be closed as
+// unused: it stays open, and the request is answered.
+func TestRequestThatIsComingInKeepsItsConnection(t *testing.T) {
 	f := serve(t)
 	read, closed := f.dial(t), f.dial(t)
 	_, err := io.WriteString(read, "GET")
 	require.NoError(t, err)
 	f.awaitBusy(t, 1)
+	f.awaitOpen(t, 2)
 	f.tracker.closeUnused(func(*conn) bool { return true })
-	require.True(t, closed.closed())
+	closed.awaitClosed(t)
 	_, err = io.WriteString(read, " / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
 	read.receive(t)
+}
 
-	c := &conn{TCPConn: read.Conn.(*net.TCPConn)}
-	c.closeUnused(func(*conn) bool { return true })
-	require.False(t, c.use())
+// A request's bytes have arrived and nothing has read them yet, as the processor
+// is used up. Its connection is not closed as unused: its caller would see a
+// reset where an answer could have been given. Once a connection is to be
+// closed, nothing is read from it any more.
+func TestArrivedBytesKeepAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	tracker := New(time.Now)
+	accept := func() (*conn, net.Conn) {
+		other, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = other.Close() })
+		ours, err := tracker.Listener(listener).Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = ours.Close() })
+		return ours.(*conn), other
+	}
+	waiting, sender := accept()
+	_, err = io.WriteString(sender, "GET")
+	require.NoError(t, err)
+	require.Eventually(t, waiting.hasBytes, 10*time.Second, time.Millisecond)
+	tracker.closeUnused(func(*conn) bool { return true })
+	require.Equal(t, 1, tracker.Busy())
+	read := make([]byte, 8)
+	n, err := waiting.Read(read)
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(read[:n]))
+
+	unused, late := accept()
+	require.True(t, unused.retire(func(*conn) bool { return true }))
+	_, err = io.WriteString(late, "GET")
+	require.NoError(t, err)
+	_, err = unused.Read(read)
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// A caller sends two requests at once. The second is read ahead with the first;
+// while it runs, the connection counts as busy though nothing is read from it.
+// Closed as unused, it cut off a request that an upstream was running.
+func TestRequestReadAheadIsBusy(t *testing.T) {
+	f := serve(t)
+	c := f.dial(t)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	c.receive(t)
+	<-f.begun
+	require.Equal(t, 1, f.tracker.Busy())
+	f.tracker.closeUnused(func(*conn) bool { return true })
+	f.release <- struct{}{}
+	c.receive(t)
+}
+
+// The tracker holds nothing of connections that are gone.
+func TestClosedConnectionsAreForgotten(t *testing.T) {
+	f := serve(t)
+	for range 3 {
+		c := f.dial(t)
+		c.send(t, "/")
+		c.receive(t)
+		require.NoError(t, c.Close())
+	}
+	f.awaitOpen(t, 0)
 }
