Send fewer callers of a stopping router elsewhere

A stopping router refused callers whom it could have served: one that waits four seconds was refused by a router with five seconds left, an expected length was doubled beyond the most tokens that its caller takes, and a request that every router would refuse for overload was sent to the next one at once, without the time to come back that spreads such callers.

What may outlast the router is now judged for requests that would be admitted, by the caller's own patience and limit as well. The cases stand in the test of the refusal.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -110,6 +110,9 @@
 	Elapsed time.Duration
 	// Patience is how long the caller will wait from now.
 	Patience time.Duration
+	// MaxOutput is the most generated tokens that the caller takes, zero if it
+	// did not say.
+	MaxOutput int
 	// Left is how long this router still runs, zero if it was not told to stop.
 	Left time.Duration
 	// Begun requests may have run at an upstream already. To refuse one would
@@ -133,7 +136,17 @@
 	if r.Left == 0 {
 		return false
 	}
-	return e.Wait+longerThanExpected*(e.Own+e.Stream) > r.Left
+	longest := e.Wait + time.Duration(r.longer()*float64(e.Own+e.Stream))
+	return min(longest, r.Patience) > r.Left
+}
+
+// longer is how many times the expected time an answer is given: no more than
+// its caller lets it grow to.
+func (r Request) longer() float64 {
+	if r.MaxOutput <= 0 || r.Output <= 0 {
+		return longerThanExpected
+	}
+	return min(max(float64(r.MaxOutput)/float64(r.Output), 1), longerThanExpected)
 }
 
 // Verdict is the decision on a request.
@@ -208,16 +221,15 @@
 	if r.Begun {
 		return v
 	}
-	if r.outlasts(best) {
-		v.Reason = Stopping
-		v.RetryAfter = ElsewhereRetry
-		return v
-	}
 	v.Limit = waitLimit(r, best)
 	if r.Target > 0 && standing.Use > nearShare {
 		v.Limit = min(v.Limit, shareLimit(r.Target, standing.Use))
 	}
 	if best.Disturbed <= maxDisturbed && (best.Free || best.Wait <= v.Limit) {
+		if r.outlasts(best) {
+			v.Reason = Stopping
+			v.RetryAfter = ElsewhereRetry
+		}
 		return v
 	}
 	v.Reason = Overload
--- a/coordination/admission/stop_test.go
+++ b/coordination/admission/stop_test.go
@@ -31,6 +31,18 @@
 	begun.Begun = true
 	require.True(t, decide(begun, estimate).Admit())
 
+	limited := request
+	limited.Output, limited.MaxOutput = 300, 400
+	require.True(t, decide(limited, estimate).Admit(), "its caller takes no more than four seconds of it")
+
+	hasty := request
+	hasty.Patience = 4 * time.Second
+	require.True(t, decide(hasty, estimate).Admit(), "its caller is gone before the router")
+
+	waiting := estimate
+	waiting.Free, waiting.Wait = false, 6*time.Second
+	require.Equal(t, Overload, decide(request, waiting).Reason, "it would be refused anywhere")
+
 	running := request
 	running.Left = 0
 	require.True(t, decide(running, estimate).Admit(), "the router was not told to stop")
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -168,6 +168,7 @@
 		Fingerprint: x.fingerprint,
 		Workspace:   x.workspace,
 		Cost:        x.cost(),
+		MaxOutput:   x.in.MaxOutput,
 		Elapsed:     x.h.Desk.Elapsed(x.fingerprint),
 		Patience:    patience,
 	}
