Answer a request whose handling fails, and end its ticket

A fault of the router's own under a request closed its caller's connection without an answer or a line of the request, and the upstream counted as busy with the request for good.

Two tests read how attempts ended while the attempt was still ending; the race detector failed on one of them. They wait for the end now.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -142,12 +142,16 @@
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.h.Desk.Watch(ticket, func() { cancel(errStalled) })
-	end, outcome := x.exchange(inner, ticket)
+	var end attemptEnd
+	outcome := placement.Withdrawn
+	// A ticket that did not end would count as load for good, so it ends even
+	// if handling the answer panics.
+	defer func() { x.h.Desk.End(ticket, outcome) }()
+	end, outcome = x.exchange(inner, ticket)
 	x.repeatPaid = x.began && errors.Is(context.Cause(inner), errStalled)
 	if ctx.Err() != nil {
 		outcome = placement.Withdrawn
 	}
-	x.h.Desk.End(ticket, outcome)
 	if x.h.Observer != nil {
 		x.h.Observer.Attempted(ticket.Upstream(), outcome)
 	}
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -147,6 +148,8 @@
 
 // scriptedDesk sends each request to its upstreams in turn.
 type scriptedDesk struct {
+	// broken makes the desk panic at the end of an answer.
+	broken bool
 	// left is what the kernel knows of the caller's connection.
 	left    bool
 	table   *routing.Table
@@ -232,11 +235,31 @@
 	d.lost++
 }
 
-func (d *scriptedDesk) Served(state.Fingerprint) {}
-func (d *scriptedDesk) Draining() bool           { return d.closing }
-func (d *scriptedDesk) StopAge() time.Duration   { return 0 }
-func (d *scriptedDesk) Full() bool               { return d.full }
-func (d *scriptedDesk) Closing() bool            { return d.closing }
+func (d *scriptedDesk) Served(state.Fingerprint) {
+	if d.broken {
+		panic("broken")
+	}
+}
+
+// ended returns how attempts ended so far.
+func (d *scriptedDesk) ended() []placement.Outcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.outcomes)
+}
+
+func (d *scriptedDesk) Draining() bool         { return d.closing }
+func (d *scriptedDesk) StopAge() time.Duration { return 0 }
+func (d *scriptedDesk) Full() bool             { return d.full }
+func (d *scriptedDesk) Closing() bool          { return d.closing }
+
+// awaitEnded waits until one attempt has ended, and checks how. An attempt ends
+// after its caller has the answer.
+func (d *scriptedDesk) awaitEnded(t *testing.T, outcome placement.Outcome) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(d.ended()) > 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, []placement.Outcome{outcome}, d.ended())
+}
 
 // plainDialect spells the few fields that tests need.
 type plainDialect struct{}
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -152,8 +152,9 @@
 	}
 }
 
-// recovered ends the connection of a request whose handling failed; net/http
-// would do the same but print a stack to standard error.
+// recovered answers a request whose handling failed, or ends its connection if
+// an answer has begun; net/http would end it always, and print a stack to
+// standard error.
 func (x *exchange) recovered() {
 	cause := recover()
 	if cause == nil {
@@ -163,7 +164,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.h.Log.Error().Str("id", x.in.Attempt).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handler failed")
-	panic(http.ErrAbortHandler)
+	if x.began {
+		panic(http.ErrAbortHandler)
+	}
+	x.finish(x.refuse(result.New(result.Internal, "")))
 }
 
 func (x *exchange) run() result.Result {
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -49,7 +49,7 @@
 	require.Equal(t, "h", seen.Host)
 	require.Equal(t, "w", seen.Header.Get("Workspace"))
 	require.Empty(t, seen.Header.Get("Key"), "the key is not the upstream's business")
-	require.Equal(t, []placement.Outcome{placement.Answered}, d.desk.outcomes)
+	d.desk.awaitEnded(t, placement.Answered)
 }
 
 // A visitor's page is fetched by a request that publishes something. The worker
@@ -266,6 +266,16 @@
 	require.Empty(t, spare.seen())
 }
 
+// A fault of the router's own ends the handling of a page that an upstream has
+// answered. Its caller saw the connection close and the router's log had no line
+// of the request, and the upstream counted as busy with it for good.
+func TestFailedHandlingIsAnswered(t *testing.T) {
+	d := openDoor(t, repeatable, startUpstream(t, say(whole(200, "page"))))
+	d.desk.broken = true
+	require.Equal(t, http.StatusInternalServerError, d.post(t).StatusCode)
+	d.desk.awaitEnded(t, placement.Withdrawn)
+}
+
 // A caller gave up while its request waited for the processor. Nothing has read
 // its close yet, but the kernel has it: the request goes to no upstream, and the
 // connection ends without anything that could be taken for an answer.
@@ -276,7 +286,7 @@
 	_, err := http.DefaultClient.Do(d.request(t, context.Background(), "hello")) //nolint:bodyclose // There is no answer.
 	require.Error(t, err)
 	require.Empty(t, u.seen())
-	require.Equal(t, []placement.Outcome{placement.Withdrawn}, d.desk.outcomes)
+	d.desk.awaitEnded(t, placement.Withdrawn)
 }
 
 // The operator's timeout passes while a worker is at it. The caller gets an
@@ -299,7 +309,7 @@
 	body, err := bodyOf(t, d.post(t))
 	require.NoError(t, err)
 	require.Equal(t, "page", body)
-	require.Equal(t, placement.Unconnected, d.desk.outcomes[0])
+	require.Equal(t, placement.Unconnected, d.desk.ended()[0])
 }
 
 // An answer without a length ends with its connection. Closed in order it is
