Answer what a stop cuts off also after the VM was suspended

At least 100 ms are kept for that now, the wait for balancers counts a suspension, and the drain begins once the listener accepts nothing more.

--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -209,7 +209,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		r.stop()
+		r.stop(servers[0])
 	case <-groupCtx.Done():
 	}
 	cancel()
@@ -225,9 +225,16 @@
 type server struct {
 	listener net.Listener
 	server   *http.Server
+	// served is closed once no connection is accepted any more.
+	served chan struct{}
+}
+
+func newServer(listener net.Listener, s *http.Server) server {
+	return server{listener: listener, server: s, served: make(chan struct{})}
 }
 
 func (s server) serve() error {
+	defer close(s.served)
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -248,9 +255,12 @@
 		ConnContext:    withConn,
 		MaxHeaderBytes: headerBytes,
 	}
-	all := []server{{r.conns.Listener(r.callers), callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
+	all := []server{
+		newServer(r.conns.Listener(r.callers), callers),
+		newServer(r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}),
+	}
 	if r.figures != nil {
-		all = append(all, server{r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}})
+		all = append(all, newServer(r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}))
 	}
 	return all
 }
@@ -264,17 +274,32 @@
 	})
 }
 
+const (
+	// stopPoll is how often a stop looks at the clock. It counts a VM's
+	// suspension, which a sleep does not.
+	stopPoll = 10 * time.Millisecond
+	// leastAnswers is kept to answer what a stop cuts off, even if the VM was
+	// suspended until its end.
+	leastAnswers = 100 * time.Millisecond
+)
+
 // stop lets balancers and callers move on, waits for what runs, and answers what
 // has not ended in time.
-func (r *Router) stop() {
+func (r *Router) stop(callers server) {
 	r.log.Info().Msg("stopping")
 	course := r.desk.stop()
-	time.Sleep(course.TakesFor(boottime.Now()))
+	for course.Taking(boottime.Now()) {
+		time.Sleep(stopPoll)
+	}
 	_ = r.callers.Close()
+	<-callers.served
 	if r.conns.Drain(func() bool { return course.Left(boottime.Now()) <= 0 }) {
 		return
 	}
-	r.log.Warn().Int64("requests", r.handler.Running()).Msg("requests cut off at the end of the grace period")
+	r.log.Warn().Int64("requests", r.handler.Running()).Int("connections", r.conns.Busy()).
+		Msg("requests cut off at the end of the grace period")
 	r.cutOff(ingress.ErrStopping)
-	r.conns.Drain(func() bool { return course.AnswersFor(boottime.Now()) <= 0 })
+	now := boottime.Now()
+	until := now.Add(max(course.AnswersFor(now), leastAnswers))
+	r.conns.Drain(func() bool { return !boottime.Now().Before(until) })
 }
