Count a request that was read ahead as under way

A caller that sends its next request as soon as it has its answer, or several at once, could see its connection closed at the end of a stop while that request ran, without an answer.

Cause: a tracked connection became unused when its last request was answered, and busy with the next read from the socket. There may be no next read: a router flushes an answer before its handler returns, and the server reads on meanwhile; over TLS, and with pipelined requests, it then holds the whole next request in its buffers. Ruled out: plain connections without pipelining, where the server reads one byte ahead and the rest of the request follows by a read.

The connection is now busy from when the server has the request (StateActive), and stays busy after an answer if bytes were read since the last ones were written. A request's own body does not count as such: the server reads it before it writes, or closes the connection. TestRequestReadAheadIsUnderWay (over TLS) and TestPipelinedRequestIsUnderWay fail without this.

--- a/transport/conntrack/conn.go
+++ b/transport/conntrack/conn.go
@@ -19,6 +19,8 @@
 
 	mu   sync.Mutex
 	busy bool
+	// ahead is set if bytes were read since the last ones were written.
+	ahead bool
 	// served is set once a request was answered.
 	served bool
 	// unusedSince is when it was last used, or accepted.
@@ -67,23 +69,49 @@
 			continue
 		}
 		if n > 0 {
-			c.busy = true
+			c.busy, c.ahead = true, true
 		}
 		return max(n, 0), err
 	}
 }
 
-// markBusy notes a request that was read ahead with the one before.
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.answer()
+	return c.TCPConn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom, which net/http takes instead of Write.
+func (c *conn) ReadFrom(from io.Reader) (int64, error) {
+	c.answer()
+	return c.TCPConn.ReadFrom(from)
+}
+
+// answer notes that bytes are written. It comes before the write: the caller's
+// next request may be read before a write returns.
+func (c *conn) answer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead = false
+}
+
+// markBusy notes that the server has a request, which it may have had in its
+// buffers: of pipelined requests only the first one is read from here.
 func (c *conn) markBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
 }
 
+// markUnused notes that the last request was answered. Bytes that were read
+// after the answer are those of the next one, which the server may hold in its
+// buffers already. Nothing further would be read of it, and a close would lose
+// it; the connection stays busy. A request's own body is always read before its
+// answer is written, or the server closes the connection.
 func (c *conn) markUnused(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.served = false, true
+	c.busy, c.served = c.ahead, true
 	c.unusedSince = now
 }
 
--- a/transport/conntrack/tracker_test.go
+++ b/transport/conntrack/tracker_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"testing"
@@ -15,11 +18,12 @@
 )
 
 // fixture is an HTTP server whose connections are tracked. Requests for /held
-// wait until the test releases them.
+// wait until the test releases them, those for /flushed after their answer.
 type fixture struct {
 	tracker  *Tracker
 	listener net.Listener
 	address  string
+	secured  bool
 	// seconds is the time.
 	seconds atomic.Int64
 	begun   chan struct{}
@@ -27,6 +31,27 @@
 }
 
 func serve(t *testing.T) *fixture {
+	t.Helper()
+	f, server := newFixture(t)
+	go func() { _ = server.Serve(f.tracker.Listener(f.listener)) }()
+	return f
+}
+
+// serveTLS serves over TLS, within the given limit on the time for a head.
+func serveTLS(t *testing.T, headerTimeout time.Duration) *fixture {
+	t.Helper()
+	f, server := newFixture(t)
+	f.secured = true
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	certified.Close()
+	server.TLSConfig = &tls.Config{Certificates: certified.TLS.Certificates}
+	server.ReadHeaderTimeout = headerTimeout
+	server.ErrorLog = log.New(io.Discard, "", 0)
+	go func() { _ = server.ServeTLS(f.tracker.Listener(f.listener), "", "") }()
+	return f
+}
+
+func newFixture(t *testing.T) (*fixture, *http.Server) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -36,17 +61,25 @@
 	}
 	f.tracker = New(func() time.Time { return time.Unix(f.seconds.Load(), 0) })
 	server := &http.Server{Handler: f, ConnState: f.tracker.StateChanged}
-	go func() { _ = server.Serve(f.tracker.Listener(inner)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return f
+	return f, server
 }
 
 func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/held" {
-		f.begun <- struct{}{}
-		<-f.release
+		f.hold()
 	}
+	w.Header().Set("Content-Length", "5")
 	_, _ = io.WriteString(w, "whole")
+	if r.URL.Path == "/flushed" {
+		_ = http.NewResponseController(w).Flush()
+		f.hold()
+	}
+}
+
+func (f *fixture) hold() {
+	f.begun <- struct{}{}
+	<-f.release
 }
 
 // caller is a caller's end of a connection.
@@ -60,6 +93,11 @@
 	conn, err := net.Dial("tcp", f.address)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
+	if f.secured {
+		secured := tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+		_ = secured.Handshake()
+		conn = secured
+	}
 	return &caller{conn, bufio.NewReader(conn)}
 }
 
@@ -107,6 +145,26 @@
 	}, 10*time.Second, time.Millisecond)
 }
 
+// awaitReadAhead waits until the server has read beyond its answer.
+func (f *fixture) awaitReadAhead(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, f.tracker.readAhead, 10*time.Second, time.Millisecond)
+}
+
+// readAhead says whether more was read on a connection after its last answer.
+func (t *Tracker) readAhead() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.ahead {
+			return true
+		}
+	}
+	return false
+}
+
 // Operators raise the limit on unused connections. Callers then count on theirs
 // for longer; one that is closed by the old limit costs them a new connection,
 // and the request that crosses the close may be lost.
@@ -245,3 +303,39 @@
 	}
 	f.awaitOpen(t, 0)
 }
+
+// A caller sends its next request as soon as it has its answer, which was
+// flushed before the handler returned. The router's stop then closed the
+// connection while that request ran: over TLS, and with two requests in one
+// segment, the server had it in its buffers when the first one ended, so that no
+// further read told of it.
+func TestRequestReadAheadIsUnderWay(t *testing.T) {
+	for name, f := range map[string]*fixture{"plain": serve(t), "TLS": serveTLS(t, time.Minute)} {
+		t.Run(name, func(t *testing.T) {
+			c := f.dial(t)
+			c.send(t, "/flushed")
+			<-f.begun
+			c.receive(t)
+			c.send(t, "/held")
+			f.awaitReadAhead(t)
+			f.release <- struct{}{}
+			<-f.begun
+			require.Equal(t, 1, f.tracker.Busy())
+			f.tracker.closeUnused(func(*conn) bool { return true })
+			f.release <- struct{}{}
+			c.receive(t)
+		})
+	}
+}
+
+func TestPipelinedRequestIsUnderWay(t *testing.T) {
+	f := serve(t)
+	c := f.dial(t)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	c.receive(t)
+	<-f.begun
+	require.Equal(t, 1, f.tracker.Busy())
+	f.release <- struct{}{}
+	c.receive(t)
+}
