Answer every request that a stopping daemon reads

Callers and operators whose request reached a daemon on an open connection after it had finished what it had admitted got their connection closed without an answer, and no log line named the request.

Cause: the daemon left the end of its stop to http.Server.Shutdown, on both listeners. From then on that closes a connection when it has read the next request on it and calls no handler. Ruled out: the scheduler, which goes on refusing with 2005 until the process ends; requests under way, which Shutdown waits for.

Both listeners now drain as the edge router's does (transport/conntrack): the callers' listener closes, then the administration's, requests on open connections are answered until nothing is under way, and only connections from which nothing was read are closed. The tracker wraps the socket below the limit on connections and below TLS. Every answer of a draining router asks to close the connection, so that one on which request follows request does not hold the stop up.

Connections of HTTP/2 stay with Shutdown: frames come on them without a request under way, so that a drain that waits for their answer does not end. A request that crosses the close of such an idle connection may still be lost.

--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -109,6 +109,9 @@
 	once sync.Once
 }
 
+// NetConn returns the connection below.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection and frees its slot once.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/transport/conntrack/tracker.go
+++ b/transport/conntrack/tracker.go
@@ -1,6 +1,7 @@
 package conntrack
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -28,20 +29,23 @@
 }
 
 // Listener returns a listener whose connections are tracked; inner must be of
-// TCP. The server must call StateChanged.
+// TCP. The server must call StateChanged. What wraps the connections must give
+// the inner one by NetConn. Those of HTTP/2 are left to the server, whose
+// Shutdown tells their callers which requests it has not taken.
 func (t *Tracker) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, tracker: t}
 }
 
 // StateChanged is the server's hook on the state of connections.
 func (t *Tracker) StateChanged(of net.Conn, state http.ConnState) {
-	if secured, ok := of.(interface{ NetConn() net.Conn }); ok {
-		of = secured.NetConn()
-	}
-	c, ok := of.(*conn)
+	c, ok := unwrap(of)
 	if !ok {
 		return
 	}
+	if speaksHTTP2(of) {
+		t.forget(c)
+		return
+	}
 	switch state {
 	case http.StateActive:
 		c.markBusy()
@@ -52,6 +56,27 @@
 	}
 }
 
+// unwrap finds the tracked connection below TLS and other wrappers.
+func unwrap(of net.Conn) (*conn, bool) {
+	for {
+		if c, ok := of.(*conn); ok {
+			return c, true
+		}
+		wrapper, ok := of.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		of = wrapper.NetConn()
+	}
+}
+
+// speaksHTTP2 says whether a connection is of HTTP/2. Frames come on it also
+// when no request is under way, so that what was read does not tell of one.
+func speaksHTTP2(of net.Conn) bool {
+	secured, ok := of.(*tls.Conn)
+	return ok && secured.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // CloseIdle closes the connections that have waited for a further request for
 // longer than a limit. Those that wait for their first are left to the server's
 // ReadHeaderTimeout.
--- a/transport/conntrack/tracker_test.go
+++ b/transport/conntrack/tracker_test.go
@@ -339,3 +339,33 @@
 	f.release <- struct{}{}
 	c.receive(t)
 }
+
+// A caller opens a connection over TLS ahead of its first request, which never
+// comes. Its handshake counts as a part of a request; the server's limit on the
+// time for a head ends that, so that it does not hold a stop for longer.
+func TestHandshakeAloneDoesNotHoldADrain(t *testing.T) {
+	f := serveTLS(t, 100*time.Millisecond)
+	unused := f.dial(t)
+	require.NoError(t, f.listener.Close())
+	require.True(t, f.tracker.Drain(func() bool { return false }))
+	require.True(t, unused.closed())
+}
+
+// Frames come on a connection of HTTP/2 also when no request is under way. A
+// drain that waited for their answers would not end, and one that closed the
+// connection would lose a request that arrives.
+func TestHTTP2IsLeftToTheServer(t *testing.T) {
+	f := serveTLS(t, time.Minute)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: true}
+	defer transport.CloseIdleConnections()
+	get := func() {
+		answer, err := (&http.Client{Transport: transport}).Get("https://" + f.address + "/")
+		require.NoError(t, err)
+		require.Equal(t, 2, answer.ProtoMajor)
+		require.NoError(t, answer.Body.Close())
+	}
+	get()
+	require.NoError(t, f.listener.Close())
+	require.True(t, f.tracker.Drain(func() bool { return false }))
+	get()
+}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"sync/atomic"
@@ -63,12 +62,6 @@
 	drained  chan struct{}
 }
 
-// listener is one HTTP server with its open socket.
-type listener struct {
-	net.Listener
-	server *http.Server
-}
-
 // New opens the listeners and wires the router. Nothing is served before Run.
 func New(options Options, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
@@ -210,9 +203,9 @@
 		Settings:   callerSettings{source: d.source},
 		Issuer:     d.claims,
 	}
-	d.callers.server = caller.NewServer(withKeys(keys, handler), limits)
+	d.callers.serve(d.parting(withKeys(keys, handler)), limits)
 	d.callers.Listener = caller.Limit(d.callers.Listener, limits)
-	d.admin.server = caller.NewServer(d.adminHandler(), caller.ServerOptions{})
+	d.admin.serve(d.parting(d.adminHandler()), caller.ServerOptions{})
 }
 
 // Addresses are the sockets a router listens on.
@@ -252,31 +245,14 @@
 	group.Go(func() error { d.follower.Run(work); return nil })
 	group.Go(func() error { d.followVMs(work); return nil })
 	group.Go(func() error { d.tick(work); return nil })
-	group.Go(func() error { return serveHTTP(d.callers, d.options) })
-	group.Go(func() error { return serveHTTP(d.admin, d.options) })
+	group.Go(func() error { return d.callers.run(d.options) })
+	group.Go(func() error { return d.admin.run(d.options) })
 	group.Go(func() error { return d.awaitStop(ctx, work) })
 	err := group.Wait()
 	d.log.Info().Err(err).Msg("stopped")
 	return err
 }
 
-func serveHTTP(l listener, options Options) error {
-	tlsConfig, err := options.callerTLS()
-	if err != nil {
-		return err
-	}
-	if tlsConfig == nil {
-		err = l.server.Serve(l.Listener)
-	} else {
-		l.server.TLSConfig = tlsConfig
-		err = l.server.ServeTLS(l.Listener, "", "")
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // Drain begins a planned stop, as a termination signal does.
 func (d *Daemon) Drain() {
 	select {
@@ -286,7 +262,8 @@
 }
 
 // awaitStop turns a stop into a drain: it is announced, admission ends, what
-// was admitted is finished, and only then the listeners close.
+// was admitted is finished, and only then the listeners close, the callers'
+// first.
 func (d *Daemon) awaitStop(ctx, work context.Context) error {
 	defer d.stop()
 	select {
@@ -310,10 +287,7 @@
 	if err := d.orders.drain(finish); err != nil {
 		d.log.Warn().Err(err).Msg("drain timed out")
 	}
-	err := d.callers.server.Shutdown(finish)
-	if adminErr := d.admin.server.Shutdown(finish); err == nil {
-		err = adminErr
-	}
+	err := errors.Join(d.callers.drain(finish), d.admin.drain(finish))
 	d.closeClaims()
 	return err
 }
--- /dev/null
+++ b/transport/daemon/listener.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/figstile/figstile/transport/caller"
+	"github.com/figstile/figstile/transport/conntrack"
+)
+
+// listener is one HTTP server with its open socket.
+type listener struct {
+	net.Listener
+	server *http.Server
+	conns  *conntrack.Tracker
+}
+
+// serve builds the server on the open socket, whose connections it tracks.
+func (l *listener) serve(handler http.Handler, limits caller.ServerOptions) {
+	l.conns = conntrack.New(time.Now)
+	l.server = caller.NewServer(handler, limits)
+	l.server.ConnState = l.conns.StateChanged
+	l.Listener = l.conns.Listener(l.Listener)
+}
+
+// run serves until the listener or the server is closed.
+func (l *listener) run(options Options) error {
+	tlsConfig, err := options.callerTLS()
+	if err != nil {
+		return err
+	}
+	if tlsConfig == nil {
+		err = l.server.Serve(l.Listener)
+	} else {
+		l.server.TLSConfig = tlsConfig
+		err = l.server.ServeTLS(l.Listener, "", "")
+	}
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain takes no more connections, answers what arrives on the open ones until
+// no request is under way, and closes them. Shutdown alone would close a
+// connection whose next request it has read, without an answer; it is left with
+// the connections of HTTP/2, whose callers it tells what it has not taken.
+func (l *listener) drain(finish context.Context) error {
+	_ = l.Close()
+	l.conns.Drain(func() bool { return finish.Err() != nil })
+	return l.server.Shutdown(finish)
+}
+
+// parting asks those who get an answer from a draining router to close their
+// connection: one on which request follows request would hold the stop up.
+func (d *Daemon) parting(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/transport/daemon/stop_test.go
+++ b/transport/daemon/stop_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -187,3 +188,21 @@
 	held.receive()
 	require.NoError(t, <-b.done)
 }
+
+// Callers keep connections of HTTP/2 open and probe them with pings. A router
+// that takes such a frame for a part of a request would not end its stop.
+func TestStopEndsWithHTTP2Open(t *testing.T) {
+	b := startStopBench(t, "http://127.0.0.1:1", secure(t))
+	transport := &http.Transport{
+		TLSClientConfig:   &tls.Config{InsecureSkipVerify: true},
+		ForceAttemptHTTP2: true,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: time.Millisecond},
+	}
+	defer transport.CloseIdleConnections()
+	answer, err := (&http.Client{Transport: transport}).Get("https://" + b.Addresses().Admin + "/healthz")
+	require.NoError(t, err)
+	require.Equal(t, 2, answer.ProtoMajor)
+	require.NoError(t, answer.Body.Close())
+	b.order()
+	require.NoError(t, <-b.done)
+}
