Answer what outlasts a daemon's drain timeout

Cause: the daemon waited no longer, Shutdown gave up at once, and the HTTP server was closed under its handlers, which then had no way to answer. Ruled out: the handlers themselves; a request whose context ended was taken for one whose caller had left, and its connection was aborted as well.

The contexts of requests now end with a cause shortly before the time is over, by the times of coordination/drain: what never reached an upstream is refused with 2005, what may have run ends with 5002 and its key counts as unknown, and a stream that has begun gets 5002 in its last event and is broken off. A request whose caller has left is still abandoned. Operators' requests end the same way.

TestStopAnswersWhatHasNotEnded and the four cases of TestStopCutsOff (waiting, running, answer held, streaming) failed before and pass now.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -15,6 +15,10 @@
 // errDeadlinePassed is the cause of an attempt cancelled at its deadline.
 var errDeadlinePassed = errors.New("caller: deadline passed")
 
+// elsewhereRetry sends the caller of a stopping router to another one, in the
+// least time that Retry-After can say.
+const elsewhereRetry = time.Second
+
 // follow submits the request and does what the scheduler says until the
 // request is final.
 func (x *exchange) follow() result.Result {
@@ -45,7 +49,7 @@
 	}
 }
 
-// leave withdraws a waiting request whose caller went away. A dispatch may
+// leave withdraws a waiting request whose context has ended. A dispatch may
 // cross with that; it is ended unused, or its slot would stay taken.
 func (x *exchange) leave(actions <-chan scheduler.Action) result.Result {
 	x.h.opts.Scheduler.Left(x.id)
@@ -54,9 +58,28 @@
 			x.ended(0, scheduler.OutcomeAbandoned)
 		}
 	}
+	return x.brokenOff()
+}
+
+// brokenOff ends a request whose context has ended and whose answer has not
+// begun.
+func (x *exchange) brokenOff() result.Result {
+	if x.cutOff() {
+		return x.refuse(x.stoppedResult())
+	}
 	return x.abandoned()
 }
 
+// cutOff says whether the router has ended the request because it stops.
+func (x *exchange) cutOff() bool { return errors.Is(context.Cause(x.ctx), ErrStopping) }
+
+func (x *exchange) stoppedResult() result.Result {
+	if x.sent {
+		return result.New(result.StoppedWhileRun, "")
+	}
+	return result.New(result.Draining, "").After(elsewhereRetry)
+}
+
 // abandoned aborts the connection as well: returning would send an empty 200.
 func (x *exchange) abandoned() result.Result {
 	x.abort = true
@@ -116,7 +139,7 @@
 func (x *exchange) forgo(res result.Result) result.Result {
 	if x.ctx.Err() != nil {
 		x.ended(0, scheduler.OutcomeAbandoned)
-		return x.abandoned()
+		return x.brokenOff()
 	}
 	x.ended(0, scheduler.OutcomeRefused)
 	return x.refuse(res)
@@ -196,7 +219,7 @@
 	switch {
 	case x.ctx.Err() != nil:
 		x.end(m, cost, scheduler.OutcomeAbandoned)
-		return x.abandoned(), true
+		return x.brokenOff(), true
 	case errors.Is(cause, errDeadlinePassed) || errors.Is(err, errDeadlinePassed):
 		x.end(m, cost, scheduler.OutcomeAbandoned)
 		return x.refuse(x.deadlineResult()), true
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -145,6 +146,8 @@
 	url     string
 	// expire passes the deadline of the attempt under way.
 	expire atomic.Pointer[func()]
+	// cutOff ends the contexts of requests.
+	cutOff context.CancelCauseFunc
 }
 
 func newBench(t *testing.T, worker http.HandlerFunc, script ...scheduler.Action) *bench {
@@ -159,7 +162,7 @@
 	}}
 	client := upstream.NewClient(upstream.ClientOptions{})
 	t.Cleanup(client.Close)
-	server := httptest.NewServer(NewHandler(Options{
+	server := httptest.NewUnstartedServer(NewHandler(Options{
 		Router: "laredo-1", Incarnation: 2, Scheduler: b, Settings: view, Claims: b.claims,
 		Client: client, Observer: b.records, Log: zerolog.Nop(),
 		AfterFunc: func(_ time.Duration, f func()) func() bool {
@@ -167,6 +170,10 @@
 			return func() bool { return true }
 		},
 	}))
+	requests, cutOff := context.WithCancelCause(context.Background())
+	b.cutOff = cutOff
+	server.Config.BaseContext = func(net.Listener) context.Context { return requests }
+	server.Start()
 	t.Cleanup(server.Close)
 	b.url = server.URL
 	return b
@@ -493,6 +500,70 @@
 	})
 }
 
+// TestStopCutsOff: a kiosk shows a blank page and nobody can tell whether the
+// seat is booked. The router that had the request ran out of time to stop and
+// closed the connection, while the request waited, while the worker ran it, or
+// while its answer was held or under way.
+func TestStopCutsOff(t *testing.T) {
+	t.Run("while waiting", func(t *testing.T) {
+		b := newBench(t, nil)
+		go func() {
+			<-b.submitted
+			b.cutOff(ErrStopping)
+		}()
+		resp, _, err := b.call(t, "/bookings/x", "4A")
+		require.NoError(t, err)
+		require.Equal(t, "2005", resp.Header.Get(problem.HeaderResult))
+		require.Equal(t, "no", resp.Header.Get(problem.HeaderRan))
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		require.False(t, (<-b.records).Abandoned)
+	})
+	t.Run("while running", func(t *testing.T) {
+		var b *bench
+		b = newBench(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			b.cutOff(ErrStopping)
+			<-r.Context().Done()
+		}, dispatch("one"))
+		resp, _, err := b.call(t, "/bookings/x", "4A", HeaderIdempotencyKey, "k")
+		require.NoError(t, err)
+		require.Equal(t, "5002", resp.Header.Get(problem.HeaderResult))
+		require.Equal(t, "unknown", resp.Header.Get(problem.HeaderRan))
+		require.False(t, (<-b.records).Abandoned)
+		require.Equal(t, []result.Ran{result.RanUnknown}, b.claims.completed)
+		outcomes, _ := b.heard()
+		require.Equal(t, []scheduler.Outcome{scheduler.OutcomeAbandoned}, outcomes)
+	})
+	t.Run("while the answer is held", func(t *testing.T) {
+		var b *bench
+		b = newBench(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "seat")
+			_ = http.NewResponseController(w).Flush()
+			b.cutOff(ErrStopping)
+			<-r.Context().Done()
+		}, dispatch("one"))
+		resp, body, err := b.call(t, "/bookings/x", "")
+		require.NoError(t, err)
+		require.Equal(t, "5002", resp.Header.Get(problem.HeaderResult), body)
+	})
+	t.Run("while streaming", func(t *testing.T) {
+		b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+			sse(`{"choices":[]}`)(w, r)
+			<-r.Context().Done()
+		}, dispatch("one"))
+		req, err := http.NewRequest(http.MethodPost, b.url+"/drafts/v1/chat/completions", strings.NewReader(prompt))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer secret")
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		b.cutOff(ErrStopping)
+		body, err := io.ReadAll(resp.Body)
+		require.Error(t, err)
+		require.Contains(t, string(body), `"code":5002`)
+	})
+}
+
 // TestPanicFreesTheSlot: an engine idles for good. A fault of the router ends
 // the handler between the dispatch and its report.
 func TestPanicFreesTheSlot(t *testing.T) {
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -265,12 +265,15 @@
 		y.events.usage = usageOf(y.tail)
 	}
 	total := y.meter.used(y.events, y.answer.Header, y.x.h.opts.Now())
-	if err != nil && y.x.ctx.Err() != nil {
+	if err != nil && y.x.ctx.Err() != nil && !y.x.cutOff() {
 		err = errCallerGone
 	}
 	switch {
 	case err == nil:
 		return y.whole(total)
+	case y.x.cutOff():
+		y.x.end(y.meter, total, scheduler.OutcomeAbandoned)
+		return y.breakOff(y.x.stoppedResult())
 	case errors.Is(err, errCallerGone):
 		y.x.end(y.meter, total, scheduler.OutcomeAbandoned)
 		return y.x.abandoned()
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/queue"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
@@ -277,7 +278,7 @@
 	d.mesh.SetDraining(true)
 	d.claims.StopIssuing()
 	d.post(scheduler.Drain{})
-	finish, cancel := d.drainContext()
+	finish, answers, cancel := d.drainContexts()
 	defer cancel()
 	select {
 	case <-d.drained:
@@ -287,7 +288,7 @@
 	if err := d.orders.drain(finish); err != nil {
 		d.log.Warn().Err(err).Msg("drain timed out")
 	}
-	err := errors.Join(d.callers.drain(finish), d.admin.drain(finish))
+	err := errors.Join(d.callers.drain(finish, answers), d.admin.drain(finish, answers))
 	d.closeClaims()
 	return err
 }
@@ -305,11 +306,21 @@
 	}
 }
 
-func (d *Daemon) drainContext() (context.Context, context.CancelFunc) {
+// drainContexts end when requests may no longer run, and when what has not ended
+// by then may no longer be answered.
+func (d *Daemon) drainContexts() (finish, answers context.Context, cancel context.CancelFunc) {
 	if d.options.DrainTimeout == 0 {
-		return context.WithCancel(context.Background())
+		unlimited, cancel := context.WithCancel(context.Background())
+		return unlimited, unlimited, cancel
+	}
+	now := time.Now()
+	course := drain.Begin(now, d.options.DrainTimeout)
+	answers, cancelAnswers := context.WithTimeout(context.Background(), course.AnswersFor(now))
+	finish, cancelFinish := context.WithTimeout(answers, course.Left(now))
+	return finish, answers, func() {
+		cancelFinish()
+		cancelAnswers()
 	}
-	return context.WithTimeout(context.Background(), d.options.DrainTimeout)
 }
 
 func (d *Daemon) tick(ctx context.Context) {
--- a/transport/daemon/listener.go
+++ b/transport/daemon/listener.go
@@ -16,12 +16,17 @@
 	net.Listener
 	server *http.Server
 	conns  *conntrack.Tracker
+	// cutOff ends the contexts of requests.
+	cutOff context.CancelCauseFunc
 }
 
 // serve builds the server on the open socket, whose connections it tracks.
 func (l *listener) serve(handler http.Handler, limits caller.ServerOptions) {
+	requests, cutOff := context.WithCancelCause(context.Background())
+	l.cutOff = cutOff
 	l.conns = conntrack.New(time.Now)
 	l.server = caller.NewServer(handler, limits)
+	l.server.BaseContext = func(net.Listener) context.Context { return requests }
 	l.server.ConnState = l.conns.StateChanged
 	l.Listener = l.conns.Listener(l.Listener)
 }
@@ -45,13 +50,26 @@
 }
 
 // drain takes no more connections, answers what arrives on the open ones until
-// no request is under way, and closes them. Shutdown alone would close a
-// connection whose next request it has read, without an answer; it is left with
-// the connections of HTTP/2, whose callers it tells what it has not taken.
-func (l *listener) drain(finish context.Context) error {
+// no request is under way, and closes them. Requests that have not ended in time
+// are cut off, and their handlers get some more to answer.
+func (l *listener) drain(finish, answers context.Context) error {
 	_ = l.Close()
-	l.conns.Drain(func() bool { return finish.Err() != nil })
-	return l.server.Shutdown(finish)
+	if l.close(finish) == nil {
+		return nil
+	}
+	l.cutOff(caller.ErrStopping)
+	return l.close(answers)
+}
+
+// close closes the connections once no request is under way. Shutdown alone
+// would close a connection whose next request it has read, without an answer; it
+// is left with the connections of HTTP/2, whose callers it tells what it has not
+// taken.
+func (l *listener) close(ctx context.Context) error {
+	if !l.conns.Drain(func() bool { return ctx.Err() != nil }) {
+		return context.Cause(ctx)
+	}
+	return l.server.Shutdown(ctx)
 }
 
 // parting asks those who get an answer from a draining router to close their
--- a/transport/daemon/stop_test.go
+++ b/transport/daemon/stop_test.go
@@ -209,32 +209,39 @@
 	require.NoError(t, <-b.done)
 }
 
-// A router has a second to stop. One request runs on an engine for longer than
-// that, another one waits for the engine's only slot. When the time was over
-// both connections were closed without an answer, so that neither caller could
-// tell whether its request had run: the server was closed under its handlers,
-// and "drain timed out" was all that the log said.
+// A router has a second to stop. Requests are with an engine for longer than
+// that, another one waits for its only slot. When the time was over their
+// connections were closed without an answer, so that no caller could tell
+// whether its request had run: the server was closed under its handlers, and
+// "drain timed out" was all that the log said.
 func TestStopAnswersWhatHasNotEnded(t *testing.T) {
 	slow := engine.New(engine.Options{Options: upstream.Options{Name: "engine", Slots: 1}, TokenDelay: time.Hour})
 	url, stop, err := slow.Start("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(stop)
 	b := startStopBench(t, url, func(o *Options) { o.DrainTimeout = time.Second })
-	const request = "POST /drafts/v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer one\r\nContent-Length: 2\r\n\r\n{}"
-
-	running := b.dial(b.Addresses().Callers)
-	running.send(request)
-	eventually(t, "a request runs", func() bool { return slow.Load().Running == 1 })
-	waiting := b.dial(b.Addresses().Callers)
-	waiting.send(request)
+	// An engine is sent one request more than it has slots.
+	sent := []*stopCaller{b.request(), b.request()}
+	eventually(t, "the engine has its requests", func() bool { return len(slow.Ledger().Entries()) == len(sent) })
+	waiting := b.request()
 	eventually(t, "a request waits", func() bool { return b.Status().Waiting == 1 })
 
 	b.order()
-	answer := running.receive()
-	require.Equal(t, "5002", answer.Header.Get(problem.HeaderResult))
-	require.Equal(t, "unknown", answer.Header.Get(problem.HeaderRan))
-	answer = waiting.receive()
+	for _, c := range sent {
+		answer := c.receive()
+		require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+		require.Equal(t, "5002", answer.Header.Get(problem.HeaderResult))
+		require.Equal(t, "unknown", answer.Header.Get(problem.HeaderRan))
+	}
+	answer := waiting.receive()
 	require.Equal(t, "2005", answer.Header.Get(problem.HeaderResult))
 	require.Equal(t, "no", answer.Header.Get(problem.HeaderRan))
 	require.NoError(t, <-b.done)
 }
+
+// request sends a request on a connection of its own.
+func (b *stopBench) request() *stopCaller {
+	c := b.dial(b.Addresses().Callers)
+	c.send("POST /drafts/v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer one\r\nContent-Length: 2\r\n\r\n{}")
+	return c
+}
