Soak planned stops with callers that keep their connections

The soak stopped routers one at a time, and its callers opened a connection for each request, so that a request lost on an open connection at a stop could not show.

Two callers for each router now use a connection until it ends. Stops come at two routers at once, one after the other, right after a start, and with SIGHUP and a second SIGTERM within them. Checked is that no request which was sent whole on an open connection stays without its answer, or has it broken off, at a router that was neither killed nor frozen, if the router's log or an engine knows it; broken off counts while the links to engines are good. An engine takes 50 ms for a page, so that some are under way at each stop.

--- a/e2e/soak_proxy_test.go
+++ b/e2e/soak_proxy_test.go
@@ -34,8 +34,10 @@
 	mu    sync.Mutex
 	cond  *sync.Cond
 	fault linkFault
-	conns map[net.Conn]bool
-	done  bool
+	// changes counts the faults that began or ended.
+	changes int
+	conns   map[net.Conn]bool
+	done    bool
 }
 
 func startLink(t *testing.T, target string) *faultyLink {
@@ -122,13 +124,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fault = fault
+	l.changes++
 	l.cond.Broadcast()
 }
 
+// history returns the number of changes so far, and whether the link is good.
+func (l *faultyLink) history() (changes int, good bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changes, l.fault == linkGood
+}
+
 // reset ends all connections with a reset.
 func (l *faultyLink) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.changes++
 	for conn := range l.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +26,13 @@
 	soakEngines = 3
 	// soakCallers send requests one after the other, to any router.
 	soakCallers = 12
+	// soakKeepers send requests to each router on connections that they keep.
+	soakKeepers = 2
+	// soakPause is the longest time between two requests of one caller.
+	soakPause = 10 * time.Millisecond
+	// soakPage is how long an engine takes for a page, so that some are under
+	// way at any time.
+	soakPage = 50 * time.Millisecond
 	// soakEvents is the length of a stream.
 	soakEvents = 6
 	// soakSteps is the number of faults in a short run; FIGSTILE_SOAK_STEPS
@@ -34,14 +42,18 @@
 	soakPatience = 8 * time.Second
 )
 
+// soakKinds are the routes of the requests.
+var soakKinds = []string{"pages", "guides"}
+
 // keptSeeds have failed once; each line names the cause.
 var keptSeeds = []uint64{}
 
 // TestSoak runs real routers under a random series of faults from outside, and
 // checks from what callers and engines see: what must not be repeated runs at
 // most once, "not run" is true, whole answers belong to their requests and have
-// each event once, a planned stop ends with code 0, and once the faults are
-// over every router serves. FIGSTILE_SOAK_SEED names a seed, FIGSTILE_SOAK_RUNS
+// each event once, a planned stop ends with code 0, no request that a router read
+// on an open connection stays without an answer because of a planned stop, and
+// once the faults are over every router serves. FIGSTILE_SOAK_SEED names a seed, FIGSTILE_SOAK_RUNS
 // how many more are drawn.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64{1}, keptSeeds...)
@@ -68,10 +80,13 @@
 	routers []*edgeRouter
 	ledger  *soakLedger
 	version int
+
+	mu    sync.Mutex
+	lives map[*edgeRouter]*soakLife
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{t: t, draw: rand.New(rand.NewPCG(seed, 3)), store: startObjectStore(t), ledger: newSoakLedger(), version: 1}
+	s := &soak{t: t, draw: rand.New(rand.NewPCG(seed, 3)), store: startObjectStore(t), ledger: newSoakLedger(), version: 1, lives: make(map[*edgeRouter]*soakLife)}
 	s.store.put(edge.KindConfig, "main", edgeConfig(s.version, "k1"))
 	for i := range soakEngines {
 		s.addEngine(fmt.Sprintf("i-%d", i))
@@ -82,6 +97,7 @@
 		s.stores = append(s.stores, link)
 		r := startEdgeRouterAt(t, link.address(), i, seeds...)
 		s.routers = append(s.routers, r)
+		s.setLife(r, &soakLife{process: r.process})
 		seeds = append(seeds, r.peers)
 	}
 	for _, r := range s.routers {
@@ -107,6 +123,9 @@
 	for i := range soakCallers {
 		callers.Go(func() { s.call(ctx, i) })
 	}
+	for i := range soakKeepers * soakRouters {
+		callers.Go(func() { s.keep(ctx, s.routers[i%soakRouters], uint64(i)) })
+	}
 	steps := soakSteps
 	if n, err := strconv.Atoi(os.Getenv("FIGSTILE_SOAK_STEPS")); err == nil {
 		steps = n
@@ -133,16 +152,19 @@
 func (s *soak) fault() (undo func()) {
 	link := s.links[s.draw.IntN(len(s.links))]
 	store := s.stores[s.draw.IntN(len(s.stores))]
-	router := s.routers[s.draw.IntN(len(s.routers))]
-	kind := s.draw.IntN(9)
+	first := s.draw.IntN(len(s.routers))
+	router, other := s.routers[first], s.routers[(first+1)%len(s.routers)]
+	kind := s.draw.IntN(13)
 	s.t.Logf("fault %d at %s", kind, router.name)
 	switch kind {
 	case 0:
+		s.spoil(router)
 		router.freeze()
 		return router.thaw
 	case 1:
+		s.spoil(router)
 		router.kill()
-		router.launch(s.t)
+		s.launch(router)
 	case 2:
 		s.replace(router)
 	case 3:
@@ -161,19 +183,52 @@
 	case 8:
 		s.version++
 		s.store.put(edge.KindConfig, "main", edgeConfig(s.version, "k1", fmt.Sprintf("k%d", s.version)))
+	case 9:
+		s.replace(router, other)
+	case 10:
+		s.replace(router)
+		s.replace(other)
+	case 11:
+		s.replace(router)
+		await(s.t, func() bool { return takesConnections(router.callers) })
+		s.replace(router)
+	case 12:
+		s.beginStop(router)
+		s.pause()
+		s.hangup(router)
+		s.pause()
+		router.terminate()
+		s.endStop(router)
 	}
 	return func() {}
 }
 
-// replace stops a router as planned and starts it again.
-func (s *soak) replace(router *edgeRouter) {
+// pause lets a part of a stop pass.
+func (s *soak) pause() { time.Sleep(time.Duration(s.draw.IntN(2000)) * time.Millisecond) }
+
+// replace stops routers at once as planned and starts them again.
+func (s *soak) replace(routers ...*edgeRouter) {
+	for _, r := range routers {
+		s.beginStop(r)
+	}
+	for _, r := range routers {
+		s.endStop(r)
+	}
+}
+
+func (s *soak) beginStop(router *edgeRouter) {
 	router.thaw()
 	router.terminate()
+}
+
+func (s *soak) endStop(router *edgeRouter) {
 	<-router.done
 	require.NoError(s.t, router.err, "a planned stop ends with code 0")
-	router.launch(s.t)
+	s.launch(router)
 }
 
+func (s *soak) hangup(router *edgeRouter) { _ = router.cmd.Process.Signal(syscall.SIGHUP) }
+
 // heal ends all faults and waits until every router serves.
 func (s *soak) heal() {
 	s.store.SetAway(false)
@@ -191,9 +246,9 @@
 func (s *soak) call(ctx context.Context, caller int) {
 	draw := rand.New(rand.NewPCG(uint64(caller), 5))
 	for ctx.Err() == nil {
-		kind := []string{"pages", "guides"}[draw.IntN(2)]
+		kind := soakKinds[draw.IntN(2)]
 		s.one(s.routers[draw.IntN(len(s.routers))], kind, s.ledger.id(), soakPatience)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(soakPause)
 	}
 }
 
@@ -202,15 +257,11 @@
 func (s *soak) one(r *edgeRouter, kind, id string, patience time.Duration) int {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+"/"+kind+"/"+id, strings.NewReader(id))
+	request, err := soakRequest(ctx, r, kind, id, patience)
 	if err != nil {
 		return 0
 	}
-	request.Host = "h.example"
 	request.Close = true
-	request.Header.Set("Authorization", "Bearer k1")
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0
@@ -221,6 +272,18 @@
 	return response.StatusCode
 }
 
+func soakRequest(ctx context.Context, r *edgeRouter, kind, id string, patience time.Duration) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+"/"+kind+"/"+id, strings.NewReader(id))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = "h.example"
+	request.Header.Set("Authorization", "Bearer k1")
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	return request, nil
+}
+
 // soakLedger knows what ran and what callers were told.
 type soakLedger struct {
 	mu   sync.Mutex
@@ -230,6 +293,7 @@
 	once   map[string]bool
 	notRun map[string]bool
 	faults []string
+	lost   []lost
 	whole  int
 }
 
@@ -264,6 +328,7 @@
 		l.mu.Unlock()
 		w.Header().Set("Server-Signature", "sig-"+id)
 		if strings.HasPrefix(r.URL.Path, "/pages/") {
+			time.Sleep(soakPage)
 			fmt.Fprintf(w, "page of %s", body)
 			return
 		}
@@ -323,5 +388,12 @@
 	for id, n := range l.runs {
 		require.False(t, l.once[id] && n > 1, "%s must run once at most and ran %d times", id, n)
 	}
-	t.Logf("%d requests, %d whole answers, %d told not run", l.next, l.whole, len(l.notRun))
+	unread := 0
+	for _, request := range l.lost {
+		if !request.life.spoilt {
+			unread++
+		}
+		require.False(t, l.isRouters(request), "%s was read at a planned stop and got no answer", request.id)
+	}
+	t.Logf("%d requests, %d whole answers, %d told not run, %d without an answer, of which %d no router had read", l.next, l.whole, len(l.notRun), len(l.lost), unread)
 }
--- a/transport/conntrack/tracker_test.go
+++ b/transport/conntrack/tracker_test.go
@@ -348,7 +348,7 @@
 	unused := f.dial(t)
 	require.NoError(t, f.listener.Close())
 	require.True(t, f.tracker.Drain(func() bool { return false }))
-	require.True(t, unused.closed())
+	unused.awaitClosed(t)
 }
 
 // Frames come on a connection of HTTP/2 also when no request is under way. A
