Go on to listen for orders until a stopped router is gone

Operators who asked a stopping router again saw it end by the signal and not with code 0, and its last log lines could be missing.

Cause: the process took the handling of SIGTERM and SIGINT back as soon as the router had ended, and wrote the last log lines after that. An order within these milliseconds had the system's own effect. Ruled out: further orders during the stop, which were taken and had no effect.

The process now listens until it has ended.

--- a/cmd/figstiled/edge.go
+++ b/cmd/figstiled/edge.go
@@ -38,8 +38,7 @@
 	output := logging.NewAsync(os.Stdout)
 	defer output.Close()
 	log := logging.New(output, c.LogLevel)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := untilStopped()
 	store := platform.NewStore(settings.Store, edge.NewDialer().DialContext)
 	router, err := edge.New(settings.Settings, platform.Platform{Store: store}, log)
 	if err != nil {
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -54,3 +54,39 @@
 	_ = conn.Close()
 	return true
 }
+
+// Operators stop a router and lose patience: they ask again and again until it
+// is gone. It ended by the signal and not by itself when one came within its
+// last milliseconds, so that its exit code told of a failure and its last log
+// lines were missing: it had stopped to listen for signals before it had written
+// them.
+func TestStopTakesFurtherSignals(t *testing.T) {
+	_, e, routers := startEdgeFleet(t)
+	r := routers[0]
+	held := make(chan int, 1)
+	go func() { held <- r.status(t, heldPage, "k1") }()
+	<-e.begun
+	r.terminate()
+	await(t, func() bool { return !takesConnections(r.callers) })
+	e.release <- struct{}{}
+	askUntilGone(t, r.process)
+	require.Equal(t, http.StatusOK, <-held)
+
+	f := newFleet(t)
+	f.configure()
+	askUntilGone(t, f.startRouter("router-1", "sala-laredo").process)
+}
+
+// askUntilGone asks a router to stop without a pause.
+func askUntilGone(t *testing.T, p *process) {
+	t.Helper()
+	for {
+		select {
+		case <-p.done:
+			require.NoError(t, p.err)
+			return
+		default:
+			p.terminate()
+		}
+	}
+}
