--- a/transport/edge/bench_test.go
+++ b/transport/edge/bench_test.go
@@ -73,7 +73,50 @@
 	}
 }
 
+// refusedBody is the size of a long prompt's request.
+const refusedBody = 12_000
+
+// BenchmarkRefusal refuses requests for lack of room, each on a connection
+// of its own, as callers that were refused come back. Its processor time
+// includes that of the caller, which is a plain loop over sockets.
+func BenchmarkRefusal(b *testing.B) {
+	for name, size := range map[string]int{"short": 5, "long": refusedBody} {
+		b.Run(name, func(b *testing.B) {
+			address := startRouterOf(b, startPacedEngine(b), reservedFiles+1)
+			request := fmt.Sprintf("POST /a/ HTTP/1.1\r\nHost: h\r\nAttempt: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+			require.Equal(b, http.StatusTooManyRequests, callOnce(b, address, request))
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = callOnce(b, address, request)
+			}
+		})
+	}
+}
+
+// callOnce sends a request on a new connection and returns its status.
+func callOnce(b *testing.B, address, request string) int {
+	b.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(b, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, request)
+	require.NoError(b, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(b, err)
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
 func startRouter(b *testing.B, engine string) string {
+	b.Helper()
+	return startRouterOf(b, engine, benchFiles)
+}
+
+// benchFiles are more descriptors than any benchmark opens.
+const benchFiles = 10000
+
+// startRouterOf starts a router that may open so many descriptors.
+func startRouterOf(b *testing.B, engine string, maxFiles int) string {
 	b.Helper()
 	spec, err := json.Marshal(routing.Config{
 		Version:  1,
@@ -91,7 +134,7 @@
 	}
 	platform.watch = func(Kind, uint64) ([]Object, uint64, error) { return nil, 1, nil }
 	router, err := New(Settings{
-		Router: "r1", DataCentre: "dc", MaxFiles: 10000, GracePeriod: time.Second,
+		Router: "r1", DataCentre: "dc", MaxFiles: maxFiles, GracePeriod: time.Second,
 		Addresses: Addresses{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 	}, platform, logging.New(logging.NewAsync(io.Discard), "info"))
 	require.NoError(b, err)
