Close connections that a full router cannot even refuse in time

A balancer sends all callers of a workspace to one router, which may have a fifth of a core. Streams that the router relayed were late, and requests went on after their callers had left.

Cause: refusals took the whole processor, and admitted requests none. To refuse costs a head, a body, an answer and a log line.

Now refusals for want of room may take a quarter of the processor share. What comes beyond that, while the router is full, is closed unread: its caller knows at once that nothing was taken and reaches another router. With room, or where the share is not known, nothing is closed.

--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -249,7 +249,7 @@
 		ConnContext:    withConn,
 		MaxHeaderBytes: headerBytes,
 	}
-	all := []server{{r.callers, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
+	all := []server{{shedder{r.callers, r.pressure}, callers}, {r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}}}
 	if r.figures != nil {
 		all = append(all, server{r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}})
 	}
