Let a flooded router stay out of rotation longer each time

All callers of a workspace came back to the smallest router of their data centre every other second, were refused there, and left again, while a larger one beside it served all of them whenever it was its turn.

Cause: a router says that it is ready as soon as it is calm, which it is two seconds after balancers took its callers away. Balancers take two misses to send callers elsewhere and none to send them back.

A router that became busy now stays away four seconds at least, and twice as long each time that it happens again within eight seconds of its return, up to sixteen. What it relays goes on, and balancers that lack routers send callers nevertheless.

Ruled out: that the share of the workspace stops it. It was refused for its share after seconds of plenty at the large router, and for room at the small ones.

--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -336,5 +336,5 @@
 func (d *desk) ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table != nil && d.draining.IsZero() && !d.pressure.busy.Load()
+	return d.table != nil && d.draining.IsZero() && d.pressure.welcomes()
 }
