Leave the little room of a router to workspaces short of their shares

A workspace that was far from its share was refused by full routers as often as the one beside it that had all of its share and sent most of the requests.

Cause: a router is found full before it knows whose request it holds.

Requests without a workspace are small and count as short.

--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -293,6 +293,25 @@
 	return true
 }
 
+// FullFor implements ingress.Desk.
+func (d *desk) FullFor(ws state.Workspace) bool {
+	if !d.pressure.tight() || !d.served(ws) {
+		return false
+	}
+	d.pressure.refusals.count()
+	return true
+}
+
+// served says whether a workspace has had its fair share.
+func (d *desk) served(ws state.Workspace) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ws == "" || d.table == nil {
+		return false
+	}
+	return d.ledger.Standing(d.now(), ws, d.table.Limits().Throughput).Use >= 1
+}
+
 func (d *desk) drain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -160,6 +160,7 @@
 	blocked   bool
 	closing   bool
 	full      bool
+	fullFor   state.Workspace
 	lost      int
 	outcomes  []placement.Outcome
 	watched   []func()
@@ -237,6 +238,8 @@
 func (d *scriptedDesk) Full() bool               { return d.full }
 func (d *scriptedDesk) Closing() bool            { return d.closing }
 
+func (d *scriptedDesk) FullFor(ws state.Workspace) bool { return d.fullFor != "" && d.fullFor == ws }
+
 // plainDialect spells the few fields that tests need.
 type plainDialect struct{}
 
