--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -167,3 +167,14 @@
 	f.desk.giveUpStalled()
 	require.Zero(t, *unpaid, "the budget for retries is spent")
 }
+
+// Callers keep unused connections for as long as the configuration in force
+// says, and for the default before there is one or where it says nothing.
+func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
+	f := newFixture()
+	require.Equal(t, defaultIdle, f.desk.idleLimit())
+	f.desk.setTable(routing.NewTable(routing.Config{}))
+	require.Equal(t, defaultIdle, f.desk.idleLimit())
+	f.desk.setTable(routing.NewTable(routing.Config{Limits: routing.Limits{IdleTimeout: 30 * time.Second}}))
+	require.Equal(t, 30*time.Second, f.desk.idleLimit())
+}
