--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -141,8 +141,8 @@
 }
 
 // Doubt takes that upstreams may be gone that are still used here, and the
-// peers that follow the store and hold other upstreams. One that was in touch
-// with the store all the time knows, and told of it when this router was cut
+// peers that follow the store and hold other upstreams. One that reached
+// the store all the time knows, and told of it when this router was cut
 // off. A lasting difference shows that too late: upstreams that were cut off as
 // well come back one after the other, and meanwhile requests go to one that is
 // gone. So each of these peers is asked at once, one at a time and each once.
--- a/transport/edge/lapse_test.go
+++ b/transport/edge/lapse_test.go
@@ -70,7 +70,7 @@
 
 // A caller's request reached an engine 2.9 s after it had said that it leaves.
 // A data centre was cut off, so that the entry of an engine in it lapsed; the
-// routers outside, in touch with the store all the time, took it as gone. The
+// routers outside, which reached the store all the time, took it as gone. The
 // cut healed, the engine said that it leaves, and a router of the data centre
 // reached the store again, which held no entry. It logged "upstream may have
 // lapsed" and used the engine for another 2.2 s, as if the store had been
