Let the tracker of connections end requests, for both kinds of router

Both routers built the context that a stop ends, named its cause, and asked for it in code of their own, twice the same; and only one waited until its listener had handed over the last connection before it took all for drained. The tracker now holds the context and the cause, and counts the calls of Accept under way, so that a drain on either side sees a connection that is just being accepted. The look at what the kernel has received is one function as well, for callers who have left and for requests that have arrived.

Ruled out: one function for the whole stop of both, as one follows its own clock and the other contexts.

--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -9,6 +9,7 @@
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/conntrack"
 	"github.com/figstile/figstile/transport/upstream"
 )
 
@@ -71,7 +72,7 @@
 }
 
 // cutOff says whether the router has ended the request because it stops.
-func (x *exchange) cutOff() bool { return errors.Is(context.Cause(x.ctx), ErrStopping) }
+func (x *exchange) cutOff() bool { return conntrack.IsCutOff(x.ctx) }
 
 func (x *exchange) stoppedResult() result.Result {
 	if x.sent {
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -29,11 +28,6 @@
 	defaultWriteTimeout = 30 * time.Second
 )
 
-// ErrStopping is the cause with which a stopping router ends the contexts of the
-// requests that have not ended in time. Their callers still get an answer; the
-// mere close of their connections would leave them to guess.
-var ErrStopping = errors.New("caller: the router stops")
-
 // Options wire a Handler. Zero limits take the defaults.
 type Options struct {
 	Router      state.Router
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -21,6 +21,7 @@
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/state/result"
+	"github.com/figstile/figstile/transport/conntrack"
 	"github.com/figstile/figstile/transport/problem"
 	"github.com/figstile/figstile/transport/upstream"
 )
@@ -509,7 +510,7 @@
 		b := newBench(t, nil)
 		go func() {
 			<-b.submitted
-			b.cutOff(ErrStopping)
+			b.cutOff(conntrack.ErrStopping)
 		}()
 		resp, _, err := b.call(t, "/bookings/x", "4A")
 		require.NoError(t, err)
@@ -522,7 +523,7 @@
 		var b *bench
 		b = newBench(t, func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
-			b.cutOff(ErrStopping)
+			b.cutOff(conntrack.ErrStopping)
 			<-r.Context().Done()
 		}, dispatch("one"))
 		resp, _, err := b.call(t, "/bookings/x", "4A", HeaderIdempotencyKey, "k")
@@ -539,7 +540,7 @@
 		b = newBench(t, func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.WriteString(w, "seat")
 			_ = http.NewResponseController(w).Flush()
-			b.cutOff(ErrStopping)
+			b.cutOff(conntrack.ErrStopping)
 			<-r.Context().Done()
 		}, dispatch("one"))
 		resp, body, err := b.call(t, "/bookings/x", "")
@@ -557,7 +558,7 @@
 		resp, err := http.DefaultClient.Do(req)
 		require.NoError(t, err)
 		defer resp.Body.Close()
-		b.cutOff(ErrStopping)
+		b.cutOff(conntrack.ErrStopping)
 		body, err := io.ReadAll(resp.Body)
 		require.Error(t, err)
 		require.Contains(t, string(body), `"code":5002`)
--- a/transport/conntrack/conn.go
+++ b/transport/conntrack/conn.go
@@ -143,11 +143,17 @@
 
 // hasBytes looks at what the kernel has received and takes nothing of it.
 func (c *conn) hasBytes() bool {
-	received := false
+	n, failed, err := Peek(c.raw)
+	return err == nil && failed == nil && n > 0
+}
+
+// Peek looks at what the kernel has received on a connection and takes nothing
+// of it: the number of bytes, at most one, or with what the call failed. The last
+// error is that the connection is closed at this end.
+func Peek(raw syscall.RawConn) (n int, failed, closed error) {
 	var first [1]byte
-	err := c.raw.Control(func(fd uintptr) {
-		n, _, failed := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		received = failed == nil && n > 0
+	closed = raw.Control(func(fd uintptr) {
+		n, _, failed = unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && received
+	return n, failed, closed
 }
--- a/transport/conntrack/tracker.go
+++ b/transport/conntrack/tracker.go
@@ -1,11 +1,13 @@
 package conntrack
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,19 +17,41 @@
 // errNotTCP is returned by Accept for a connection of another kind.
 var errNotTCP = errors.New("conntrack: the listener is not of TCP")
 
+// ErrStopping is the cause with which CutOff ends the contexts of requests. Their
+// callers still get an answer; the mere close of their connections would leave
+// them to guess.
+var ErrStopping = errors.New("conntrack: the server stops")
+
+// IsCutOff says whether CutOff has ended a request's context.
+func IsCutOff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // Tracker tracks the connections of one HTTP server. It is safe for concurrent
 // use.
 type Tracker struct {
-	now   func() time.Time
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	now func() time.Time
+	// requests is the context of all requests, which cutOff ends.
+	requests context.Context
+	cutOff   context.CancelCauseFunc
+	// accepting counts the calls of Accept, which may be about to add a
+	// connection.
+	accepting atomic.Int64
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
 }
 
 // New returns a tracker with a clock.
 func New(now func() time.Time) *Tracker {
-	return &Tracker{now: now, conns: make(map[*conn]struct{})}
+	t := &Tracker{now: now, conns: make(map[*conn]struct{})}
+	t.requests, t.cutOff = context.WithCancelCause(context.Background())
+	return t
 }
 
+// BaseContext is the server's hook for the context of its requests.
+func (t *Tracker) BaseContext(net.Listener) context.Context { return t.requests }
+
+// CutOff ends the contexts of the requests under way, and of any to come.
+func (t *Tracker) CutOff() { t.cutOff(ErrStopping) }
+
 // Listener returns a listener whose connections are tracked; inner must be of
 // TCP. The server must call StateChanged. What wraps the connections must give
 // the inner one by NetConn. Those of HTTP/2 are left to the server, whose
@@ -112,7 +136,7 @@
 // then the server goes on answering: http.Server.Shutdown closes a connection
 // without an answer when a request arrives on it meanwhile, and a caller whose
 // request must not run twice cannot send it again. The listener must be closed
-// already, and the server's Serve have returned. Drain returns false once the time for it has expired.
+// already. Drain returns false once the time for it has expired.
 func (t *Tracker) Drain(expired func() bool) bool {
 	for !t.closeUnlessBusy() {
 		if expired() {
@@ -124,7 +148,7 @@
 }
 
 func (t *Tracker) closeUnlessBusy() bool {
-	if t.Busy() > 0 {
+	if t.accepting.Load() > 0 || t.Busy() > 0 {
 		return false
 	}
 	t.closeUnused(func(*conn) bool { return true })
@@ -157,6 +181,8 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	l.tracker.accepting.Add(1)
+	defer l.tracker.accepting.Add(-1)
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/transport/daemon/listener.go
+++ b/transport/daemon/listener.go
@@ -16,17 +16,13 @@
 	net.Listener
 	server *http.Server
 	conns  *conntrack.Tracker
-	// cutOff ends the contexts of requests.
-	cutOff context.CancelCauseFunc
 }
 
 // serve builds the server on the open socket, whose connections it tracks.
 func (l *listener) serve(handler http.Handler, limits caller.ServerOptions) {
-	requests, cutOff := context.WithCancelCause(context.Background())
-	l.cutOff = cutOff
 	l.conns = conntrack.New(time.Now)
 	l.server = caller.NewServer(handler, limits)
-	l.server.BaseContext = func(net.Listener) context.Context { return requests }
+	l.server.BaseContext = l.conns.BaseContext
 	l.server.ConnState = l.conns.StateChanged
 	l.Listener = l.conns.Listener(l.Listener)
 }
@@ -57,7 +53,7 @@
 	if l.close(finish) == nil {
 		return nil
 	}
-	l.cutOff(caller.ErrStopping)
+	l.conns.CutOff()
 	return l.close(answers)
 }
 
--- a/transport/edge/left.go
+++ b/transport/edge/left.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/figstile/figstile/transport/conntrack"
 )
 
 // connKey is the context key of a caller's connection.
@@ -30,11 +32,6 @@
 	if err != nil {
 		return false
 	}
-	left := false
-	var first [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, failed := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = failed == nil && n == 0 || failed == unix.ECONNRESET
-	})
-	return left || err != nil
+	n, failed, closed := conntrack.Peek(raw)
+	return closed != nil || failed == nil && n == 0 || failed == unix.ECONNRESET
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -61,10 +61,6 @@
 	pressure  *pressure
 	conns     *conntrack.Tracker
 
-	// requests is the context of callers' requests, which cutOff ends.
-	requests context.Context
-	cutOff   context.CancelCauseFunc
-
 	callers net.Listener
 	ready   net.Listener
 	figures net.Listener
@@ -82,7 +78,6 @@
 		conns:    conntrack.New(boottime.Now),
 		metrics:  metrics.New(settings.Router, settings.DataCentre),
 	}
-	r.requests, r.cutOff = context.WithCancelCause(context.Background())
 	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
 	r.pressure = r.desk.pressure
 	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.desk, r.catalogue, log, boottime.Now)
@@ -209,7 +204,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		r.stop(servers[0])
+		r.stop()
 	case <-groupCtx.Done():
 	}
 	cancel()
@@ -225,16 +220,9 @@
 type server struct {
 	listener net.Listener
 	server   *http.Server
-	// served is closed once no connection is accepted any more.
-	served chan struct{}
-}
-
-func newServer(listener net.Listener, s *http.Server) server {
-	return server{listener: listener, server: s, served: make(chan struct{})}
 }
 
 func (s server) serve() error {
-	defer close(s.served)
 	err := s.server.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -251,16 +239,16 @@
 			r.pressure.changed(conn, state)
 			r.conns.StateChanged(conn, state)
 		},
-		BaseContext:    func(net.Listener) context.Context { return r.requests },
+		BaseContext:    r.conns.BaseContext,
 		ConnContext:    withConn,
 		MaxHeaderBytes: headerBytes,
 	}
 	all := []server{
-		newServer(r.conns.Listener(r.callers), callers),
-		newServer(r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}),
+		{r.conns.Listener(r.callers), callers},
+		{r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}},
 	}
 	if r.figures != nil {
-		all = append(all, newServer(r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}))
+		all = append(all, server{r.figures, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}})
 	}
 	return all
 }
@@ -285,20 +273,19 @@
 
 // stop lets balancers and callers move on, waits for what runs, and answers what
 // has not ended in time.
-func (r *Router) stop(callers server) {
+func (r *Router) stop() {
 	r.log.Info().Msg("stopping")
 	course := r.desk.stop()
 	for course.Taking(boottime.Now()) {
 		time.Sleep(stopPoll)
 	}
 	_ = r.callers.Close()
-	<-callers.served
 	if r.conns.Drain(func() bool { return course.Remaining(boottime.Now()) <= 0 }) {
 		return
 	}
 	r.log.Warn().Int64("requests", r.handler.Running()).Int("connections", r.conns.Busy()).
 		Msg("requests cut off at the end of the grace period")
-	r.cutOff(ingress.ErrStopping)
+	r.conns.CutOff()
 	now := boottime.Now()
 	until := now.Add(max(course.AnswersFor(now), leastAnswers))
 	r.conns.Drain(func() bool { return !boottime.Now().Before(until) })
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/conntrack"
 	"github.com/figstile/figstile/transport/endtoend"
 	"github.com/figstile/figstile/transport/upstream"
 )
@@ -110,9 +111,9 @@
 	switch {
 	case ctx.Err() == nil:
 		return end.res
-	case x.cutOff() && x.sent:
+	case conntrack.IsCutOff(x.r.Context()) && x.sent:
 		return result.New(result.StoppedWhileRun, "")
-	case x.cutOff():
+	case conntrack.IsCutOff(x.r.Context()):
 		return result.New(result.Draining, "").After(admission.ElsewhereRetry)
 	case x.sent:
 		return result.New(result.DeadlineWhileRun, "")
@@ -121,9 +122,6 @@
 	}
 }
 
-// cutOff says whether the router has ended the request because it stops.
-func (x *exchange) cutOff() bool { return errors.Is(context.Cause(x.r.Context()), ErrStopping) }
-
 // settle gives the caller its final answer: an upstream's own failure if there
 // is one, else the router's. Once an upstream may have run the request, no
 // answer says that it did not.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/conntrack"
 	"github.com/figstile/figstile/transport/problem"
 	"github.com/figstile/figstile/transport/upstream"
 )
@@ -30,11 +31,6 @@
 	unsentTries = 4
 )
 
-// ErrStopping is the cause with which a stopping router ends the contexts of the
-// requests that have not ended in time. Their callers still get an answer; the
-// mere close of their connections would leave them to guess.
-var ErrStopping = errors.New("ingress: the router stops")
-
 // Options wire a Handler.
 type Options struct {
 	Dialect  Dialect
@@ -193,7 +189,7 @@
 }
 
 func (x *exchange) finish(res result.Result) {
-	if x.r.Context().Err() != nil && !x.cutOff() && res.Code != result.OK {
+	if x.r.Context().Err() != nil && !conntrack.IsCutOff(x.r.Context()) && res.Code != result.OK {
 		x.record.Abandoned = true
 	}
 	x.record.Result = res
