Spend less on a refusal for want of room

Callers of a workspace that all met one small router waited in its sockets behind thousands of refusals, each of which the router wrote down in full.

Unused connections are closed by the configuration's limit, and a request that waits ends at its deadline, so that the probes guard nothing.

Ruled out: to refuse before the body is read. A caller that still sends gets a reset instead of the answer, or the connection has to linger.

--- a/transport/edge/bench_test.go
+++ b/transport/edge/bench_test.go
@@ -60,9 +60,49 @@
 	}
 }
 
+// refusedBody is the size of a long prompt's request.
+const refusedBody = 12_000
+
+// BenchmarkRefusal refuses requests for lack of room, each on a connection
+// of its own, as callers that were refused come back. Its processor time
+// includes that of the caller, which is a plain loop over sockets.
+func BenchmarkRefusal(b *testing.B) {
+	for name, size := range map[string]int{"short": 5, "long": refusedBody} {
+		b.Run(name, func(b *testing.B) {
+			address := startRouterOf(b, startPacedEngine(b), reservedFiles+1)
+			request := fmt.Sprintf("POST /a/ HTTP/1.1\r\nHost: h\r\nAttempt: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+			require.Equal(b, http.StatusTooManyRequests, callOnce(b, address, request))
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = callOnce(b, address, request)
+			}
+		})
+	}
+}
+
+// callOnce sends a request on a new connection and returns its status.
+func callOnce(b *testing.B, address, request string) int {
+	b.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(b, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, request)
+	require.NoError(b, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(b, err)
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
 func startRouter(b *testing.B, engine string) string {
 	b.Helper()
-	router, _ := runRouter(b, engine, 2*benchCallers, time.Second)
+	return startRouterOf(b, engine, benchFiles)
+}
+
+// startRouterOf starts a router that may open so many descriptors.
+func startRouterOf(b *testing.B, engine string, maxFiles int) string {
+	b.Helper()
+	router, _ := runRouterOf(b, engine, 2*benchCallers, time.Second, maxFiles)
 	return router.callers.Addr().String()
 }
 
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -157,7 +157,7 @@
 		return fmt.Errorf("peer listener: %w", err)
 	}
 	r.fleet.mesh = r.mesh
-	if r.callers, err = net.Listen("tcp", r.settings.Addresses.Callers); err != nil {
+	if r.callers, err = listenCallers(r.settings.Addresses.Callers); err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
 	if r.ready, err = net.Listen("tcp", r.settings.Addresses.Ready); err != nil {
@@ -172,6 +172,14 @@
 	return nil
 }
 
+// listenCallers listens without probes of idle connections: unused ones are
+// closed after the configuration's limit, and to set the probes up took four
+// system calls for each connection.
+func listenCallers(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 func (r *Router) close() {
 	for _, l := range []net.Listener{r.callers, r.ready, r.figures} {
 		if l != nil {
--- a/transport/edge/run_test.go
+++ b/transport/edge/run_test.go
@@ -27,6 +27,15 @@
 // below /a/, until the test ends or stop is called. stop returns once the router
 // has ended, within the grace period.
 func runRouter(tb testing.TB, engine string, slots int, grace time.Duration) (router *Router, stop func()) {
+	tb.Helper()
+	return runRouterOf(tb, engine, slots, grace, benchFiles)
+}
+
+// benchFiles are more descriptors than any test opens.
+const benchFiles = 10000
+
+// runRouterOf is runRouter for a process that may open so many descriptors.
+func runRouterOf(tb testing.TB, engine string, slots int, grace time.Duration, maxFiles int) (router *Router, stop func()) {
 	tb.Helper()
 	spec, err := json.Marshal(routing.Config{
 		Version:  1,
@@ -44,7 +53,7 @@
 	}
 	platform.watch = func(Kind, uint64) ([]Object, uint64, error) { return nil, 1, nil }
 	router, err = New(Settings{
-		Router: "r1", DataCentre: "dc", MaxFiles: 10000, GracePeriod: grace,
+		Router: "r1", DataCentre: "dc", MaxFiles: maxFiles, GracePeriod: grace,
 		Addresses: Addresses{Callers: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 	}, platform, logging.New(logging.NewAsync(io.Discard), "info"))
 	require.NoError(tb, err)
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -201,33 +201,38 @@
 	x.log(res)
 }
 
+// log writes the line of the request. One that was refused before its route was
+// looked up has no decision to tell of: a full router refuses hundreds a second,
+// and its processor would go into empty fields.
 func (x *exchange) log(res result.Result) {
 	event := x.h.Log.Info()
 	if res.Code != result.OK {
 		event = x.h.Log.Warn()
 	}
 	event.Str("id", x.in.Attempt).
-		Str("workspace", string(x.workspace)).
-		Str("route", x.record.Class).
-		Str("service", string(x.service)).
-		Str("upstream", string(x.verdict.Estimate.Upstream)).
-		Stringer("decision", x.verdict.Reason).
-		Int64("wait_ms", x.verdict.Estimate.Wait.Milliseconds()).
-		Int64("own_ms", x.verdict.Estimate.Own.Milliseconds()).
-		Int64("limit_ms", x.verdict.Limit.Milliseconds()).
-		Float64("share_used", x.verdict.Standing.Use).
-		Uint64("fingerprint", uint64(x.fingerprint)).
-		Int("prompt", x.in.PromptTokens).
-		Int("unread", x.verdict.Estimate.Unread).
-		Int("output", x.request.Output).
-		Int64("elapsed_ms", x.request.Elapsed.Milliseconds()).
-		Int64("target_ms", x.request.Target.Milliseconds()).
-		Int("attempts", x.attempts).
 		Int("code", int(res.Code)).
 		Stringer("ran", res.Ran).
-		Int64("first_ms", x.record.First.Milliseconds()).
-		Int64("pause_ms", x.longest.Milliseconds()).
+		Int("attempts", x.attempts).
 		Int64("total_ms", x.record.Total.Milliseconds())
+	if x.route != nil {
+		event.Str("workspace", string(x.workspace)).
+			Str("route", x.record.Class).
+			Str("service", string(x.service)).
+			Str("upstream", string(x.verdict.Estimate.Upstream)).
+			Stringer("decision", x.verdict.Reason).
+			Int64("wait_ms", x.verdict.Estimate.Wait.Milliseconds()).
+			Int64("own_ms", x.verdict.Estimate.Own.Milliseconds()).
+			Int64("limit_ms", x.verdict.Limit.Milliseconds()).
+			Float64("share_used", x.verdict.Standing.Use).
+			Uint64("fingerprint", uint64(x.fingerprint)).
+			Int("prompt", x.in.PromptTokens).
+			Int("unread", x.verdict.Estimate.Unread).
+			Int("output", x.request.Output).
+			Int64("elapsed_ms", x.request.Elapsed.Milliseconds()).
+			Int64("target_ms", x.request.Target.Milliseconds()).
+			Int64("first_ms", x.record.First.Milliseconds()).
+			Int64("pause_ms", x.longest.Milliseconds())
+	}
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
 	}
