Close connections that a full router cannot even refuse in time

A balancer sends all callers of a workspace to one router, which may have a fifth of a core. Streams that the router relayed were late, and requests went on after their callers had left.

Cause: refusals took the whole processor, and admitted requests none. To refuse costs a head, a body, an answer and a log line.

Now refusals for want of room may take a quarter of the processor share. What comes beyond that, while the router is full, is closed unread: its caller knows at once that nothing was taken and reaches another router. With room, or where the share is not known, nothing is closed.

--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -15,6 +15,9 @@
 	requestTime = 400 * time.Microsecond
 	refusalTime = 130 * time.Microsecond
 	eventTime   = 25 * time.Microsecond
+	// shedTime is what a connection takes that is closed unread: no goroutine,
+	// no head and no log line.
+	shedTime = 20 * time.Microsecond
 	// learning is the weight of one round of a tenth of a second: rates follow
 	// within half a second, in which a start of traffic fills a small VM.
 	learning = 0.2
@@ -33,6 +36,7 @@
 
 	requests atomic.Int64
 	refusals atomic.Int64
+	shed     atomic.Int64
 	events   atomic.Int64
 	// active are the streams under way, emitting those of them whose answer
 	// has begun.
@@ -44,12 +48,12 @@
 }
 
 // counts are totals at the last round.
-type counts struct{ requests, refusals, events int64 }
+type counts struct{ requests, refusals, shed, events int64 }
 
 // rates are averages over some rounds.
 type rates struct {
-	// arrivals is the part of the share that requests and refusals take,
-	// events that of the events.
+	// arrivals is the part of the share that requests, refusals and connections
+	// closed unread take, events that of the events.
 	arrivals, events float64
 	// pace is the number of events a second of a stream that has begun.
 	pace float64
@@ -68,6 +72,18 @@
 // Refusal counts a request that is refused.
 func (e *Estimate) Refusal() { e.refusals.Add(1) }
 
+// Shed counts a connection that is closed unread.
+func (e *Estimate) Shed() { e.shed.Add(1) }
+
+// ShedTotal returns how many connections were closed unread since the start.
+func (e *Estimate) ShedTotal() int64 { return e.shed.Load() }
+
+// RefusalRate returns how many refusals a second take a part of the share; 0 if
+// the share is not known.
+func (e *Estimate) RefusalRate(part float64) float64 {
+	return part * e.processors / refusalTime.Seconds()
+}
+
 // Event counts an event of a stream.
 func (e *Estimate) Event() { e.events.Add(1) }
 
@@ -88,15 +104,16 @@
 
 // Observe takes the length of the round since the last call.
 func (e *Estimate) Observe(round time.Duration) {
-	now := counts{e.requests.Load(), e.refusals.Load(), e.events.Load()}
-	done := counts{now.requests - e.before.requests, now.refusals - e.before.refusals, now.events - e.before.events}
+	now := counts{e.requests.Load(), e.refusals.Load(), e.shed.Load(), e.events.Load()}
+	done := counts{now.requests - e.before.requests, now.refusals - e.before.refusals, now.shed - e.before.shed, now.events - e.before.events}
 	e.before = now
 	if e.processors <= 0 || round <= 0 {
 		return
 	}
 	next := *e.rates.Load()
 	share := e.processors * float64(round)
-	next.arrivals += learning * ((float64(done.requests)*float64(requestTime)+float64(done.refusals)*float64(refusalTime))/share - next.arrivals)
+	arrivals := float64(done.requests)*float64(requestTime) + float64(done.refusals)*float64(refusalTime) + float64(done.shed)*float64(shedTime)
+	next.arrivals += learning * (arrivals/share - next.arrivals)
 	next.events += learning * (float64(done.events)*float64(eventTime)/share - next.events)
 	if emitting := e.emitting.Load(); emitting >= minEmitting {
 		next.pace += learning * (float64(done.events)/round.Seconds()/float64(emitting) - next.pace)
--- a/coordination/workload/workload_test.go
+++ b/coordination/workload/workload_test.go
@@ -79,3 +79,19 @@
 	require.Zero(t, e.Expected())
 	require.Zero(t, e.used())
 }
+
+func TestShedConnectionsAreWork(t *testing.T) {
+	e := New(0.2)
+	for range 40 {
+		for range 500 {
+			e.Shed()
+		}
+		e.Observe(round)
+	}
+	require.InDelta(t, 0.5, e.used(), 0.02)
+}
+
+func TestRefusalRate(t *testing.T) {
+	require.InDelta(t, 0.25*0.2/refusalTime.Seconds(), New(0.2).RefusalRate(0.25), 1e-9)
+	require.Zero(t, New(0).RefusalRate(0.25))
+}
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -57,7 +57,7 @@
 	return &desk{
 		settings: settings,
 		now:      now,
-		pressure: newPressure(settings.MaxFiles, settings.Processors),
+		pressure: newPressure(settings.MaxFiles, settings.Processors, now),
 		picture:  picture,
 		ledger:   shares.New(),
 		budgets:  make(map[state.Service]*budget.Budget),
@@ -306,7 +306,7 @@
 	if !d.pressure.full() {
 		return false
 	}
-	d.pressure.work.Refusal()
+	d.pressure.refusals.count()
 	return true
 }
 
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -58,7 +58,7 @@
 // as work when they arrive and not when they end.
 func TestRequestsCountAsWorkOnArrival(t *testing.T) {
 	f := newFixture()
-	f.desk.pressure = newPressure(0, 0.2)
+	f.desk.pressure = newPressure(0, 0.2, frozen)
 	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 100_000}, true)
 	for range 30 {
 		for range 45 {
@@ -73,7 +73,7 @@
 // the router would refuse all in the end, or never.
 func TestStreamsUnderWayAreCounted(t *testing.T) {
 	f := newFixture()
-	f.desk.pressure = newPressure(0, 0.1)
+	f.desk.pressure = newPressure(0, 0.1, frozen)
 	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
 	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
 	admit := func() *placement.Ticket {
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -161,7 +161,8 @@
 	busy, changed := p.observe(min(max(sinceScan-scanEvery, 0), time.Second), sinceScan)
 	if changed {
 		f.log.Warn().Bool("busy", busy).Int64("callers", p.callers.Load()).Int64("upstreams", p.upstreams.Load()).
-			Dur("lag", time.Duration(p.lag.Load())).Float64("processor", p.work.Expected()).Msg("pressure changed")
+			Dur("lag", time.Duration(p.lag.Load())).Float64("processor", p.work.Expected()).
+			Int64("shed", p.work.ShedTotal()).Msg("pressure changed")
 	}
 }
 
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -59,10 +59,17 @@
 	lag atomic.Int64
 	// work estimates the processor's use.
 	work *workload.Estimate
+	// refusals bounds the processor time that refusals take.
+	refusals *refusals
 }
 
-func newPressure(maxFiles int, processors float64) *pressure {
-	return &pressure{limit: float64(max(maxFiles-reservedFiles, 0)), work: workload.New(processors)}
+func newPressure(maxFiles int, processors float64, now func() time.Time) *pressure {
+	work := workload.New(processors)
+	return &pressure{
+		limit:    float64(max(maxFiles-reservedFiles, 0)),
+		work:     work,
+		refusals: newRefusals(work, now),
+	}
 }
 
 // changed is the callers' server's hook on the state of connections.
--- a/transport/edge/pressure_test.go
+++ b/transport/edge/pressure_test.go
@@ -9,11 +9,14 @@
 	"github.com/stretchr/testify/require"
 )
 
+// frozen is the time of tests in which none passes.
+func frozen() time.Time { return time.Unix(1000, 0) }
+
 // Balancers send one router most callers of a data centre. Before it runs out
 // of descriptors it has to ask callers to close, then to go elsewhere, and in
 // the end refuse; with fewer it takes callers again.
 func TestPressureByDescriptors(t *testing.T) {
-	p := newPressure(1000+reservedFiles, 0)
+	p := newPressure(1000+reservedFiles, 0, frozen)
 	open := func(n int) {
 		for range n {
 			p.changed(nil, http.StateNew)
@@ -40,7 +43,7 @@
 }
 
 func TestPressureByLateness(t *testing.T) {
-	p := newPressure(0, 0)
+	p := newPressure(0, 0, frozen)
 	for range 20 {
 		p.observe(20*time.Millisecond, scanEvery)
 	}
@@ -69,7 +72,7 @@
 // A small VM gets most callers of its data centre. Its timers still fire in
 // time while its part of a core is used up and requests wait in its sockets.
 func TestPressureByWork(t *testing.T) {
-	p := newPressure(0, 0.2)
+	p := newPressure(0, 0.2, frozen)
 	relay := func(perSecond int) {
 		for range 40 {
 			for range perSecond / 10 {
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -252,7 +252,7 @@
 		MaxHeaderBytes: headerBytes,
 	}
 	all := []server{
-		{r.conns.Listener(r.callers), callers},
+		{r.conns.Listener(shedder{r.callers, r.pressure}), callers},
 		{r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}},
 	}
 	if r.figures != nil {
