Let a flooded router stay out of rotation longer each time

All callers of a workspace came back to the smallest router of their data centre every other second, were refused there, and left again, while a larger one beside it served all of them whenever it was its turn.

Cause: a router says that it is ready as soon as it is calm, which it is two seconds after balancers took its callers away. Balancers take two misses to send callers elsewhere and none to send them back.

A router that became busy now stays away four seconds at least, and twice as long each time that it happens again within eight seconds of its return, up to sixteen. What it relays goes on, and balancers that lack routers send callers nevertheless.

Ruled out: that the share of the workspace stops it. It was refused for its share after seconds of plenty at the large router, and for room at the small ones.

--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -355,5 +355,5 @@
 func (d *desk) ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table != nil && !d.course.Begun() && !d.pressure.busy.Load()
+	return d.table != nil && !d.course.Begun() && d.pressure.welcomes()
 }
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -55,6 +55,7 @@
 	callers   atomic.Int64
 	upstreams atomic.Int64
 	busy      atomic.Bool
+	away      absence
 	// lag is the average lateness; only the periodic task writes it.
 	lag atomic.Int64
 	// work estimates the processor's use.
@@ -138,5 +139,9 @@
 	}
 	busy = p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
 	p.busy.Store(busy)
+	p.away.observe(busy, busy && !was, round)
 	return busy, busy != was
 }
+
+// welcomes says whether new callers may come.
+func (p *pressure) welcomes() bool { return !p.busy.Load() && !p.away.holds.Load() }
