Leave the little room of a router to workspaces short of their shares

A workspace that was far from its share was refused by full routers as often as the one beside it that had all of its share and sent most of the requests.

Cause: a router is found full before it knows whose request it holds.

From 0.75 of the processor on a router now refuses the requests of workspaces that have had their fair shares, and from 0.85 on all. Requests without a workspace are small and count as short.

Ruled out: the same from 0.7 on, and for workspaces with half of their shares (0.75).

--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -310,6 +310,25 @@
 	return true
 }
 
+// FullFor implements ingress.Desk.
+func (d *desk) FullFor(ws state.Workspace) bool {
+	if !d.pressure.tight() || !d.served(ws) {
+		return false
+	}
+	d.pressure.refusals.count()
+	return true
+}
+
+// served says whether a workspace has had its fair share.
+func (d *desk) served(ws state.Workspace) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ws == "" || d.table == nil {
+		return false
+	}
+	return d.ledger.Standing(d.now(), ws, d.table.Limits().Throughput).Use >= 1
+}
+
 // stop notes the order to stop and returns the course of the stop.
 func (d *desk) stop() drain.Drain {
 	d.mu.Lock()
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -178,3 +178,25 @@
 	f.desk.setTable(routing.NewTable(routing.Config{Limits: routing.Limits{IdleTimeout: 30 * time.Second}}))
 	require.Equal(t, 30*time.Second, f.desk.idleLimit())
 }
+
+// The callers of a workspace that got its share and those of one that got
+// nothing meet the same router, which has little room left. What is left
+// must go to the second, until there is none at all.
+func TestLittleRoomIsForWhoGotLittle(t *testing.T) {
+	f := newFixture()
+	f.desk.setTable(routing.NewTable(routing.Config{Version: 1, Limits: routing.Limits{Throughput: 100}}))
+	f.desk.pressure = newPressure(0, 0.2, frozen)
+	now := f.desk.now()
+	for _, ws := range []state.Workspace{"served", "starved"} {
+		f.desk.ledger.Asked(now, ws, 1000)
+	}
+	f.desk.ledger.Admitted(now, "served", 180)
+	require.False(t, f.desk.FullFor("served"), "there is room")
+	load(f.desk.pressure, 0.8)
+	require.True(t, f.desk.FullFor("served"))
+	require.False(t, f.desk.FullFor("starved"))
+	require.False(t, f.desk.FullFor(""), "plain requests are small")
+	require.False(t, f.desk.Full())
+	load(f.desk.pressure, 0.9)
+	require.True(t, f.desk.Full())
+}
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -41,7 +41,10 @@
 	// fullProcessor is the part from which requests are refused, to come back
 	// at once: their callers then reach another router, and the requests that
 	// run here are not late.
-	fullProcessor = 0.75
+	fullProcessor = 0.85
+	// tightProcessor is the same for workspaces that have had their fair
+	// shares, so that others whose callers meet the same router are served.
+	tightProcessor = 0.75
 	// busyLag is the lateness of a periodic task, on average over some
 	// rounds, from which the processor counts as overloaded.
 	busyLag = 120 * time.Millisecond
@@ -124,6 +127,9 @@
 	return p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare)
 }
 
+// tight says whether there is little room left.
+func (p *pressure) tight() bool { return p.work.Expected() > tightProcessor }
+
 // observe takes how late a periodic task ran and how long after the last time,
 // and says whether the router became busy or calm.
 func (p *pressure) observe(late, round time.Duration) (busy, changed bool) {
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -32,7 +32,7 @@
 	}
 	// The routes may have changed while the body was read.
 	x.table = x.h.Desk.Table()
-	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.describe} {
+	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.room, x.describe} {
 		if res, ok := check(); !ok {
 			return res, false
 		}
@@ -153,6 +153,15 @@
 	return result.Result{}, true
 }
 
+// room refuses a workspace that has had its part while the process has little
+// room left, so that others whose callers share the router are served.
+func (x *exchange) room() (result.Result, bool) {
+	if x.h.Desk.FullFor(x.workspace) {
+		return result.New(result.TooManyRequests, "").After(admission.ElsewhereRetry), false
+	}
+	return result.Result{}, true
+}
+
 // describe works out what is decided on, and refuses what is known to do harm.
 func (x *exchange) describe() (result.Result, bool) {
 	x.fingerprint = x.digest()
--- a/transport/ingress/desk.go
+++ b/transport/ingress/desk.go
@@ -49,6 +49,9 @@
 	StopAge() time.Duration
 	// Full says whether the process has no room for another request.
 	Full() bool
+	// FullFor says whether the process has so little room that what is left is
+	// for workspaces that are short of their shares, and this one is not.
+	FullFor(workspace state.Workspace) bool
 	// Closing says whether the router is so near its end that a request
 	// taken now may be cut off.
 	Closing() bool
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -163,6 +163,7 @@
 	blocked   bool
 	closing   bool
 	full      bool
+	fullFor   state.Workspace
 	lost      int
 	outcomes  []placement.Outcome
 	watched   []func()
@@ -261,6 +262,8 @@
 	require.Equal(t, []placement.Outcome{outcome}, d.ended())
 }
 
+func (d *scriptedDesk) FullFor(ws state.Workspace) bool { return d.fullFor != "" && d.fullFor == ws }
+
 // plainDialect spells the few fields that tests need.
 type plainDialect struct{}
 
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -142,6 +142,7 @@
 		"long head":       {func(_ *door, r *http.Request) { r.Header.Set("Filler", strings.Repeat("x", 2000)) }, 431},
 		"blocked":         {func(d *door, _ *http.Request) { d.desk.blocked = true }, 503},
 		"full":            {func(d *door, _ *http.Request) { d.desk.full = true }, 429},
+		"no room for it":  {func(d *door, _ *http.Request) { d.desk.fullFor = "w" }, 429},
 		"closing":         {func(d *door, _ *http.Request) { d.desk.closing = true }, 503},
 	}
 	for name, c := range cases {
