Look routes up by their prefixes

With 1,429 routes of one host each request was compared with up to all of them, and each version of the configuration sorted them anew.

Cause: the routes of a host were a list, the longest prefix first. Prefixes begin and end with a slash, so that a request has as many candidates as its path has slashes; they are now looked up from the longest on. The property test against a plain search holds as it stands.

--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"slices"
 	"strings"
 
 	"github.com/figstile/figstile/state"
@@ -9,8 +8,9 @@
 
 // Table is a Config prepared for lookups. It is immutable.
 type Table struct {
-	config   Config
-	hosts    map[string][]*Route
+	config Config
+	// hosts are the routes of each host by their prefixes.
+	hosts    map[string]map[string]*Route
 	services map[state.Service]*Service
 	keys     map[string]state.Workspace
 }
@@ -19,17 +19,12 @@
 func NewTable(config Config) *Table {
 	t := &Table{
 		config:   config,
-		hosts:    make(map[string][]*Route),
+		hosts:    make(map[string]map[string]*Route),
 		services: make(map[state.Service]*Service),
 		keys:     make(map[string]state.Workspace),
 	}
 	for i := range config.Routes {
-		route := &config.Routes[i]
-		host := strings.ToLower(route.Host)
-		t.hosts[host] = append(t.hosts[host], route)
-	}
-	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		t.add(&config.Routes[i])
 	}
 	for i := range config.Services {
 		t.services[config.Services[i].Name] = &config.Services[i]
@@ -54,11 +49,23 @@
 // HasWorkspaces says whether routes that are not public need a key.
 func (t *Table) HasWorkspaces() bool { return len(t.config.Workspaces) > 0 }
 
+// add indexes a route. Of two with the same host and prefix the first counts.
+func (t *Table) add(route *Route) {
+	host := strings.ToLower(route.Host)
+	if t.hosts[host] == nil {
+		t.hosts[host] = make(map[string]*Route)
+	}
+	if _, ok := t.hosts[host][route.Prefix]; !ok {
+		t.hosts[host][route.Prefix] = route
+	}
+}
+
 // Route returns the route with the longest prefix that begins the path, among
 // those of the host. A port in the host is ignored.
 func (t *Table) Route(host, path string) (*Route, bool) {
-	for _, route := range t.hosts[strings.ToLower(withoutPort(host))] {
-		if strings.HasPrefix(path, route.Prefix) {
+	routes := t.hosts[strings.ToLower(withoutPort(host))]
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if route, ok := routes[path[:end]]; ok {
 			return route, true
 		}
 	}
