--- a/cmd/figstiled/edge.go
+++ b/cmd/figstiled/edge.go
@@ -40,7 +40,7 @@
 	log := logging.New(output, c.LogLevel)
 	ctx := untilStopped()
 	store := platform.NewStore(settings.Store, edge.NewDialer().DialContext)
-	router, err := edge.New(settings.Settings, platform.Platform{Store: store}, log)
+	router, err := edge.New(settings.Settings, platform.New(store), log)
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailure
--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -140,6 +140,14 @@
 	c.known[p.Router] = p.Incarnation
 }
 
+// Rejoined notes that a part of the fleet that was out of reach may be back, so
+// that differences to peers that follow the store are soon asked about.
+func (c *CatchUp) Rejoined(now time.Time) {
+	c.rejoined = now
+	clear(c.tried)
+	clear(c.consulted)
+}
+
 // Doubt takes that upstreams may be gone that are still used here, and the
 // peers that follow the store and hold other upstreams. One that reached
 // the store all the time knows, and told of it when this router was cut
@@ -198,6 +206,9 @@
 	return best.Router, true
 }
 
+// Waiting says whether a peer was asked that may still answer.
+func (c *CatchUp) Waiting(now time.Time) bool { return c.asked != "" && now.Sub(c.at) < answerWithin }
+
 // Answered notes that a peer has told all that it holds; holds is false if that
 // is nothing.
 func (c *CatchUp) Answered(now time.Time, from state.Router, holds bool) {
--- a/coordination/exchange/catchup_test.go
+++ b/coordination/exchange/catchup_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,6 +15,18 @@
 
 func after(d time.Duration) time.Time { return start.Add(d) }
 
+// fleet returns routers in turn over data centres.
+func fleet(routers, dataCentres int) []scheduler.Peer {
+	var peers []scheduler.Peer
+	for i := range routers {
+		peers = append(peers, scheduler.Peer{
+			Router:     state.Router(fmt.Sprintf("r%03d", i)),
+			DataCentre: state.DataCentre(fmt.Sprintf("dc%d", i%dataCentres)),
+		})
+	}
+	return peers
+}
+
 // run returns a fleet's peers with their first runs.
 func run(routers, dataCentres int) []scheduler.Peer {
 	live := fleet(routers, dataCentres)
--- a/coordination/membership/action.go
+++ b/coordination/membership/action.go
@@ -47,6 +47,8 @@
 	CloseReplaced CloseReason = "replaced"
 	// CloseRestarted: the peer is back with a greater incarnation.
 	CloseRestarted CloseReason = "restarted"
+	// CloseSurplus: the session is no longer needed.
+	CloseSurplus CloseReason = "surplus"
 )
 
 // Action is something the host must do. Actions are performed in order.
--- a/coordination/membership/event.go
+++ b/coordination/membership/event.go
@@ -15,6 +15,9 @@
 	// Address is where the peer listens.
 	Address  string
 	Draining bool
+	// Capacity is the processor share of the peer's VM in hundredths of a core;
+	// 0 if not known.
+	Capacity uint32
 }
 
 // Member is a router that a peer has a session with.
@@ -23,6 +26,8 @@
 	DataCentre  state.DataCentre
 	Incarnation state.Incarnation
 	Address     string
+	// Capacity is that of Hello.
+	Capacity uint32
 }
 
 // Event is something that happened to the sessions of this router.
@@ -79,6 +84,20 @@
 	Draining bool
 }
 
+// Selected replaces what a selective machine dials.
+type Selected struct {
+	Members []Member
+	// Seeds says that seeds are dialled, but for those that lead to one of
+	// Fleet.
+	Seeds bool
+	Fleet []state.Router
+}
+
+// Dropped ends the session with a peer.
+type Dropped struct {
+	Router state.Router
+}
+
 // Tick lets limits pass. The host sends one every TickInterval.
 type Tick struct{}
 
@@ -90,4 +109,6 @@
 func (HeartbeatHeard) event() {}
 func (Raised) event()         {}
 func (DrainingSet) event()    {}
+func (Selected) event()       {}
+func (Dropped) event()        {}
 func (Tick) event()           {}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -16,6 +16,8 @@
 	Self Hello
 	// Seed of the jitter.
 	Seed uint64
+	// Selective machines dial only what Selected names, and spread no addresses.
+	Selective bool
 }
 
 // Machine is the membership state machine of one router. It is not safe for
@@ -26,6 +28,9 @@
 	members  map[state.Router]*member
 	sessions map[SessionID]*member
 	targets  targets
+	// selective is Config.Selective, selected the last Selected.
+	selective bool
+	selected  selection
 	// gossip is when the next peer is told all members, told the last one.
 	gossip time.Duration
 	told   state.Router
@@ -39,12 +44,14 @@
 func New(cfg Config) *Machine {
 	cfg.Self.Draining = false
 	return &Machine{
-		self:     cfg.Self,
-		members:  make(map[state.Router]*member),
-		sessions: make(map[SessionID]*member),
-		targets:  newTargets(cfg.Seed),
-		gossip:   GossipInterval,
-		changed:  true,
+		self:      cfg.Self,
+		members:   make(map[state.Router]*member),
+		sessions:  make(map[SessionID]*member),
+		targets:   newTargets(cfg.Seed),
+		selective: cfg.Selective,
+		selected:  selection{seeds: true},
+		gossip:    GossipInterval,
+		changed:   true,
 	}
 }
 
@@ -92,6 +99,10 @@
 		m.self.Incarnation = max(m.self.Incarnation, e.Incarnation)
 	case DrainingSet:
 		m.drainingSet(e.Draining)
+	case Selected:
+		m.choose(e)
+	case Dropped:
+		m.dropped(e.Router)
 	case Tick:
 		m.tick()
 	}
@@ -163,6 +174,7 @@
 		DataCentre:  hello.DataCentre,
 		Incarnation: hello.Incarnation,
 		Address:     hello.Address,
+		Capacity:    hello.Capacity,
 	}
 	known.draining = hello.Draining
 	known.gone = false
@@ -234,7 +246,7 @@
 	if known.draining {
 		m.bury(known)
 	}
-	if m.self.Router > known.Router {
+	if m.self.Router > known.Router && !m.selective {
 		m.targets.postpone(known.Router, m.now()+DialYield)
 	}
 }
@@ -268,7 +280,7 @@
 // learn takes an address from gossip. Gossip alone makes nobody live: only a
 // session of our own does, so a peer cut off from us is not ours to grant to.
 func (m *Machine) learn(told Member) {
-	if told.Router == m.self.Router || told.Address == m.self.Address {
+	if m.selective || told.Router == m.self.Router || told.Address == m.self.Address {
 		return
 	}
 	_, known := m.targets.byAddress[told.Address]
@@ -379,6 +391,9 @@
 // neighbour therefore learn of each other: the later of the two to reach it
 // hears of the earlier one.
 func (m *Machine) membersFor(receiver *member) []Member {
+	if m.selective {
+		return nil
+	}
 	var list []Member
 	for _, known := range m.inOrder() {
 		if known != receiver && known.session != nil {
@@ -391,7 +406,7 @@
 // dialDue dials every address that is due and leads to nobody we talk to.
 func (m *Machine) dialDue() {
 	for _, to := range m.targets.sorted() {
-		if to.own || to.dialing || m.now() < to.next || to.address == m.self.Address {
+		if to.own || to.dialing || m.now() < to.next || to.address == m.self.Address || !m.wants(to) {
 			continue
 		}
 		if m.reached(to.router) {
--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -28,16 +28,14 @@
 
 	running int
 	unread  int
-	peers   map[state.Source]Load
+	peers   map[state.Router]Load
 	// others is the sum of peers. Adding up seventy peers at sixty engines took
 	// 60 microseconds for each request, with the sums kept it takes 6.
 	others Load
-	// neighbours is the part of others that routers of this data centre told.
-	neighbours Load
-	// told is what peers were last told of running and unread, toldSum what
-	// other data centres were told of this one's.
-	told    Load
-	toldSum Load
+	// told is what peers were last told of running and unread, published what
+	// the peers of links were told of the sum on this side.
+	told      Load
+	published map[state.Router]Load
 
 	// speed is this engine's reading rate over the service's usual one.
 	speed float64
@@ -66,11 +64,12 @@
 
 func newHost(u directory.Upstream, engine routing.Engine) *host {
 	return &host{
-		Upstream: u,
-		hash:     hashOf(u.ID),
-		cache:    prefix.New(int64(float64(engine.CacheTokens) * cacheShare)),
-		peers:    make(map[state.Source]Load),
-		speed:    1,
+		Upstream:  u,
+		hash:      hashOf(u.ID),
+		cache:     prefix.New(int64(float64(engine.CacheTokens) * cacheShare)),
+		peers:     make(map[state.Router]Load),
+		published: make(map[state.Router]Load),
+		speed:     1,
 	}
 }
 
@@ -80,12 +79,9 @@
 }
 
 // setPeer takes a source's load and keeps the sums.
-func (h *host) setPeer(source state.Source, load Load, self state.DataCentre) {
+func (h *host) setPeer(source state.Router, load Load) {
 	before := h.peers[source]
 	h.others = h.others.plus(load).minus(before)
-	if source.Router != "" && source.DataCentre == self {
-		h.neighbours = h.neighbours.plus(load).minus(before)
-	}
 	if load == (Load{}) {
 		delete(h.peers, source)
 		return
@@ -93,8 +89,9 @@
 	h.peers[source] = load
 }
 
-// sum is what all routers of this data centre have at the upstream.
-func (h *host) sum() Load { return h.own().plus(h.neighbours) }
+// beyond is what all routers have at the upstream but those on a peer's side of
+// a link.
+func (h *host) beyond(peer state.Router) Load { return h.own().plus(h.others).minus(h.peers[peer]) }
 
 func (h *host) own() Load { return Load{Running: h.running, Unread: h.unread} }
 
--- a/coordination/placement/news.go
+++ b/coordination/placement/news.go
@@ -40,16 +40,10 @@
 
 // Own returns what this router has at each upstream, to be told to a peer that
 // knows nothing.
-func (p *Picture) Own() map[state.Upstream]Load { return p.loads((*host).own) }
-
-// Sum returns what this data centre's routers have, to be told to a data centre
-// that knows nothing.
-func (p *Picture) Sum() map[state.Upstream]Load { return p.loads((*host).sum) }
-
-func (p *Picture) loads(of func(*host) Load) map[state.Upstream]Load {
+func (p *Picture) Own() map[state.Upstream]Load {
 	loads := make(map[state.Upstream]Load)
 	for id, h := range p.hosts {
-		if load := of(h); load != (Load{}) {
+		if load := h.own(); load != (Load{}) {
 			loads[id] = load
 		}
 	}
@@ -60,61 +54,37 @@
 // peers that know the rest. Most upstreams don't change within a tenth of a
 // second; the whole would be ten times as long.
 func (p *Picture) TakeChanged() map[state.Upstream]Load {
-	return p.changed((*host).own, func(h *host) *Load { return &h.told })
-}
-
-// TakeChangedSum returns what has changed of the sum since the last call, to be
-// told to the data centres that know the rest.
-func (p *Picture) TakeChangedSum() map[state.Upstream]Load {
-	return p.changed((*host).sum, func(h *host) *Load { return &h.toldSum })
-}
-
-// changed returns the loads that differ from what was told, and takes them as
-// told.
-func (p *Picture) changed(of func(*host) Load, told func(*host) *Load) map[state.Upstream]Load {
 	loads := make(map[state.Upstream]Load)
 	for id, h := range p.hosts {
-		if load := of(h); load != *told(h) {
-			*told(h) = load
+		if load := h.own(); load != h.told {
+			h.told = load
 			loads[id] = load
 		}
 	}
 	return loads
 }
 
-// DataCentres returns the sums that were heard of other data centres, to be
-// passed on to a router that knows nothing.
-func (p *Picture) DataCentres() map[state.DataCentre]map[state.Upstream]Load {
-	sums := make(map[state.DataCentre]map[state.Upstream]Load)
-	for source := range p.heard {
-		if source.Router != "" {
-			continue
-		}
-		loads := make(map[state.Upstream]Load)
-		for id, h := range p.hosts {
-			if load, ok := h.peers[source]; ok {
-				loads[id] = load
-			}
+// TakeSums returns the sums of this side of a link, to be told to its peer: all
+// that are not zero, or what has changed since the last call.
+func (p *Picture) TakeSums(peer state.Router, all bool) map[state.Upstream]Load {
+	loads := make(map[state.Upstream]Load)
+	for id, h := range p.hosts {
+		load := h.beyond(peer)
+		if all && load != (Load{}) || !all && load != h.published[peer] {
+			loads[id] = load
 		}
-		sums[source.DataCentre] = loads
+		h.published[peer] = load
 	}
-	return sums
+	return loads
 }
 
-// Heard takes a source's loads. What a full message lacks is zero, what another
-// lacks is unchanged. A data centre's sum and the word of its routers never
-// count together: the later replaces the other, else a fleet that grows or
-// shrinks over the bound of direct exchange would look twice as loaded.
-func (p *Picture) Heard(now time.Time, from state.Source, loads map[state.Upstream]Load, full bool) {
-	for other := range p.heard {
-		if from.Overlaps(other) {
-			p.Gone(other)
-		}
-	}
+// Heard takes a peer's loads: its own, or the sums of its side of a link. What a
+// full message lacks is zero, what another lacks is unchanged.
+func (p *Picture) Heard(now time.Time, from state.Router, loads map[state.Upstream]Load, full bool) {
 	p.heard[from] = now
 	for id, load := range loads {
 		if h := p.hosts[id]; h != nil {
-			h.setPeer(from, load, p.self)
+			h.setPeer(from, load)
 		}
 	}
 	if !full {
@@ -122,16 +92,17 @@
 	}
 	for id, h := range p.hosts {
 		if _, ok := loads[id]; !ok {
-			h.setPeer(from, Load{}, p.self)
+			h.setPeer(from, Load{})
 		}
 	}
 }
 
-// Gone forgets a source's loads.
-func (p *Picture) Gone(from state.Source) {
+// Gone forgets a peer's loads, and what it was told.
+func (p *Picture) Gone(from state.Router) {
 	delete(p.heard, from)
 	for _, h := range p.hosts {
-		h.setPeer(from, Load{}, p.self)
+		h.setPeer(from, Load{})
+		delete(h.published, from)
 	}
 }
 
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -135,7 +135,7 @@
 	// drawn counts the draws of scatter, which begin at a seed.
 	drawn uint64
 	// heard is when each source last told its loads.
-	heard map[state.Source]time.Time
+	heard map[state.Router]time.Time
 }
 
 // New returns an empty picture of a router in a data centre.
@@ -148,7 +148,7 @@
 		work:       make(map[state.Service]float64),
 		readings:   make(map[state.Service]*reading),
 		tokenTimes: make(map[state.Service]float64),
-		heard:      make(map[state.Source]time.Time),
+		heard:      make(map[state.Router]time.Time),
 	}
 }
 
--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -80,7 +80,7 @@
 // use.
 type Ledger struct {
 	own   map[state.Workspace]*meter
-	peers map[state.Source]peerUsage
+	peers map[state.Router]peerUsage
 	// level is the max-min share over the window; recomputed when stale.
 	level   float64
 	limited bool
@@ -93,7 +93,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{own: make(map[state.Workspace]*meter), peers: make(map[state.Source]peerUsage)}
+	return &Ledger{own: make(map[state.Workspace]*meter), peers: make(map[state.Router]peerUsage)}
 }
 
 func (l *Ledger) meter(ws state.Workspace) *meter {
@@ -123,16 +123,16 @@
 // Told returns the counts of this router that peers have to know.
 func (l *Ledger) Told(now time.Time) map[state.Workspace]Usage { return greatest(l.Own(now)) }
 
-// ToldSum returns the counts of all routers of a data centre, this one's, that
-// the others have to know.
-func (l *Ledger) ToldSum(now time.Time, self state.DataCentre) map[state.Workspace]Usage {
+// ToldBeyond returns the counts of all routers but those on a peer's side of a
+// link, as its peer has to know them.
+func (l *Ledger) ToldBeyond(now time.Time, peer state.Router) map[state.Workspace]Usage {
 	total := l.Own(now)
-	for source, peer := range l.peers {
-		if source.Router != "" && source.DataCentre == self && now.Sub(peer.heard) <= PeerExpiry {
-			add(total, peer.usage)
+	for source, usage := range l.peers {
+		if source != peer && now.Sub(usage.heard) <= PeerExpiry {
+			add(total, usage.usage)
 		}
 	}
-	return greatest(total)
+	return total
 }
 
 func add(total, usage map[state.Workspace]Usage) {
@@ -184,19 +184,14 @@
 	return usage
 }
 
-// Heard takes a source's counts in place of what it told before. A data centre's
-// sum and the counts of its routers never count together.
-func (l *Ledger) Heard(now time.Time, from state.Source, usage map[state.Workspace]Usage) {
-	for other := range l.peers {
-		if from.Overlaps(other) {
-			delete(l.peers, other)
-		}
-	}
+// Heard takes a peer's counts, or those of its side of a link, in place of what
+// it told before.
+func (l *Ledger) Heard(now time.Time, from state.Router, usage map[state.Workspace]Usage) {
 	l.peers[from] = peerUsage{heard: now, usage: usage}
 }
 
 // Gone forgets a source.
-func (l *Ledger) Gone(from state.Source) { delete(l.peers, from) }
+func (l *Ledger) Gone(from state.Router) { delete(l.peers, from) }
 
 // refresh recomputes the level. It is done a few times a second: the level
 // moves with the window, not with single requests.
--- a/devfleet/edge.go
+++ b/devfleet/edge.go
@@ -167,7 +167,7 @@
 		settings.Seeds = []string{f.routers[0].Addresses.Peers}
 	}
 	client := platform.NewStore(store, edge.NewDialer().DialContext)
-	router, err := edge.New(settings, platform.Platform{Store: client}, log.With().Str("router", string(settings.Router)).Logger())
+	router, err := edge.New(settings, platform.New(client), log.With().Str("router", string(settings.Router)).Logger())
 	if err != nil {
 		return err
 	}
--- a/state/names.go
+++ b/state/names.go
@@ -25,19 +25,6 @@
 // DataCentre names a failure domain that can be cut off from the others.
 type DataCentre string
 
-// Source is whose work a count is of: one router's, or, if no router is named,
-// that of all routers of a data centre together.
-type Source struct {
-	DataCentre DataCentre
-	Router     Router
-}
-
-// Overlaps says whether two sources count the same work: those of a data centre
-// as a whole and of a router in it.
-func (s Source) Overlaps(o Source) bool {
-	return s.DataCentre == o.DataCentre && (s.Router == "") != (o.Router == "")
-}
-
 // Incarnation distinguishes the runs of one router: a later run has a greater
 // number.
 type Incarnation uint64
--- a/transport/daemon/gossip.go
+++ b/transport/daemon/gossip.go
@@ -53,7 +53,7 @@
 // lost with an older session: a lost grant or decline would keep a slot
 // reserved until it expires, and a lost counter would skew the shares for
 // ever. To the scheduler the peer goes and comes back at once.
-func (d *Daemon) onSession(p peer.Peer) {
+func (d *Daemon) onSession(p peer.Session) {
 	d.peers.mu.Lock()
 	defer d.peers.mu.Unlock()
 	without := slices.DeleteFunc(slices.Clone(d.peers.peers), func(known scheduler.Peer) bool {
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +35,16 @@
 	log      zerolog.Logger
 	now      func() time.Time
 
-	mu       sync.Mutex
-	config   Object
+	// decoding is held while a configuration is decoded, without mu.
+	decoding sync.Mutex
+
+	mu     sync.Mutex
+	config Object
+	// earlier are configurations that peers may still hold, the latest last.
+	earlier []Object
+	// encoded are the forms in which the configuration was sent, by the
+	// revision that each builds on.
+	encoded  map[uint64][]byte
 	version  uint64
 	objects  map[string]Object
 	upstream *directory.Directory
@@ -62,30 +72,39 @@
 // take applies an object and says whether peers should hear of it. Source is
 // for the log.
 func (c *catalogue) take(kind Kind, o Object, source string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if kind == KindConfig {
 		return c.takeConfig(o, source)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.takeUpstream(o, source)
 }
 
+// decodePause is the pause between parts of a configuration that is decoded: on
+// a small part of a core, requests come first.
+const decodePause = 5 * time.Millisecond
+
 func (c *catalogue) takeConfig(o Object, source string) bool {
-	if o.Removed || o.Revision <= c.config.Revision {
+	c.decoding.Lock()
+	defer c.decoding.Unlock()
+	if o.Removed || o.Revision <= c.holding().Config {
 		return false
 	}
-	config, err := c.platform.DecodeConfig(o.Spec)
+	config, err := c.platform.DecodeConfig(o.Spec, func() { time.Sleep(decodePause) })
 	if err != nil {
 		c.log.Error().Err(err).Uint64("revision", o.Revision).Str("source", source).Msg("configuration refused")
 		return false
 	}
-	c.config = o
+	table := routing.NewTable(config)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replaceConfig(o)
 	if config.Version < c.version {
 		c.log.Warn().Uint64("version", config.Version).Uint64("held", c.version).Msg("configuration older than the one in force")
 		return false
 	}
 	c.version = config.Version
-	c.desk.setTable(routing.NewTable(config))
+	c.desk.setTable(table)
 	c.log.Info().Uint64("version", config.Version).Uint64("revision", o.Revision).Str("source", source).
 		Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("configuration taken")
 	return true
@@ -299,16 +318,10 @@
 	return c.config.Revision == 0
 }
 
-// all returns every object held, for a peer that starts from nothing.
-func (c *catalogue) all() map[Kind][]Object {
+// upstreams returns every object of an upstream that is held, for a peer that
+// starts from nothing.
+func (c *catalogue) upstreams() []Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := make(map[Kind][]Object)
-	if c.config.Revision > 0 {
-		held[KindConfig] = []Object{c.config}
-	}
-	for _, o := range c.objects {
-		held[KindUpstream] = append(held[KindUpstream], o)
-	}
-	return held
+	return slices.Collect(maps.Values(c.objects))
 }
--- a/transport/edge/desk.go
+++ b/transport/edge/desk.go
@@ -109,10 +109,7 @@
 	}
 	best := verdict.Estimate
 	if best.Unread >= longPrompt {
-		select {
-		case d.urgent <- struct{}{}:
-		default:
-		}
+		d.wakeUp()
 	}
 	ticket := d.picture.Place(now, r.Work, best)
 	if ticket.Engine() {
@@ -121,6 +118,14 @@
 	return verdict, ticket
 }
 
+// wakeUp asks for what changed to be told before its turn.
+func (d *desk) wakeUp() {
+	select {
+	case d.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // judge judges a request by its workspace's standing.
 func (d *desk) judge(now time.Time, r admission.Request) admission.Verdict {
 	standing := shares.Standing{}
--- a/transport/edge/desk_peers.go
+++ b/transport/edge/desk_peers.go
@@ -20,24 +20,13 @@
 	return d.picture.TakeChanged()
 }
 
-// sum returns what this data centre's routers have.
-func (d *desk) sum() map[state.Upstream]placement.Load {
+// takeSums returns what all routers on this side of a link have, or what has
+// changed of it.
+func (d *desk) takeSums(peer state.Router, all bool) map[state.Upstream]placement.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.picture.Sum()
-}
-
-func (d *desk) takeChangedSum() map[state.Upstream]placement.Load {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.picture.TakeChangedSum()
-}
-
-// dataCentres returns the sums of other data centres.
-func (d *desk) dataCentres() map[state.DataCentre]map[state.Upstream]placement.Load {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.picture.DataCentres()
+	d.picture.ForgetSilent(d.now())
+	return d.picture.TakeSums(peer, all)
 }
 
 func (d *desk) takePlaced() []placement.Placed {
@@ -79,7 +68,7 @@
 	d.picture.Reached(d.now(), id)
 }
 
-func (d *desk) heardLoads(from state.Source, loads map[state.Upstream]placement.Load, full bool) {
+func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.Heard(d.now(), from, loads, full)
@@ -91,27 +80,34 @@
 	return d.ledger.Told(d.now())
 }
 
-func (d *desk) heardSpending(from state.Source, usage map[state.Workspace]shares.Usage) {
+func (d *desk) heardSpending(from state.Router, usage map[state.Workspace]shares.Usage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Heard(d.now(), from, usage)
 }
 
-// spendingSum returns the counts of this data centre's routers.
-func (d *desk) spendingSum() map[state.Workspace]shares.Usage {
+// spendingBeyond returns the counts of all routers on this side of a link.
+func (d *desk) spendingBeyond(peer state.Router) map[state.Workspace]shares.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.ledger.ToldSum(d.now(), d.settings.DataCentre)
+	return d.ledger.ToldBeyond(d.now(), peer)
 }
 
-// setRouters takes the number of live routers and forgets the sources that
+// setRouters takes the number of live routers and forgets the work of those that
 // went.
-func (d *desk) setRouters(live int, gone []state.Source) {
+func (d *desk) setRouters(live int, gone []state.Router) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.routers = live
-	for _, source := range gone {
-		d.picture.Gone(source)
-		d.ledger.Gone(source)
+	d.mu.Unlock()
+	for _, router := range gone {
+		d.forget(router)
 	}
 }
+
+// forget drops what a peer told of work.
+func (d *desk) forget(peer state.Router) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picture.Gone(peer)
+	d.ledger.Gone(peer)
+}
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -1,14 +1,14 @@
 package edge
 
 import (
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/figstile/figstile/coordination/exchange"
-	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/coordination/overlay"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/state"
@@ -18,25 +18,21 @@
 const (
 	// scanEvery is the period of the fleet's own work.
 	scanEvery = 100 * time.Millisecond
-	// fullPace is the number of peers up to which they are told at the full
-	// pace.
-	fullPace = exchange.DirectUpTo
 	// aliveEvery is how long a router says nothing if nothing has changed.
 	aliveEvery = 400 * time.Millisecond
-	// farEvery is the period at which other data centres hear of this one's
-	// load, and farSpendingEvery of its workspaces'.
-	farEvery         = 200 * time.Millisecond
-	farSpendingEvery = 500 * time.Millisecond
 	// loadsEvery is the period at which peers hear of this router's load. Ten
 	// times a second leaves two requests per engine unseen at twenty requests
 	// a second each.
 	loadsEvery = 100 * time.Millisecond
+	// sumsEvery is the period at which the peer of a link hears all sums anew,
+	// those of upstreams included that one side did not know before.
+	sumsEvery = 2 * time.Second
 	// urgentGap bounds how often long prompts make this router tell its load,
-	// before its turn. It grows with the pace: a router with a quarter of the
-	// callers of 85 told 84 peers fifty times a second, until slow peers'
-	// queues overflowed and their sessions began anew from full state, again
-	// and again.
+	// before its turn. In a tree the same goes for what others' links bring, and
+	// linkGap for each link of this router if that is more, so that a router
+	// with many does not spend more on them than one with few.
 	urgentGap = 20 * time.Millisecond
+	linkGap   = 5 * time.Millisecond
 	// longPrompt is the number of tokens that keeps an engine from other
 	// prompts for so long that peers must not wait to hear of it: some fifty
 	// milliseconds.
@@ -56,7 +52,9 @@
 type sender interface {
 	Send(to state.Router, env *peerpb.Envelope) bool
 	SendEach(to []state.Router, env *peerpb.Envelope)
-	Broadcast(env *peerpb.Envelope)
+	// Select says which routers sessions are wanted with, Drop which not.
+	Select(selected membership.Selected)
+	Drop(router state.Router)
 }
 
 var _ sender = (*peer.Mesh)(nil)
@@ -81,9 +79,13 @@
 	patience time.Duration
 	started  time.Time
 
-	mu     sync.Mutex
-	live   []scheduler.Peer
-	plan   exchange.Plan
+	mu sync.Mutex
+	// overlay decides on sessions and links, live are the routers that it
+	// knows to live.
+	overlay *overlay.Overlay
+	live    []scheduler.Peer
+	// links are what waits to be told over links.
+	links  map[state.Router]*outbox
 	claims map[state.Router]readerWord
 	// answered is when the store last answered this router, failed when a
 	// call last failed; each kind is followed by itself.
@@ -93,12 +95,11 @@
 	reading bool
 	// aloneSince is when a peer last said that it reads the store.
 	aloneSince time.Time
-	// informed are the speakers of other data centres that hold this one's
-	// sum as last told; they need changes only. farPrompts waits to be told to
-	// them.
-	informed   map[state.Router]bool
 	catchUp    exchange.CatchUp
-	farPrompts []*peerpb.PlacedPrompt
+	fetch      exchange.Fetch
+	// caughtUp is set once a peer has told all that it holds: what other answers
+	// bring that is new is told to the other links.
+	caughtUp bool
 	// scanned is when stalled requests were last looked for, resumed when
 	// that was last late; used by run alone.
 	scanned time.Time
@@ -108,12 +109,21 @@
 func newFleet(self scheduler.Peer, desk *desk, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
 	f := &fleet{
 		self: self, desk: desk, catalogue: catalogue, log: log, now: now, started: now(),
-		claims: make(map[state.Router]readerWord), informed: make(map[state.Router]bool),
+		claims: make(map[state.Router]readerWord), links: make(map[state.Router]*outbox),
 	}
+	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
 	desk.onLost = f.sendLost
 	return f
 }
 
+// join makes this router known to the overlay under an address and incarnation.
+// It is called before any session opens.
+func (f *fleet) join(self membership.Member) {
+	f.self.Incarnation = self.Incarnation
+	f.overlay = overlay.New(self)
+	f.live = f.overlay.Live()
+}
+
 func (f *fleet) onAnswer() {
 	f.mu.Lock()
 	f.answered = f.now()
@@ -165,18 +175,3 @@
 			Int64("shed", p.work.ShedTotal()).Msg("pressure changed")
 	}
 }
-
-func (f *fleet) sendLost(fingerprint state.Fingerprint, run quarantine.Run) {
-	f.mesh.Broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{
-		Fingerprint: uint64(fingerprint), Upstream: string(run.Upstream), Boot: run.Boot,
-	}}})
-}
-
-// sendNews tells peers of objects that the store told this router.
-func (f *fleet) sendNews(kind Kind, objects []Object) {
-	plan := f.planned()
-	told := slices.Concat(plan.Near, plan.Relays)
-	for _, o := range objects {
-		f.mesh.SendEach(told, objectEnvelope(kind, o))
-	}
-}
--- /dev/null
+++ b/transport/edge/links.go
@@ -0,0 +1,229 @@
+package edge
+
+import (
+	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/coordination/overlay"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/peer"
+)
+
+// onPeers takes the routers that sessions are held with, this one included.
+func (f *fleet) onPeers(peers []scheduler.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overlay.Neighbours(peers)
+	f.perform()
+}
+
+// onSession tells a peer of this router's work: messages may have been lost.
+func (f *fleet) onSession(s peer.Session) {
+	now := f.now()
+	f.mu.Lock()
+	f.overlay.SessionOpened(now, membership.Member{
+		Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Address: s.Address, Capacity: s.Capacity,
+	}, s.Dialled)
+	if !f.overlay.Tree() {
+		f.catchUp.Session(now, scheduler.Peer{Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation})
+	}
+	f.perform()
+	direct := !f.overlay.Tree()
+	f.mu.Unlock()
+	f.mesh.Send(s.Router, f.readingEnvelope(f.claim()))
+	if direct {
+		f.mesh.Send(s.Router, loadsEnvelope(f.desk.ownLoads(), true))
+	}
+}
+
+func (f *fleet) onSessionEnd(p peer.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overlay.SessionClosed(f.now(), p.Router)
+	f.perform()
+}
+
+// onMembers takes a peer's word of the fleet.
+func (f *fleet) onMembers(from state.Router, m *peerpb.Members) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overlay.Receive(f.now(), from, overlayMessage(m))
+	f.perform()
+}
+
+// tickOverlay lets time pass.
+func (f *fleet) tickOverlay() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overlay.Tick(f.now())
+	f.perform()
+}
+
+// perform does what the overlay decided. The caller holds the lock, so that
+// messages leave in the order of the decisions; none of the calls waits.
+func (f *fleet) perform() {
+	for _, action := range f.overlay.Actions() {
+		switch a := action.(type) {
+		case overlay.Send:
+			f.mesh.Send(a.To, membersEnvelope(a.Message))
+		case overlay.Select:
+			f.mesh.Select(membership.Selected{Members: a.Members, Seeds: a.Seeds, Fleet: a.Fleet})
+		case overlay.Drop:
+			f.mesh.Drop(a.Router)
+		case overlay.Linked:
+			f.linked(a.Router)
+		case overlay.Unlinked:
+			delete(f.links, a.Router)
+			f.desk.forget(a.Router)
+		}
+	}
+	f.publishLive()
+}
+
+// linked begins to tell a peer of this side.
+func (f *fleet) linked(router state.Router) {
+	f.desk.forget(router)
+	f.links[router] = &outbox{}
+	f.catchUp.Rejoined(f.now())
+	f.log.Info().Str("router", string(router)).Msg("linked")
+}
+
+// publishLive tells the desk of a change of the live routers. The caller holds
+// the lock.
+func (f *fleet) publishLive() {
+	live := f.overlay.Live()
+	if samePeers(f.live, live) {
+		return
+	}
+	var gone []state.Router
+	if !f.overlay.Tree() {
+		gone = missing(f.live, live)
+	}
+	f.live = live
+	f.desk.setRouters(len(live), gone)
+}
+
+func samePeers(a, b []scheduler.Peer) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// missing returns the routers of before that are not among the live.
+func missing(before, live []scheduler.Peer) []state.Router {
+	left := make(map[state.Router]bool, len(live))
+	for _, p := range live {
+		left[p.Router] = true
+	}
+	var gone []state.Router
+	for _, p := range before {
+		if !left[p.Router] {
+			gone = append(gone, p.Router)
+		}
+	}
+	return gone
+}
+
+// receivers returns the peers that all is told to: those of links in a tree,
+// else all live ones.
+func (f *fleet) receivers() (peers []state.Router, tree bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overlay.Tree() {
+		return f.overlay.Links(), true
+	}
+	for _, p := range f.live {
+		if p.Router != f.self.Router {
+			peers = append(peers, p.Router)
+		}
+	}
+	return peers, false
+}
+
+// passOn sends what came over one link over the others.
+func (f *fleet) passOn(from state.Router, env *peerpb.Envelope) {
+	peers, tree := f.receivers()
+	if !tree {
+		return
+	}
+	for _, router := range peers {
+		if router != from {
+			f.mesh.Send(router, env)
+		}
+	}
+}
+
+// send sends a message to a router, through others if there is no session with
+// it.
+func (f *fleet) send(to state.Router, env *peerpb.Envelope) {
+	if f.mesh.Send(to, env) {
+		return
+	}
+	f.relay(to, "", &peerpb.Relay{
+		From: string(f.self.Router), FromDataCentre: string(f.self.DataCentre), To: string(to), Envelope: env,
+	})
+}
+
+// relay sends a message on towards its receiver, but not back to where it came
+// from.
+func (f *fleet) relay(to, cameFrom state.Router, m *peerpb.Relay) {
+	f.mu.Lock()
+	next, ok := f.overlay.NextHop(to)
+	f.mu.Unlock()
+	if !ok || next == cameFrom {
+		f.log.Debug().Str("router", string(to)).Msg("no link leads to the router")
+		return
+	}
+	f.mesh.Send(next, &peerpb.Envelope{Body: &peerpb.Envelope_Relay{Relay: m}})
+}
+
+// onRelay takes a message that was sent through this router, or to it.
+func (f *fleet) onRelay(from peer.Peer, m *peerpb.Relay) {
+	to := state.Router(m.GetTo())
+	if to != f.self.Router {
+		f.relay(to, from.Router, m)
+		return
+	}
+	if m.GetEnvelope().GetRelay() != nil || m.GetEnvelope().GetMembers() != nil {
+		return
+	}
+	f.onEnvelope(peer.Peer{Router: state.Router(m.GetFrom()), DataCentre: state.DataCentre(m.GetFromDataCentre())}, m.GetEnvelope())
+}
+
+func overlayMessage(m *peerpb.Members) overlay.Message {
+	message := overlay.Message{Kind: overlay.Kind(m.GetKind()), Tree: m.GetTree()}
+	for _, p := range m.GetPresent()[:min(len(m.GetPresent()), wire.MaxEntries)] {
+		message.Present = append(message.Present, membership.Member{
+			Router:      state.Router(p.GetRouter()),
+			DataCentre:  state.DataCentre(p.GetDataCentre()),
+			Incarnation: state.Incarnation(p.GetIncarnation()),
+			Address:     p.GetPeerAddress(),
+			Capacity:    p.GetCapacity(),
+		})
+	}
+	for _, router := range m.GetGone() {
+		message.Gone = append(message.Gone, state.Router(router))
+	}
+	return message
+}
+
+func membersEnvelope(m overlay.Message) *peerpb.Envelope {
+	message := &peerpb.Members{Kind: peerpb.MembersKind(m.Kind), Tree: m.Tree}
+	for _, p := range m.Present {
+		message.Present = append(message.Present, &peerpb.Member{
+			Router: string(p.Router), DataCentre: string(p.DataCentre),
+			Incarnation: uint64(p.Incarnation), PeerAddress: p.Address, Capacity: p.Capacity,
+		})
+	}
+	for _, router := range m.Gone {
+		message.Gone = append(message.Gone, string(router))
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Members{Members: message}}
+}
--- a/transport/edge/messages.go
+++ b/transport/edge/messages.go
@@ -47,12 +47,3 @@
 	}
 	return all
 }
-
-// keySeparator stands between the kind and the name of an object.
-const keySeparator = "/"
-
-func objectEnvelope(kind Kind, o Object) *peerpb.Envelope {
-	return &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{
-		Key: kind.String() + keySeparator + o.Name, Version: o.Revision, Value: o.Spec, Removed: o.Removed,
-	}}}
-}
--- /dev/null
+++ b/transport/edge/outbox.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/state"
+)
+
+const (
+	// maxPrompts bounds the prompts that wait for a link. It is more than a
+	// fleet places between two messages; what is left out, engines are believed
+	// not to hold.
+	maxPrompts = 2000
+	// maxRefusals bounds the refusals that wait for a link.
+	maxRefusals = 4096
+)
+
+// outbox is what waits to be told over a link.
+type outbox struct {
+	prompts []*peerpb.PlacedPrompt
+	refused []uint32
+	// sent is when the peer was last told anything, summed when it was told all
+	// sums.
+	sent, summed time.Time
+}
+
+func (o *outbox) add(prompts []*peerpb.PlacedPrompt, refused []uint32) {
+	o.prompts = append(o.prompts, prompts[:min(len(prompts), maxPrompts-len(o.prompts))]...)
+	o.refused = append(o.refused, refused[:min(len(refused), maxRefusals-len(o.refused))]...)
+}
+
+// outboxes returns those of all links by peer.
+func (f *fleet) outboxes() map[state.Router]*outbox {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	boxes := make(map[state.Router]*outbox, len(f.links))
+	for router, box := range f.links {
+		boxes[router] = box
+	}
+	return boxes
+}
+
+// deliverTo queues prompts and refusals for all links but one. Refusals stay in
+// their data centre, where callers come back.
+func (f *fleet) deliverTo(boxes map[state.Router]*outbox, prompts []*peerpb.PlacedPrompt, refused []uint32, except state.Router) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for router, box := range boxes {
+		if router == except {
+			continue
+		}
+		if !f.isNear(router) {
+			box.add(prompts, nil)
+			continue
+		}
+		box.add(prompts, refused)
+	}
+}
+
+// isNear says whether a peer is of this data centre. The caller holds the lock.
+func (f *fleet) isNear(router state.Router) bool {
+	dc, ok := f.overlay.DataCentre(router)
+	return ok && dc == f.self.DataCentre
+}
+
+// publishSums tells each link the sums of this side, or what changed of them,
+// with what waits for it.
+func (f *fleet) publishSums(now time.Time) {
+	for router, box := range f.outboxes() {
+		f.mu.Lock()
+		prompts, refused := box.prompts, box.refused
+		box.prompts, box.refused = nil, nil
+		all := now.Sub(box.summed) >= sumsEvery
+		f.mu.Unlock()
+		loads := f.desk.takeSums(router, all)
+		if !all && len(loads)+len(prompts)+len(refused) == 0 && now.Sub(box.sent) < aliveEvery {
+			continue
+		}
+		env := loadsEnvelope(loads, all)
+		env.GetLoads().Prompts, env.GetLoads().Refused = prompts, refused
+		f.mesh.Send(router, env)
+		box.sent = now
+		if all {
+			box.summed = now
+		}
+	}
+}
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -63,8 +63,9 @@
 type Platform interface {
 	Objects
 	ingress.Dialect
-	// DecodeConfig reads a configuration.
-	DecodeConfig(spec []byte) (routing.Config, error)
+	// DecodeConfig reads a configuration. It calls yield between parts of a
+	// large one. It is not called concurrently.
+	DecodeConfig(spec []byte, yield func()) (routing.Config, error)
 	// DecodeUpstream reads what an upstream says of itself. Its error means
 	// that the object names no upstream to use.
 	DecodeUpstream(name string, spec []byte) (directory.Upstream, error)
--- /dev/null
+++ b/transport/edge/publish.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/state"
+)
+
+// run tells peers of loads and spending until the context ends.
+func (f *fleet) run(ctx context.Context) {
+	ticker := time.NewTicker(scanEvery)
+	defer ticker.Stop()
+	// urgent fires when a long prompt has waited its gap.
+	urgent := time.NewTimer(time.Hour)
+	urgent.Stop()
+	defer urgent.Stop()
+	waiting := false
+	var told timesTold
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.desk.urgent:
+			if !waiting {
+				waiting = true
+				urgent.Reset(max(f.urgentGap()-f.now().Sub(told.loads), 0))
+			}
+		case <-urgent.C:
+			waiting = false
+			told.loads = f.publishLoads(f.now(), told.loads)
+		case <-ticker.C:
+			f.publishSettled()
+			f.giveUpStalled()
+			f.tickOverlay()
+			f.fetchCatalogue()
+			f.fetchDue()
+			f.publishDue(&told)
+		}
+	}
+}
+
+func (f *fleet) urgentGap() time.Duration {
+	peers, tree := f.receivers()
+	if !tree {
+		return urgentGap
+	}
+	return max(urgentGap, time.Duration(len(peers))*linkGap)
+}
+
+// publishSettled tells peers of upstreams that are gone after it was in doubt.
+func (f *fleet) publishSettled() {
+	if gone := f.catalogue.settleLapsed(); len(gone) > 0 {
+		f.publishObjects(KindUpstream, gone)
+	}
+}
+
+// timesTold are when peers were last told of what.
+type timesTold struct {
+	reading  bool
+	claim    time.Time
+	loads    time.Time
+	spending time.Time
+}
+
+// publishDue tells peers what is due.
+func (f *fleet) publishDue(told *timesTold) {
+	now := f.now()
+	f.publishReading(now, told)
+	if now.Sub(told.loads) >= loadsEvery {
+		told.loads = f.publishLoads(now, told.loads)
+	}
+	if now.Sub(told.spending) >= spendingEvery {
+		told.spending = now
+		f.publishSpending(now)
+	}
+}
+
+// publishReading tells all peers that this router follows the store, and once
+// that it no longer does.
+func (f *fleet) publishReading(now time.Time, told *timesTold) {
+	reading := f.claim()
+	if reading == told.reading && (!reading || now.Sub(told.claim) < aliveEvery) {
+		return
+	}
+	told.reading, told.claim = reading, now
+	env := f.readingEnvelope(reading)
+	env.GetReading().Router = string(f.self.Router)
+	peers, _ := f.receivers()
+	f.mesh.SendEach(peers, env)
+}
+
+// publishLoads tells what has changed, or after a while that nothing has, and
+// returns when peers were last told.
+func (f *fleet) publishLoads(now, last time.Time) time.Time {
+	placed, refused := promptMessages(f.desk.takePlaced()), f.desk.takeRefused()
+	peers, tree := f.receivers()
+	if tree {
+		f.deliverTo(f.outboxes(), placed, refused, "")
+		f.publishSums(now)
+		return now
+	}
+	loads := f.desk.takeChangedLoads()
+	if len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last) < aliveEvery {
+		return last
+	}
+	env := loadsEnvelope(loads, false)
+	env.GetLoads().Prompts, env.GetLoads().Refused = placed, refused
+	f.mesh.SendEach(peers, env)
+	return now
+}
+
+func (f *fleet) publishSpending(now time.Time) {
+	peers, tree := f.receivers()
+	if tree {
+		for _, router := range peers {
+			if usage := f.desk.spendingBeyond(router); len(usage) > 0 {
+				f.mesh.Send(router, spendingEnvelope(usage))
+			}
+		}
+		return
+	}
+	if usage := f.desk.ownSpending(); len(usage) > 0 {
+		f.mesh.SendEach(peers, spendingEnvelope(usage))
+	}
+}
+
+// sendLost tells peers of a request under which an upstream fell.
+func (f *fleet) sendLost(fingerprint state.Fingerprint, run quarantine.Run) {
+	peers, _ := f.receivers()
+	f.mesh.SendEach(peers, &peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{
+		Fingerprint: uint64(fingerprint), Upstream: string(run.Upstream), Boot: run.Boot,
+	}}})
+}
+
+func (f *fleet) readingEnvelope(reads bool) *peerpb.Envelope {
+	holding := f.catalogue.holding()
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: &peerpb.Reading{
+		Store: reads, ConfigRevision: holding.Config, Upstreams: holding.Upstreams,
+	}}}
+}
+
+func loadsEnvelope(loads map[state.Upstream]placement.Load, full bool) *peerpb.Envelope {
+	message := loadsMessage(loads)
+	message.Full = full
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}}
+}
+
+func spendingEnvelope(usage map[state.Workspace]shares.Usage) *peerpb.Envelope {
+	message := &peerpb.Spending{}
+	for ws, u := range usage {
+		message.Entries = append(message.Entries, &peerpb.WorkspaceSpending{
+			Workspace: string(ws), Asked: uint64(u.Asked), Admitted: uint64(u.Admitted),
+		})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Spending{Spending: message}}
+}
--- /dev/null
+++ b/transport/edge/receive.go
@@ -0,0 +1,158 @@
+package edge
+
+import (
+	"github.com/figstile/figstile/coordination/exchange"
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
+	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/coordination/shares"
+	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
+	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/transport/peer"
+)
+
+// onEnvelope takes a message of a peer.
+func (f *fleet) onEnvelope(from peer.Peer, env *peerpb.Envelope) {
+	f.heard(from.Router)
+	switch body := env.GetBody().(type) {
+	case *peerpb.Envelope_Members:
+		f.onMembers(from.Router, body.Members)
+	case *peerpb.Envelope_Relay:
+		f.onRelay(from, body.Relay)
+	case *peerpb.Envelope_ConfigObject:
+		f.onObject(from.Router, body.ConfigObject)
+	case *peerpb.Envelope_ConfigVersions:
+		f.onVersions(from.Router, body.ConfigVersions)
+	case *peerpb.Envelope_ConfigRequest:
+		f.onConfigRequest(from.Router, body.ConfigRequest)
+	case *peerpb.Envelope_Loads:
+		f.onLoads(from.Router, body.Loads)
+	case *peerpb.Envelope_Spending:
+		f.onSpending(from.Router, body.Spending)
+	case *peerpb.Envelope_Reading:
+		f.onReading(from.Router, body.Reading)
+	case *peerpb.Envelope_CatalogueRequest:
+		f.sendCatalogue(from.Router, body.CatalogueRequest)
+	case *peerpb.Envelope_CatalogueEnd:
+		f.onCatalogueEnd(from.Router, body.CatalogueEnd)
+	case *peerpb.Envelope_Crash:
+		f.onCrash(from.Router, body.Crash, env)
+	}
+}
+
+// heard notes that a link's peer lives.
+func (f *fleet) heard(from state.Router) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overlay.Heard(f.now(), from)
+}
+
+// counts says whether what a peer tells of work counts: with links, only what
+// comes over one of them.
+func (f *fleet) counts(from state.Router) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.overlay.Tree() || f.links[from] != nil
+}
+
+// onLoads takes what a peer, or all on its side of a link, have at upstreams.
+func (f *fleet) onLoads(from state.Router, m *peerpb.Loads) {
+	if !f.counts(from) || max(len(m.GetEntries()), len(m.GetRefused())) > wire.MaxEntries {
+		return
+	}
+	loads := make(map[state.Upstream]placement.Load, len(m.GetEntries()))
+	for _, e := range m.GetEntries() {
+		loads[state.Upstream(e.GetUpstream())] = placement.Load{Running: int(e.GetRunning()), Unread: int(e.GetUnread())}
+	}
+	f.desk.heardLoads(from, loads, m.GetFull())
+	f.desk.heardPlaced(placedPrompts(m.GetPrompts()))
+	f.desk.heardRefused(m.GetRefused())
+	boxes := f.outboxes()
+	if len(boxes) > 1 && len(m.GetEntries())+len(m.GetPrompts())+len(m.GetRefused()) > 0 {
+		f.deliverTo(boxes, m.GetPrompts(), m.GetRefused(), from)
+		f.desk.wakeUp()
+	}
+}
+
+// onSpending takes the counts of a peer, or of all on its side of a link.
+func (f *fleet) onSpending(from state.Router, m *peerpb.Spending) {
+	if !f.counts(from) || len(m.GetEntries()) > wire.MaxEntries {
+		return
+	}
+	usage := make(map[state.Workspace]shares.Usage, len(m.GetEntries()))
+	for _, e := range m.GetEntries() {
+		usage[state.Workspace(e.GetWorkspace())] = shares.Usage{Asked: float64(e.GetAsked()), Admitted: float64(e.GetAdmitted())}
+	}
+	f.desk.heardSpending(from, usage)
+}
+
+// onCrash takes a peer's word that an upstream broke off under a request.
+func (f *fleet) onCrash(from state.Router, m *peerpb.Crash, env *peerpb.Envelope) {
+	f.desk.heardLost(state.Fingerprint(m.GetFingerprint()),
+		quarantine.Run{Upstream: state.Upstream(m.GetUpstream()), Boot: m.GetBoot()})
+	f.passOn(from, env)
+}
+
+// onReading takes a router's word on whether it follows the store.
+func (f *fleet) onReading(from state.Router, m *peerpb.Reading) {
+	reader := from
+	if m.GetRouter() != "" {
+		reader = state.Router(m.GetRouter())
+		f.passOn(from, &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: m}})
+	}
+	own, theirs := f.catalogue.holding(), exchange.Holding{Config: m.GetConfigRevision(), Upstreams: m.GetUpstreams()}
+	f.mu.Lock()
+	f.catchUp.Heard(f.now(), reader, theirs, own)
+	if m.GetStore() {
+		f.claims[reader] = readerWord{heard: f.now(), upstreams: theirs.Upstreams}
+		f.catchUp.Compare(f.now(), reader, theirs, own)
+	} else {
+		delete(f.claims, reader)
+	}
+	f.mu.Unlock()
+	f.fetchCatalogue()
+	if m.GetStore() {
+		f.desk.confirm()
+	}
+}
+
+// fetchCatalogue asks a peer for all objects if some may be missing here, or
+// upstreams may be gone that are still used.
+func (f *fleet) fetchCatalogue() {
+	doubtful, own := f.catalogue.doubtful(), f.catalogue.holding()
+	f.mu.Lock()
+	if doubtful {
+		f.catchUp.Doubt(f.now(), f.self, f.otherwiseInformed(f.now(), own.Upstreams))
+	} else {
+		f.catchUp.Settled()
+	}
+	router, ask := f.catchUp.Ask(f.now(), f.self, f.reachable())
+	request := &peerpb.CatalogueRequest{ConfigRevision: max(own.Config, f.fetch.Expected())}
+	f.mu.Unlock()
+	if ask {
+		f.send(router, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueRequest{CatalogueRequest: request}})
+	}
+}
+
+// reachable returns the peers that a catalogue can be asked of without others
+// between. The caller holds the lock.
+func (f *fleet) reachable() []scheduler.Peer {
+	if f.overlay.Tree() {
+		return f.overlay.Sessions()
+	}
+	return f.live
+}
+
+// onCatalogueEnd takes the end of a peer's answer. A router that has just
+// started may say at once that a thing does not exist, if its configuration
+// comes from one that follows the store.
+func (f *fleet) onCatalogueEnd(from state.Router, m *peerpb.CatalogueEnd) {
+	f.mu.Lock()
+	f.catchUp.Answered(f.now(), from, m.GetHolds())
+	f.caughtUp = f.caughtUp || m.GetHolds()
+	f.mu.Unlock()
+	if m.GetHolds() && m.GetReadsStore() {
+		f.desk.confirm()
+	}
+}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/transport/boottime"
@@ -82,15 +84,20 @@
 	r.pressure = r.desk.pressure
 	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.desk, r.catalogue, log, boottime.Now)
 	r.fleet.patience = patience(settings)
+	incarnation := state.Incarnation(time.Now().UnixNano())
+	r.fleet.join(membership.Member{
+		Router: settings.Router, DataCentre: settings.DataCentre, Incarnation: incarnation, Address: settings.Addresses.Peers,
+		Capacity: capacity(settings),
+	})
 	r.openCallers(platform)
 	for _, kind := range []Kind{KindConfig, KindUpstream} {
 		r.followers = append(r.followers, &follower{
 			kind: kind, store: platform, catalogue: r.catalogue, log: log,
-			reads: r.fleet.reads, onAnswer: r.fleet.onAnswer, onFailure: r.fleet.onFailure, onNews: r.fleet.sendNews,
+			reads: r.fleet.reads, onAnswer: r.fleet.onAnswer, onFailure: r.fleet.onFailure, onNews: r.fleet.publishObjects,
 			retryPause: r.fleet.retryPause,
 		})
 	}
-	if err := r.listen(); err != nil {
+	if err := r.listen(incarnation); err != nil {
 		r.close()
 		return nil, err
 	}
@@ -129,7 +136,10 @@
 	})
 }
 
-func (r *Router) listen() error {
+// capacity returns the processor share of the VM in hundredths of a core.
+func capacity(settings Settings) uint32 { return uint32(math.Round(settings.Processors * 100)) }
+
+func (r *Router) listen(incarnation state.Incarnation) error {
 	var err error
 	dialer := NewDialer()
 	r.mesh, err = peer.New(peer.Options{
@@ -137,9 +147,10 @@
 			Peer: peer.Peer{
 				Router:      r.settings.Router,
 				DataCentre:  r.settings.DataCentre,
-				Incarnation: state.Incarnation(time.Now().UnixNano()),
+				Incarnation: incarnation,
 			},
-			Fleet: fleetName,
+			Fleet:    fleetName,
+			Capacity: capacity(r.settings),
 		},
 		Sole:   true,
 		Listen: r.settings.Addresses.Peers,
@@ -151,6 +162,8 @@
 		Handler:      r.fleet.onEnvelope,
 		OnPeers:      r.fleet.onPeers,
 		OnSession:    r.fleet.onSession,
+		OnSessionEnd: r.fleet.onSessionEnd,
+		Selective:    true,
 		Log:          r.log,
 	})
 	if err != nil {
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -163,6 +163,7 @@
 func (m *Mesh) greet(s *session, hello membership.Hello) *failure {
 	m.mu.Lock()
 	s.peer = Peer{Router: hello.Router, DataCentre: hello.DataCentre, Incarnation: hello.Incarnation}
+	s.address, s.capacity = hello.Address, hello.Capacity
 	m.step(membership.Greeted{Session: s.id, Dialled: s.dialled, Hello: hello})
 	accepted, refusal := s.accepted, s.refusal
 	m.mu.Unlock()
@@ -279,13 +280,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.sessions, s.id)
-	if m.routes[s.peer.Router] == s {
-		delete(m.routes, s.peer.Router)
-	}
+	m.unroute(s)
 	m.countEnd(s)
 	if event != nil {
 		m.step(event)
 	}
+	m.announce()
 }
 
 // logFailed warns of a connection that never became a session, unless one side
--- a/transport/peer/convert.go
+++ b/transport/peer/convert.go
@@ -30,6 +30,7 @@
 		Incarnation: state.Incarnation(m.GetIncarnation()),
 		Address:     m.GetPeerAddress(),
 		Draining:    m.GetDraining(),
+		Capacity:    m.GetCapacity(),
 	}
 }
 
@@ -47,6 +48,7 @@
 		Refusal:         peerpb.Refusal(refusal),
 
 		KnownIncarnation: uint64(known),
+		Capacity:         h.Capacity,
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: body}}
 }
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -53,9 +53,9 @@
 	routes   map[state.Router]*session
 	traffic  map[state.Router]*counters
 	events   EventCounts
-	// live and opened are what the present step has to announce.
-	live   []scheduler.Peer
-	opened []*session
+	// live and changed are what the present step has to announce.
+	live    []scheduler.Peer
+	changed []sessionNotice
 }
 
 // New opens the listener. Peers are dialled once Run is called.
@@ -81,6 +81,7 @@
 		DataCentre:  opts.Self.DataCentre,
 		Incarnation: opts.Self.Incarnation,
 		Address:     opts.Advertise,
+		Capacity:    opts.Self.Capacity,
 	}
 	m := &Mesh{
 		opts:      opts,
@@ -90,7 +91,7 @@
 		strangers: opts.Log.Sample(&zerolog.BurstSampler{Burst: strangerLines, Period: strangerPeriod}),
 		created:   opts.Clock.Now(),
 		notices:   newNotices(),
-		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed}),
+		machine:   membership.New(membership.Config{Self: self, Seed: opts.Seed, Selective: opts.Selective}),
 		sessions:  make(map[membership.SessionID]*session),
 		routes:    make(map[state.Router]*session),
 		traffic:   make(map[state.Router]*counters),
@@ -248,6 +249,21 @@
 	m.step(membership.Seeded{Addresses: usable})
 }
 
+// Select replaces the routers that a selective mesh dials; see
+// membership.Selected.
+func (m *Mesh) Select(selected membership.Selected) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(selected)
+}
+
+// Drop closes the session with a peer.
+func (m *Mesh) Drop(router state.Router) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(membership.Dropped{Router: router})
+}
+
 // tick tells membership which sessions were heard, then lets limits pass.
 func (m *Mesh) tick() {
 	m.mu.Lock()
@@ -270,12 +286,26 @@
 	for _, action := range m.machine.Step(m.opts.Clock.Now(), event) {
 		m.perform(action)
 	}
-	if m.live != nil || m.opened != nil {
-		m.notices.add(m.live, m.opened)
-		m.live, m.opened = nil, nil
+	m.announce()
+}
+
+// announce passes on what has changed. The caller holds the lock.
+func (m *Mesh) announce() {
+	if m.live != nil || m.changed != nil {
+		m.notices.add(m.live, m.changed)
+		m.live, m.changed = nil, nil
 	}
 }
 
+// unroute takes a session that ends out of use. The caller holds the lock.
+func (m *Mesh) unroute(s *session) {
+	if m.routes[s.peer.Router] != s {
+		return
+	}
+	delete(m.routes, s.peer.Router)
+	m.changed = append(m.changed, sessionNotice{session: s, ended: true})
+}
+
 func (m *Mesh) perform(action membership.Action) {
 	switch a := action.(type) {
 	case membership.Dial:
@@ -306,7 +336,7 @@
 	if s.dialled == "" {
 		m.enqueueControl(s, helloEnvelope(m.self, membership.RefusalNone, 0))
 	}
-	m.opened = append(m.opened, s)
+	m.changed = append(m.changed, sessionNotice{session: s})
 	m.opts.Log.Info().Str("router", string(s.peer.Router)).Uint64("incarnation", uint64(s.peer.Incarnation)).
 		Str("data_centre", string(s.peer.DataCentre)).Bool("dialled", s.dialled != "").Msg("peer session opened")
 }
@@ -320,9 +350,7 @@
 
 // close ends a session on membership's orders, which then expects no Closed.
 func (m *Mesh) close(s *session, reason membership.CloseReason) {
-	if m.routes[s.peer.Router] == s {
-		delete(m.routes, s.peer.Router)
-	}
+	m.unroute(s)
 	s.end(closeError(reason))
 }
 
--- a/transport/peer/notices.go
+++ b/transport/peer/notices.go
@@ -15,7 +15,13 @@
 
 	mu       sync.Mutex
 	live     []scheduler.Peer
-	sessions []*session
+	sessions []sessionNotice
+}
+
+// sessionNotice says that a session began or ended.
+type sessionNotice struct {
+	session *session
+	ended   bool
 }
 
 func newNotices() notices {
@@ -24,20 +30,20 @@
 
 // add takes the new set of live routers, if it changed, together with the
 // sessions that it came with: they are announced after it.
-func (n *notices) add(live []scheduler.Peer, opened []*session) {
+func (n *notices) add(live []scheduler.Peer, sessions []sessionNotice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if live != nil {
 		n.live = live
 	}
-	n.sessions = append(n.sessions, opened...)
+	n.sessions = append(n.sessions, sessions...)
 	select {
 	case n.ready <- struct{}{}:
 	default:
 	}
 }
 
-func (n *notices) take() ([]scheduler.Peer, []*session) {
+func (n *notices) take() ([]scheduler.Peer, []sessionNotice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	live, sessions := n.live, n.sessions
@@ -56,9 +62,18 @@
 		if live != nil {
 			opts.OnPeers(live)
 		}
-		for _, s := range sessions {
-			opts.OnSession(s.peer)
-			close(s.announced)
+		for _, notice := range sessions {
+			notice.deliver(opts)
 		}
 	}
 }
+
+func (n sessionNotice) deliver(opts Options) {
+	s := n.session
+	if n.ended {
+		opts.OnSessionEnd(s.peer)
+		return
+	}
+	opts.OnSession(Session{Peer: s.peer, Address: s.address, Dialled: s.dialled != "", Capacity: s.capacity})
+	close(s.announced)
+}
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -28,11 +28,25 @@
 	Incarnation state.Incarnation
 }
 
+// Session is a session that was opened.
+type Session struct {
+	Peer
+	// Address is where the peer listens.
+	Address string
+	// Dialled says that this router opened it.
+	Dialled bool
+	// Capacity is that of the peer's Self.
+	Capacity uint32
+}
+
 // Self is what this router says of itself.
 type Self struct {
 	Peer
 	// Fleet keeps the routers of different fleets apart.
 	Fleet string
+	// Capacity is the processor share of the VM in hundredths of a core; 0 if
+	// not known.
+	Capacity uint32
 }
 
 // Clock is the mesh's source of time.
@@ -70,7 +84,12 @@
 	// OnSession is called, if set, after OnPeers for every new session, also
 	// one that replaces a broken one without the peer having been gone.
 	// Messages may have been lost with the old one: send full state.
-	OnSession func(peer Peer)
+	OnSession func(opened Session)
+	// OnSessionEnd is called, if set, once a session that was announced by
+	// OnSession has ended.
+	OnSessionEnd func(peer Peer)
+	// Selective says that only seeds are dialled until Select names others.
+	Selective bool
 	Log       zerolog.Logger
 	// FlushTimeout bounds a stop: the last counters of a drained router should
 	// reach its peers, but one that does not read must not hold it. Zero means a
@@ -119,7 +138,10 @@
 		o.Dial = connectTo
 	}
 	if o.OnSession == nil {
-		o.OnSession = func(Peer) {}
+		o.OnSession = func(Session) {}
+	}
+	if o.OnSessionEnd == nil {
+		o.OnSessionEnd = func(Peer) {}
 	}
 	if o.Clock == nil {
 		o.Clock = systemClock{}
--- a/transport/peer/session.go
+++ b/transport/peer/session.go
@@ -48,8 +48,11 @@
 	bulk    *lane
 	trip    roundTrip
 
-	// peer is set before the session is accepted.
-	peer Peer
+	// peer, the address where it listens and its capacity are set before the
+	// session is accepted.
+	peer     Peer
+	address  string
+	capacity uint32
 
 	// verdict is written by the mesh under its lock while it greets.
 	accepted bool
