Number upstreams on a session, and pack loads and prompts

Cause: one protobuf message for each load and prompt, each with its upstream's name.

The protocol's version rises to 2: routers of before would hear of no work.

A link may now carry sums every 2.5 ms for each link that a router has, for 5.

--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -32,7 +32,7 @@
 	// linkGap for each link of this router if that is more, so that a router
 	// with many does not spend more on them than one with few.
 	urgentGap = 20 * time.Millisecond
-	linkGap   = 5 * time.Millisecond
+	linkGap   = 2500 * time.Microsecond
 	// longPrompt is the number of tokens that keeps an engine from other
 	// prompts for so long that peers must not wait to hear of it: some fifty
 	// milliseconds.
@@ -85,7 +85,9 @@
 	overlay *overlay.Overlay
 	live    []scheduler.Peer
 	// links are what waits to be told over links.
-	links  map[state.Router]*outbox
+	links map[state.Router]*outbox
+	// names are the upstreams that peers have numbered in their messages.
+	names  map[state.Router]names
 	claims map[state.Router]readerWord
 	// answered is when the store last answered this router, failed when a
 	// call last failed; each kind is followed by itself.
@@ -109,7 +111,7 @@
 func newFleet(self scheduler.Peer, desk *desk, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
 	f := &fleet{
 		self: self, desk: desk, catalogue: catalogue, log: log, now: now, started: now(),
-		claims: make(map[state.Router]readerWord), links: make(map[state.Router]*outbox),
+		claims: make(map[state.Router]readerWord), links: make(map[state.Router]*outbox), names: make(map[state.Router]names),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
 	desk.onLost = f.sendLost
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -40,6 +40,7 @@
 func (f *fleet) onSessionEnd(p peer.Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.names, p.Router)
 	f.overlay.SessionClosed(f.now(), p.Router)
 	f.perform()
 }
--- a/transport/edge/messages.go
+++ b/transport/edge/messages.go
@@ -4,46 +4,112 @@
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/prefix"
 	"github.com/figstile/figstile/protocol/peerpb"
+	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
 )
 
-func loadsMessage(loads map[state.Upstream]placement.Load) *peerpb.Loads {
-	message := &peerpb.Loads{}
+// numbering numbers the upstreams that a peer is told of, so that each name is
+// sent once on a session. The zero value is usable.
+type numbering struct {
+	numbers map[state.Upstream]uint32
+	// fresh are the names that the peer has not been sent.
+	fresh []string
+}
+
+func (n *numbering) number(id state.Upstream) uint32 {
+	number, ok := n.numbers[id]
+	if !ok {
+		number = uint32(len(n.numbers))
+		n.numbers[id] = number
+		n.fresh = append(n.fresh, string(id))
+	}
+	return number
+}
+
+// loadsMessage builds a message for a peer that knows a numbering.
+func (n *numbering) loadsMessage(loads map[state.Upstream]placement.Load, prompts []placement.Placed) *peerpb.Loads {
+	message := &peerpb.Loads{Reset_: n.numbers == nil}
+	if n.numbers == nil {
+		n.numbers = make(map[state.Upstream]uint32)
+	}
 	for id, load := range loads {
-		message.Entries = append(message.Entries, &peerpb.UpstreamLoad{
-			Upstream: string(id), Running: uint32(load.Running), Unread: uint32(max(load.Unread, 0)),
-		})
+		message.Upstreams = append(message.Upstreams, n.number(id))
+		message.Running = append(message.Running, uint32(max(load.Running, 0)))
+		message.Unread = append(message.Unread, uint32(max(load.Unread, 0)))
 	}
+	for i, placed := range prompts {
+		message.PromptUpstreams = append(message.PromptUpstreams, n.number(placed.Upstream))
+		message.PromptParts = append(message.PromptParts, uint32(len(placed.Prompt)))
+		for _, part := range placed.Prompt {
+			message.Parts = append(message.Parts, part.ID)
+			message.PartTokens = append(message.PartTokens, uint32(part.Tokens))
+		}
+		if placed.Interferes {
+			message.Interfering = append(message.Interfering, uint32(i))
+		}
+	}
+	message.Names, n.fresh = n.fresh, nil
 	return message
 }
 
-func promptMessage(placed placement.Placed) *peerpb.PlacedPrompt {
-	message := &peerpb.PlacedPrompt{Upstream: string(placed.Upstream), Interferes: placed.Interferes}
-	for _, part := range placed.Prompt {
-		message.Parts = append(message.Parts, part.ID)
-		message.Tokens = append(message.Tokens, uint32(part.Tokens))
+func loadsEnvelope(loads map[state.Upstream]placement.Load, full bool) *peerpb.Envelope {
+	message := new(numbering).loadsMessage(loads, nil)
+	message.Full = full
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}}
+}
+
+// names are the upstreams that a peer has numbered.
+type names []state.Upstream
+
+// extend takes the names of a message.
+func (n names) extend(m *peerpb.Loads) names {
+	if m.GetReset_() {
+		n = nil
 	}
-	return message
+	for _, name := range m.GetNames()[:min(len(m.GetNames()), max(wire.MaxEntries-len(n), 0))] {
+		n = append(n, state.Upstream(name))
+	}
+	return n
 }
 
-func promptMessages(placed []placement.Placed) []*peerpb.PlacedPrompt {
-	var messages []*peerpb.PlacedPrompt
-	for _, p := range placed {
-		messages = append(messages, promptMessage(p))
+// loads returns the loads of a message; not ok if it is malformed.
+func (n names) loads(m *peerpb.Loads) (map[state.Upstream]placement.Load, bool) {
+	if len(m.GetUpstreams()) != len(m.GetRunning()) || len(m.GetUpstreams()) != len(m.GetUnread()) {
+		return nil, false
+	}
+	loads := make(map[state.Upstream]placement.Load, len(m.GetUpstreams()))
+	for i, number := range m.GetUpstreams() {
+		if int(number) >= len(n) {
+			return nil, false
+		}
+		loads[n[number]] = placement.Load{Running: int(m.GetRunning()[i]), Unread: int(m.GetUnread()[i])}
 	}
-	return messages
+	return loads, true
 }
 
-func placedPrompts(messages []*peerpb.PlacedPrompt) []placement.Placed {
-	var all []placement.Placed
-	for _, m := range messages {
-		placed := placement.Placed{Upstream: state.Upstream(m.GetUpstream()), Interferes: m.GetInterferes()}
-		for i, id := range m.GetParts() {
-			if i < len(m.GetTokens()) {
-				placed.Prompt = append(placed.Prompt, prefix.Part{ID: id, Tokens: int(m.GetTokens()[i])})
-			}
+// prompts returns the placed prompts of a message; not ok if it is malformed.
+func (n names) prompts(m *peerpb.Loads) ([]placement.Placed, bool) {
+	if len(m.GetPromptUpstreams()) != len(m.GetPromptParts()) || len(m.GetParts()) != len(m.GetPartTokens()) {
+		return nil, false
+	}
+	parts := make([]prefix.Part, len(m.GetParts()))
+	for i, id := range m.GetParts() {
+		parts[i] = prefix.Part{ID: id, Tokens: int(m.GetPartTokens()[i])}
+	}
+	prompts := make([]placement.Placed, 0, len(m.GetPromptUpstreams()))
+	for i, number := range m.GetPromptUpstreams() {
+		count := int(m.GetPromptParts()[i])
+		if int(number) >= len(n) || count > len(parts) {
+			return nil, false
+		}
+		prompts = append(prompts, placement.Placed{Upstream: n[number], Prompt: parts[:count:count]})
+		parts = parts[count:]
+	}
+	for _, i := range m.GetInterfering() {
+		if int(i) >= len(prompts) {
+			return nil, false
 		}
-		all = append(all, placed)
+		prompts[i].Interferes = true
 	}
-	return all
+	return prompts, true
 }
--- a/transport/edge/outbox.go
+++ b/transport/edge/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/state"
 )
@@ -18,14 +19,17 @@
 
 // outbox is what waits to be told over a link.
 type outbox struct {
-	prompts []*peerpb.PlacedPrompt
+	prompts []placement.Placed
 	refused []uint32
+	// numbering is of the upstreams that the peer was told of; used by
+	// publishSums alone.
+	numbering numbering
 	// sent is when the peer was last told anything, summed when it was told all
 	// sums.
 	sent, summed time.Time
 }
 
-func (o *outbox) add(prompts []*peerpb.PlacedPrompt, refused []uint32) {
+func (o *outbox) add(prompts []placement.Placed, refused []uint32) {
 	o.prompts = append(o.prompts, prompts[:min(len(prompts), maxPrompts-len(o.prompts))]...)
 	o.refused = append(o.refused, refused[:min(len(refused), maxRefusals-len(o.refused))]...)
 }
@@ -43,7 +47,7 @@
 
 // deliverTo queues prompts and refusals for all links but one. Refusals stay in
 // their data centre, where callers come back.
-func (f *fleet) deliverTo(boxes map[state.Router]*outbox, prompts []*peerpb.PlacedPrompt, refused []uint32, except state.Router) {
+func (f *fleet) deliverTo(boxes map[state.Router]*outbox, prompts []placement.Placed, refused []uint32, except state.Router) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for router, box := range boxes {
@@ -77,9 +81,9 @@
 		if !all && len(loads)+len(prompts)+len(refused) == 0 && now.Sub(box.sent) < aliveEvery {
 			continue
 		}
-		env := loadsEnvelope(loads, all)
-		env.GetLoads().Prompts, env.GetLoads().Refused = prompts, refused
-		f.mesh.Send(router, env)
+		message := box.numbering.loadsMessage(loads, prompts)
+		message.Full, message.Refused = all, refused
+		f.mesh.Send(router, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
 		box.sent = now
 		if all {
 			box.summed = now
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/shares"
 	"github.com/figstile/figstile/protocol/peerpb"
@@ -97,7 +96,7 @@
 // publishLoads tells what has changed, or after a while that nothing has, and
 // returns when peers were last told.
 func (f *fleet) publishLoads(now, last time.Time) time.Time {
-	placed, refused := promptMessages(f.desk.takePlaced()), f.desk.takeRefused()
+	placed, refused := f.desk.takePlaced(), f.desk.takeRefused()
 	peers, tree := f.receivers()
 	if tree {
 		f.deliverTo(f.outboxes(), placed, refused, "")
@@ -108,9 +107,9 @@
 	if len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last) < aliveEvery {
 		return last
 	}
-	env := loadsEnvelope(loads, false)
-	env.GetLoads().Prompts, env.GetLoads().Refused = placed, refused
-	f.mesh.SendEach(peers, env)
+	message := new(numbering).loadsMessage(loads, placed)
+	message.Refused = refused
+	f.mesh.SendEach(peers, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
 	return now
 }
 
@@ -144,12 +143,6 @@
 	}}}
 }
 
-func loadsEnvelope(loads map[state.Upstream]placement.Load, full bool) *peerpb.Envelope {
-	message := loadsMessage(loads)
-	message.Full = full
-	return &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}}
-}
-
 func spendingEnvelope(usage map[state.Workspace]shares.Usage) *peerpb.Envelope {
 	message := &peerpb.Spending{}
 	for ws, u := range usage {
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/figstile/figstile/coordination/exchange"
-	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/shares"
@@ -58,23 +57,35 @@
 
 // onLoads takes what a peer, or all on its side of a link, have at upstreams.
 func (f *fleet) onLoads(from state.Router, m *peerpb.Loads) {
-	if !f.counts(from) || max(len(m.GetEntries()), len(m.GetRefused())) > wire.MaxEntries {
+	named := f.named(from, m)
+	loads, loadsOK := named.loads(m)
+	prompts, promptsOK := named.prompts(m)
+	if !f.counts(from) || len(m.GetRefused()) > wire.MaxEntries {
 		return
 	}
-	loads := make(map[state.Upstream]placement.Load, len(m.GetEntries()))
-	for _, e := range m.GetEntries() {
-		loads[state.Upstream(e.GetUpstream())] = placement.Load{Running: int(e.GetRunning()), Unread: int(e.GetUnread())}
+	if !loadsOK || !promptsOK {
+		f.log.Warn().Str("peer", string(from)).Msg("malformed loads")
+		return
 	}
 	f.desk.heardLoads(from, loads, m.GetFull())
-	f.desk.heardPlaced(placedPrompts(m.GetPrompts()))
+	f.desk.heardPlaced(prompts)
 	f.desk.heardRefused(m.GetRefused())
 	boxes := f.outboxes()
-	if len(boxes) > 1 && len(m.GetEntries())+len(m.GetPrompts())+len(m.GetRefused()) > 0 {
-		f.deliverTo(boxes, m.GetPrompts(), m.GetRefused(), from)
+	if len(boxes) > 1 && len(loads)+len(prompts)+len(m.GetRefused()) > 0 {
+		f.deliverTo(boxes, prompts, m.GetRefused(), from)
 		f.desk.wakeUp()
 	}
 }
 
+// named returns the upstreams that a peer has numbered, those of a message
+// included.
+func (f *fleet) named(from state.Router, m *peerpb.Loads) names {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names[from] = f.names[from].extend(m)
+	return f.names[from]
+}
+
 // onSpending takes the counts of a peer, or of all on its side of a link.
 func (f *fleet) onSpending(from state.Router, m *peerpb.Spending) {
 	if !f.counts(from) || len(m.GetEntries()) > wire.MaxEntries {
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -19,7 +19,7 @@
 // ProtocolVersion is the version of the peer protocol. Unknown fields and
 // bodies are ignored, so it only grows when routers could misunderstand each
 // other.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Peer identifies the sender of a message.
 type Peer struct {
