Count the time that requests wait unread, and refuse what cannot end in time

They waited in the process: at a router of 0.192 cores 600 accepted connections waited for their goroutines while a flood came in, and a caller's time was counted from the reading of the head.

Now the least time between acceptance and reading over the last eight connections is the read lag (workload.ReadLag). It counts towards a caller's deadline and target; from 150 ms on requests are refused before they are judged, from 400 ms on connections are closed unread, which bounds what waits. The estimate of the processor's use, by fixed costs, showed 0.6 of the share at that moment. And a request whose answer cannot end before its caller leaves is refused at once.

Ruled out: placing as the cost of such refusals (11 microseconds for 60 engines), lateness of timers (45 ms).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -37,11 +37,11 @@
 	// are late is no gain; a few are borne, or long prompts would be served
 	// by idle engines only.
 	maxDisturbed = 5
-	// hopeless is the part of its own reading time that a prompt may wait which
+	// hopelessWait is the part of its own reading time that a prompt may wait which
 	// is late wherever it goes. Places in a queue are worth more to those that
 	// can be on time; at nothing, the largest tenth of the prompts got 0.34 to
 	// 0.46 of what they were owed, and 0.42 to 0.53 with long waits.
-	hopeless = 0.5
+	hopelessWait = 0.5
 	// least is the part of its target that a request may wait even if its
 	// own prompt takes the rest. Long prompts would otherwise never be
 	// admitted, however idle the engines.
@@ -140,6 +140,12 @@
 	return min(longest, r.Patience) > r.Remaining
 }
 
+// hopeless says whether a request's caller will have left before the answer can
+// have ended. Half of the expected stream counts, since many are shorter.
+func (r Request) hopeless(e placement.Estimate) bool {
+	return r.Patience > 0 && e.Total()+e.Stream/2 > r.Patience
+}
+
 // longer is how many times the expected time an answer is given: no more than
 // its caller lets it grow to.
 func (r Request) longer() float64 {
@@ -225,6 +231,11 @@
 	if r.Target > 0 && standing.Use > nearShare {
 		v.Limit = min(v.Limit, shareLimit(r.Target, standing.Use))
 	}
+	if r.hopeless(best) {
+		v.Reason = Overload
+		v.RetryAfter = retryAfter(r, best.Wait, spread)
+		return v
+	}
 	if best.Disturbed <= maxDisturbed && (best.Free || best.Wait <= v.Limit) {
 		if r.outlasts(best) {
 			v.Reason = Stopping
@@ -258,7 +269,7 @@
 	}
 	limit := share(left, r.onTime()) - best.Own
 	if len(r.Prompt) > 0 && best.Own > left {
-		limit = share(best.Own, hopeless)
+		limit = share(best.Own, hopelessWait)
 	}
 	return min(max(limit, share(r.Target, least)), share(r.Patience, onTime))
 }
--- /dev/null
+++ b/coordination/admission/hopeless_test.go
@@ -0,0 +1,28 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/prefix"
+	"github.com/figstile/figstile/coordination/shares"
+)
+
+// A request that was read late reached an engine just before its caller left.
+func TestRequestThatCannotEndInTimeIsRefused(t *testing.T) {
+	idle := placement.Estimate{Own: 200 * time.Millisecond, Stream: 2 * time.Second, Free: true}
+	request := Request{Work: placement.Work{Prompt: []prefix.Part{{ID: 1, Tokens: 600}}, Target: time.Second}}
+	for _, c := range []struct {
+		patience time.Duration
+		admitted bool
+	}{{4 * time.Second, true}, {1300 * time.Millisecond, true}, {time.Second, false}, {100 * time.Millisecond, false}} {
+		request.Patience = c.patience
+		verdict := Decide(request, idle, true, shares.Standing{}, 0)
+		require.Equal(t, c.admitted, verdict.Admit(), c.patience)
+	}
+	request.Begun = true
+	require.True(t, Decide(request, idle, true, shares.Standing{}, 0).Admit(), "it may have run already")
+}
--- /dev/null
+++ b/coordination/workload/read_lag_test.go
@@ -0,0 +1,44 @@
+package workload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A small VM gets a thousand connections a second and reads three hundred: what
+// waits grows by the second.
+func TestReadLagOfAFloodedRouter(t *testing.T) {
+	var l ReadLag
+	now := time.Unix(1000, 0)
+	for i := range 300 {
+		l.Read(now.Add(time.Duration(i)*time.Second/300), time.Duration(i)*time.Second/300*7/10)
+	}
+	require.InDelta(t, 0.7, l.Lag(now.Add(time.Second)).Seconds(), 0.05)
+}
+
+// Callers that open connections before they need them must not look like a
+// router that reads late.
+func TestSlowCallersAreNoReadLag(t *testing.T) {
+	var l ReadLag
+	now := time.Unix(1000, 0)
+	for range 2 * lagSamples {
+		l.Read(now, 3*time.Second)
+	}
+	l.Read(now, time.Millisecond)
+	require.Equal(t, time.Millisecond, l.Lag(now))
+}
+
+func TestReadLagIsForgotten(t *testing.T) {
+	var l ReadLag
+	now := time.Unix(1000, 0)
+	require.Zero(t, l.Lag(now))
+	for range lagSamples - 1 {
+		l.Read(now, time.Second)
+	}
+	require.Zero(t, l.Lag(now), "too few")
+	l.Read(now, time.Second)
+	require.Equal(t, time.Second, l.Lag(now))
+	require.Zero(t, l.Lag(now.Add(lagMemory+1)))
+}
--- /dev/null
+++ b/transport/edge/arrival.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/figstile/figstile/coordination/workload"
+)
+
+// arrivalKey is the context key of a connection's arrival.
+type arrivalKey struct{}
+
+// arrival is when a connection was accepted, until its first request is read.
+type arrival struct {
+	at   time.Time
+	once sync.Once
+}
+
+// arrivals measures how long requests wait unread in this process. A router whose
+// processor is used up accepts connections and turns to them seconds later; the
+// time that callers give is counted from the reading, and would be too long.
+type arrivals struct {
+	now func() time.Time
+
+	mu  sync.Mutex
+	lag workload.ReadLag
+}
+
+// withArrival notes when a connection was accepted.
+func (a *arrivals) withArrival(ctx context.Context, conn net.Conn) context.Context {
+	return withConn(context.WithValue(ctx, arrivalKey{}, &arrival{at: a.now()}), conn)
+}
+
+// waited returns how long a request is taken to have waited unread.
+func (a *arrivals) waited(r *http.Request) time.Duration {
+	from, ok := r.Context().Value(arrivalKey{}).(*arrival)
+	if !ok {
+		return 0
+	}
+	own := time.Duration(0)
+	from.once.Do(func() { own = a.read(from.at) })
+	return min(own, a.estimate())
+}
+
+// read takes the first request of a connection and returns how long it waited.
+func (a *arrivals) read(accepted time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	waited := now.Sub(accepted)
+	a.lag.Read(now, waited)
+	return waited
+}
+
+// estimate returns how long requests wait unread at present.
+func (a *arrivals) estimate() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lag.Lag(a.now())
+}
--- /dev/null
+++ b/transport/edge/arrival_test.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/routing"
+)
+
+// A flooded router turns to connections two seconds after it accepted them.
+func TestTimeUnreadCountsForCallers(t *testing.T) {
+	clock := newClock()
+	p := newPressure(0, smallVM, clock.now)
+	first := func(after time.Duration) time.Duration {
+		r := httptest.NewRequest("POST", "/", nil)
+		ctx := p.arrivals.withArrival(r.Context(), nil)
+		clock.advance(after)
+		r = r.WithContext(ctx)
+		waited := p.arrivals.waited(r)
+		require.Zero(t, p.arrivals.waited(r), "the next request of the connection came later")
+		return waited
+	}
+	require.Zero(t, first(2*time.Second), "one slow caller is no flood")
+	for range 8 {
+		for range 8 {
+			p.arrivals.read(clock.now().Add(-2 * time.Second))
+		}
+	}
+	require.Equal(t, 2*time.Second, p.arrivals.estimate())
+	require.True(t, p.full())
+	require.True(t, p.sheds())
+	for range 8 {
+		p.arrivals.read(clock.now())
+	}
+	require.False(t, p.full())
+	require.False(t, p.sheds())
+}
+
+// Of a deadline of four seconds three have passed before the router reads the
+// request.
+func TestRequestReadTooLateIsNotSentOn(t *testing.T) {
+	f := newFixture()
+	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s"}}}))
+	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 6}, true)
+	request := admission.Request{Patience: 4 * time.Second}
+	request.Service = "s"
+	verdict, ticket := f.desk.Admit(request, false)
+	require.True(t, verdict.Admit())
+	f.desk.End(ticket, 0)
+	request.Patience = 10 * time.Millisecond
+	verdict, _ = f.desk.Admit(request, false)
+	require.False(t, verdict.Admit())
+}
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -45,6 +45,11 @@
 	// tightProcessor is the same for workspaces that have had their fair
 	// shares, so that others whose callers meet the same router are served.
 	tightProcessor = 0.75
+	// fullLag is how late requests may be read before all are refused, and
+	// shedLag before connections are closed unread: what waits longer is late
+	// wherever it goes.
+	fullLag = 150 * time.Millisecond
+	shedLag = 400 * time.Millisecond
 	// busyLag is the lateness of a periodic task, on average over some
 	// rounds, from which the processor counts as overloaded.
 	busyLag = 120 * time.Millisecond
@@ -65,6 +70,8 @@
 	work *workload.Estimate
 	// refusals bounds the processor time that refusals take.
 	refusals *refusals
+	// arrivals measures how late requests are read.
+	arrivals *arrivals
 }
 
 func newPressure(maxFiles int, processors float64, now func() time.Time) *pressure {
@@ -73,6 +80,7 @@
 		limit:    float64(max(maxFiles-reservedFiles, 0)),
 		work:     work,
 		refusals: newRefusals(work, now),
+		arrivals: &arrivals{now: now},
 	}
 }
 
@@ -124,7 +132,7 @@
 
 // full says whether there is no room for another request.
 func (p *pressure) full() bool {
-	return p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare)
+	return p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare) || p.arrivals.estimate() > fullLag
 }
 
 // tight says whether there is little room left.
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -133,6 +133,7 @@
 		Now:      boottime.Now,
 		Crowded:  r.pressure.crowded,
 		Left:     callerLeft,
+		Waited:   r.pressure.arrivals.waited,
 	})
 }
 
@@ -261,7 +262,7 @@
 			r.conns.StateChanged(conn, state)
 		},
 		BaseContext:    r.conns.BaseContext,
-		ConnContext:    withConn,
+		ConnContext:    r.pressure.arrivals.withArrival,
 		MaxHeaderBytes: headerBytes,
 	}
 	all := []server{
--- a/transport/edge/shed.go
+++ b/transport/edge/shed.go
@@ -48,7 +48,7 @@
 // sheds says whether a new connection is to be closed unread: the router has no
 // room for its request, nor the time to say so.
 func (p *pressure) sheds() bool {
-	if !p.refusals.spent() || !p.full() {
+	if p.arrivals.estimate() <= shedLag && (!p.refusals.spent() || !p.full()) {
 		return false
 	}
 	p.work.Shed()
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -133,10 +133,10 @@
 	if patience <= 0 {
 		patience = defaultDeadline
 	}
-	x.limit = x.arrived.Add(patience)
 	if x.route.Timeout > 0 && x.route.Timeout < patience {
-		x.limit = x.arrived.Add(x.route.Timeout)
+		patience = x.route.Timeout
 	}
+	x.limit = x.arrived.Add(patience - x.unread)
 	return result.Result{}, true
 }
 
@@ -178,7 +178,7 @@
 		Workspace:   x.workspace,
 		Cost:        x.cost(),
 		MaxOutput:   x.in.MaxOutput,
-		Elapsed:     x.h.Desk.Elapsed(x.fingerprint),
+		Elapsed:     x.h.Desk.Elapsed(x.fingerprint) + x.unread,
 		Patience:    patience,
 	}
 	if x.h.Desk.Blocked(x.fingerprint) {
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -46,6 +46,9 @@
 	// Left says whether a request's caller has closed its connection, even if
 	// the request's context does not show it yet; nil leaves it to that.
 	Left func(r *http.Request) bool
+	// Waited returns how long a request waited before it was read; nil means
+	// that none does.
+	Waited func(r *http.Request) time.Duration
 }
 
 // Record describes one finished request to an Observer.
@@ -92,6 +95,9 @@
 	r       *http.Request
 	control *http.ResponseController
 	arrived time.Time
+	// unread is how long the request waited before that; its caller's time
+	// counts from there.
+	unread time.Duration
 
 	in          Inbound
 	table       *routing.Table
@@ -141,6 +147,9 @@
 	if h.Desk.Draining() || h.Crowded != nil && h.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
+	if h.Waited != nil {
+		x.unread = h.Waited(r)
+	}
 	res := x.run()
 	x.finish(res)
 	if x.abort {
@@ -236,6 +245,9 @@
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
 	}
+	if x.unread >= time.Millisecond {
+		event.Int64("unread_ms", x.unread.Milliseconds())
+	}
 	if x.stopAge > 0 {
 		event.Int64("stop_age_ms", x.stopAge.Milliseconds())
 	}
