Let routers run between the ticks of the tests' clock

Cause: the test's clock and the routers' tick loops hand the processor to each other, so that ten minutes of the test's time pass before the goroutine runs that tells of a closed session; by then the incarnation is rightly forgotten.

Ruled out: waiting until the live set was told; the condition never held beside a stopped router.

--- a/transport/peer/fleet_test.go
+++ b/transport/peer/fleet_test.go
@@ -190,9 +190,14 @@
 			return
 		}
 		f.tick(membership.TickInterval)
+		f.yield()
 	}
 }
 
+// yield lets the goroutines of the routers run. On one processor the clock and
+// the ticks would else keep it to themselves for minutes of their own time.
+func (f *fleet) yield() { time.Sleep(100 * time.Microsecond) }
+
 func (f *fleet) wait(condition func() bool) {
 	for !condition() {
 		time.Sleep(time.Millisecond)
