--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -47,11 +47,11 @@
 
 // link is an established link of the tree.
 type link struct {
-	// behind are the routers on the peer's side, told those that the peer was
-	// told of on this side.
-	behind map[state.Router]membership.Member
-	told   map[state.Router]membership.Member
-	heard  time.Time
+	// behind are the routers on the peer's side, sent those that were last sent
+	// to the peer of this side.
+	behind   map[state.Router]membership.Member
+	sent     map[state.Router]membership.Member
+	lastSeen time.Time
 }
 
 // session is an open session, of a link or not.
@@ -63,7 +63,7 @@
 // contact is a router that may be dialled.
 type contact struct {
 	membership.Member
-	heard time.Time
+	lastSeen time.Time
 }
 
 // lostSide is what was behind a lost link.
@@ -90,11 +90,11 @@
 	excluded   exclusions
 
 	// parent is the router above, empty if there is none; target the one that
-	// is being asked to be that, since asked.
-	parent state.Router
-	target state.Router
-	asked  time.Time
-	// offered is what the target was told of this side.
+	// is being asked to be that, since requested.
+	parent    state.Router
+	target    state.Router
+	requested time.Time
+	// offered is what was sent to the target of this side.
 	offered map[state.Router]membership.Member
 	// preferred is a better parent than the present one, since when.
 	preferred state.Router
@@ -108,10 +108,10 @@
 	visits  exclusions
 
 	ticked time.Time
-	// changed is set while the view is out of date, untold while links are to
-	// be told of a change.
+	// changed is set while the view is out of date, unsent while a change has not
+	// been sent over the links.
 	changed  bool
-	untold   bool
+	unsent   bool
 	view     map[state.Router]membership.Member
 	selected Select
 	actions  []Action
@@ -219,9 +219,9 @@
 }
 
 // Heard notes that a message came over a session.
-func (o *Overlay) Heard(now time.Time, from state.Router) {
+func (o *Overlay) MarkAlive(now time.Time, from state.Router) {
 	if l := o.links[from]; l != nil {
-		l.heard = now
+		l.lastSeen = now
 	}
 }
 
@@ -230,10 +230,10 @@
 	if _, open := o.sessions[from]; !open {
 		return
 	}
-	o.Heard(now, from)
+	o.MarkAlive(now, from)
 	o.learn(now, m.Present)
 	if m.Tree {
-		o.plant(now)
+		o.becomeTree(now)
 	}
 	switch m.Kind {
 	case Contacts:
@@ -258,16 +258,16 @@
 		if m.Router == o.self.Router || ok && held.Incarnation > m.Incarnation {
 			continue
 		}
-		o.contacts[m.Router] = contact{Member: m, heard: now}
+		o.contacts[m.Router] = contact{Member: m, lastSeen: now}
 	}
 	if len(o.contacts) >= DirectUpTo {
-		o.plant(now)
+		o.becomeTree(now)
 	}
 }
 
 // plant goes over from sessions with all to a tree. A fleet that shrinks stays
 // one: routers that disagree would hear of some work twice.
-func (o *Overlay) plant(now time.Time) {
+func (o *Overlay) becomeTree(now time.Time) {
 	if o.tree {
 		return
 	}
@@ -286,116 +286,6 @@
 	}
 }
 
-func (o *Overlay) onAttach(now time.Time, from state.Router, m Message) {
-	o.plant(now)
-	child, ok := o.contacts[from]
-	if !ok || !precedes(o.self, child.Member) || o.children() >= maxChildren && o.links[from] == nil {
-		o.do(Send{To: from, Message: Message{Kind: Detach, Tree: true}})
-		return
-	}
-	o.establish(now, from, m)
-	o.do(Send{To: from, Message: Message{Kind: Accept, Present: o.tell(from), Tree: true}})
-	o.do(Linked{Router: from})
-}
-
-func (o *Overlay) children() int {
-	if o.parent == "" {
-		return len(o.links)
-	}
-	return len(o.links) - 1
-}
-
-func (o *Overlay) onAccept(now time.Time, from state.Router, m Message) {
-	if from != o.target {
-		o.do(Send{To: from, Message: Message{Kind: Detach, Tree: true}})
-		return
-	}
-	if before := o.parent; before != "" {
-		o.end(now, before)
-		o.do(Send{To: before, Message: Message{Kind: Detach, Tree: true}})
-	}
-	o.parent, o.target, o.preferred = from, "", ""
-	o.excluded.clear(from)
-	o.establish(now, from, m)
-	o.links[from].told = o.offered
-	o.do(Linked{Router: from})
-}
-
-// establish begins a link with what is on the peer's side.
-func (o *Overlay) establish(now time.Time, from state.Router, m Message) {
-	l := &link{behind: make(map[state.Router]membership.Member), heard: now}
-	for _, p := range m.Present {
-		l.behind[p.Router] = p
-	}
-	o.links[from] = l
-	o.lost = slices.DeleteFunc(o.lost, func(s lostSide) bool { return s.via == from })
-	o.touch()
-}
-
-// touch notes that the view has changed.
-func (o *Overlay) touch() { o.changed, o.untold = true, true }
-
-func (o *Overlay) onChange(from state.Router, m Message) {
-	l := o.links[from]
-	if l == nil {
-		o.do(Send{To: from, Message: Message{Kind: Detach, Tree: true}})
-		return
-	}
-	for _, p := range m.Present {
-		l.behind[p.Router] = p
-	}
-	for _, router := range m.Gone {
-		delete(l.behind, router)
-	}
-	o.touch()
-}
-
-func (o *Overlay) onDetach(now time.Time, from state.Router) {
-	if from == o.target {
-		o.excluded.refused(now, from)
-		o.target = ""
-	}
-	o.unlink(now, from)
-}
-
-// unlink ends a link that was lost, and looks elsewhere if it was the parent's.
-func (o *Overlay) unlink(now time.Time, router state.Router) {
-	if o.links[router] == nil {
-		return
-	}
-	if router == o.parent {
-		o.excluded.add(now, router)
-	}
-	o.end(now, router)
-}
-
-// end ends a link. What was behind it counts as live for a while.
-func (o *Overlay) end(now time.Time, router state.Router) {
-	above := router == o.parent
-	o.lost = append(o.lost, lostSide{via: router, above: above, behind: o.links[router].behind, until: now.Add(lingerFor)})
-	delete(o.links, router)
-	if above {
-		o.parent = ""
-	}
-	o.touch()
-	o.do(Unlinked{Router: router})
-}
-
-// exclude passes over a router as parent for a while.
-func (o *Overlay) exclude(now time.Time, router state.Router) {
-	o.excluded.add(now, router)
-	if router == o.target {
-		o.target = ""
-	}
-}
-
-// attach asks the target to be the parent.
-func (o *Overlay) attach(now time.Time) {
-	o.asked = now
-	o.offered = o.below()
-	o.do(Send{To: o.target, Message: Message{Kind: Attach, Present: sorted(o.offered), Tree: true}})
-}
-
 // Tick lets time pass. The host calls it about ten times a second.
 func (o *Overlay) Tick(now time.Time) {
 	o.forgiveStall(now)
@@ -404,7 +294,7 @@
 		o.dropVisits(now)
 	}
 	o.advance(now)
-	o.tellChanges()
+	o.publishChanges()
 }
 
 // forgiveStall takes the time that this process stood still off the silence of
@@ -413,7 +303,7 @@
 	gap := now.Sub(o.ticked)
 	if !o.ticked.IsZero() && gap > stallGap {
 		for _, l := range o.links {
-			l.heard = l.heard.Add(gap)
+			l.lastSeen = l.lastSeen.Add(gap)
 		}
 	}
 	o.ticked = now
@@ -425,7 +315,7 @@
 		if router == o.parent {
 			limit = parentSilence
 		}
-		if now.Sub(o.links[router].heard) > limit {
+		if now.Sub(o.links[router].lastSeen) > limit {
 			o.unlink(now, router)
 			o.do(Send{To: router, Message: Message{Kind: Detach, Tree: true}})
 		}
@@ -435,7 +325,7 @@
 	if len(o.lost) != before {
 		o.touch()
 	}
-	if o.target != "" && now.Sub(o.asked) > dialWait {
+	if o.target != "" && now.Sub(o.requested) > dialWait {
 		o.exclude(now, o.target)
 	}
 	if o.visited != "" && now.Sub(o.at) > visitWait {
@@ -443,7 +333,7 @@
 		o.visited = ""
 	}
 	for router, c := range o.contacts {
-		if now.Sub(c.heard) > contactFor {
+		if now.Sub(c.lastSeen) > contactFor {
 			delete(o.contacts, router)
 		}
 	}
@@ -464,142 +354,3 @@
 		}
 	}
 }
-
-// advance looks for a parent, or a better one, and says which sessions are
-// wanted.
-func (o *Overlay) advance(now time.Time) {
-	if o.tree {
-		o.refresh()
-		if o.parent == "" {
-			o.seek(now)
-		} else {
-			o.reconsider(now)
-		}
-	}
-	o.selectSessions()
-}
-
-// seek chooses a parent among the live routers, or if none precedes this one,
-// among those that were live or that others know.
-func (o *Overlay) seek(now time.Time) {
-	if o.target != "" {
-		return
-	}
-	everyone := o.fleetFor(true)
-	for _, fleet := range [][]membership.Member{o.fleetFor(false), everyone} {
-		if list := candidates(o.self, fleet, o.passedOver(now)); len(list) > 0 {
-			o.ask(now, list[0])
-			return
-		}
-	}
-	o.visit(now, everyone)
-}
-
-// visit makes the first router of another part of the fleet known to this one,
-// which precedes all routers that it knows. Parts that were cut off from each
-// other, or began from different seeds, join so.
-func (o *Overlay) visit(now time.Time, fleet []membership.Member) {
-	if o.visited != "" {
-		return
-	}
-	apart := slices.DeleteFunc(fleet, func(m membership.Member) bool {
-		_, live := o.view[m.Router]
-		return live || o.visits.at(now, m.Router)
-	})
-	if len(apart) == 0 {
-		return
-	}
-	first := slices.MinFunc(apart, func(a, b membership.Member) int {
-		if precedes(a, b) {
-			return -1
-		}
-		return 1
-	})
-	o.visited, o.at = first.Router, now
-	if _, open := o.sessions[first.Router]; open {
-		o.introduce()
-	}
-}
-
-// introduce makes this router's part of the fleet known to the visited router,
-// and asks for what that one knows.
-func (o *Overlay) introduce() {
-	o.do(Send{To: o.visited, Message: Message{Kind: Visit, Present: o.known(), Tree: true}})
-}
-
-// reconsider moves to another parent once that has been preferable for long.
-func (o *Overlay) reconsider(now time.Time) {
-	if o.target != "" || now.Sub(o.reviewed) < reviewEvery {
-		return
-	}
-	o.reviewed = now
-	list := candidates(o.self, o.fleetFor(false), o.passedOver(now))
-	if len(list) == 0 {
-		return
-	}
-	best := list[0]
-	switch {
-	case best == o.parent:
-		o.preferred = ""
-	case best != o.preferred:
-		o.preferred, o.since = best, now
-	case now.Sub(o.since) >= settleFor:
-		o.ask(now, best)
-	}
-}
-
-func (o *Overlay) ask(now time.Time, router state.Router) {
-	o.target, o.asked = router, now
-	if _, open := o.sessions[router]; open {
-		o.attach(now)
-	}
-}
-
-// passedOver says which routers are not to be asked now.
-func (o *Overlay) passedOver(now time.Time) func(state.Router) bool {
-	return func(router state.Router) bool { return o.excluded.at(now, router) }
-}
-
-// fleetFor returns the routers to choose a parent from: the live ones, and those
-// that were if all is true.
-func (o *Overlay) fleetFor(all bool) []membership.Member {
-	fleet := slices.Collect(maps.Values(o.view))
-	if !all {
-		return fleet
-	}
-	for router, c := range o.contacts {
-		if _, live := o.view[router]; !live {
-			fleet = append(fleet, c.Member)
-		}
-	}
-	return fleet
-}
-
-// selectSessions says which sessions are wanted, if that changed.
-func (o *Overlay) selectSessions() {
-	var wanted Select
-	if o.tree {
-		for _, router := range []state.Router{o.target, o.visited} {
-			if c, ok := o.contacts[router]; ok {
-				wanted.Members = append(wanted.Members, c.Member)
-			}
-		}
-		if wanted.Seeds = o.parent == ""; wanted.Seeds {
-			wanted.Fleet = slices.Sorted(maps.Keys(o.view))
-		}
-	} else {
-		for _, router := range slices.Sorted(maps.Keys(o.contacts)) {
-			wanted.Members = append(wanted.Members, o.contacts[router].Member)
-		}
-		wanted.Seeds = true
-	}
-	if wanted.equal(o.selected) {
-		return
-	}
-	o.selected = wanted
-	o.do(wanted)
-}
-
-func (s Select) equal(other Select) bool {
-	return s.Seeds == other.Seeds && slices.Equal(s.Members, other.Members) && slices.Equal(s.Fleet, other.Fleet)
-}
--- a/coordination/overlay/overlay_test.go
+++ b/coordination/overlay/overlay_test.go
@@ -162,7 +162,7 @@
 // keepAlive stands for the loads that are told over links all the time.
 func (n *node) keepAlive() {
 	for _, peer := range n.Links() {
-		n.deliver(peer, func(to *node) { to.Heard(n.world.now, n.self.Router) })
+		n.deliver(peer, func(to *node) { to.MarkAlive(n.world.now, n.self.Router) })
 	}
 }
 
--- a/coordination/overlay/view.go
+++ b/coordination/overlay/view.go
@@ -75,37 +75,38 @@
 	return sorted(members)
 }
 
-// tell returns everything on this side of a link and takes it as told.
-func (o *Overlay) tell(peer state.Router) []membership.Member {
-	o.links[peer].told = o.behind(peer)
-	return sorted(o.links[peer].told)
+// snapshot returns everything on this side of a link, to be sent to its peer.
+func (o *Overlay) snapshot(peer state.Router) []membership.Member {
+	o.links[peer].sent = o.behind(peer)
+	return sorted(o.links[peer].sent)
 }
 
 func sorted(members map[state.Router]membership.Member) []membership.Member {
 	return slices.SortedFunc(maps.Values(members), func(a, b membership.Member) int { return cmp.Compare(a.Router, b.Router) })
 }
 
-// tellChanges tells each link what changed on this side since it was last told.
-func (o *Overlay) tellChanges() {
-	if !o.untold {
+// publishChanges sends over each link what changed on this side since the last
+// time.
+func (o *Overlay) publishChanges() {
+	if !o.unsent {
 		return
 	}
-	o.untold = false
+	o.unsent = false
 	for _, peer := range o.Links() {
 		l := o.links[peer]
 		now := o.behind(peer)
 		change := Message{Kind: Change, Tree: true}
 		for _, m := range sorted(now) {
-			if l.told[m.Router] != m {
+			if l.sent[m.Router] != m {
 				change.Present = append(change.Present, m)
 			}
 		}
-		for _, router := range slices.Sorted(maps.Keys(l.told)) {
+		for _, router := range slices.Sorted(maps.Keys(l.sent)) {
 			if _, ok := now[router]; !ok {
 				change.Gone = append(change.Gone, router)
 			}
 		}
-		l.told = now
+		l.sent = now
 		if len(change.Present)+len(change.Gone) > 0 {
 			o.do(Send{To: peer, Message: change})
 		}
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -44,7 +44,7 @@
 	network *network
 	fixture *fixture
 	fleet   *fleet
-	told    timesTold
+	told    publishTimes
 	dead    bool
 	// run numbers the process's starts.
 	run state.Incarnation
@@ -85,7 +85,7 @@
 	router := o.fixture.desk.settings.Router
 	o.run++
 	o.dead = false
-	o.sessions, o.selected, o.told = make(map[state.Router]bool), membership.Selected{Seeds: true}, timesTold{}
+	o.sessions, o.selected, o.told = make(map[state.Router]bool), membership.Selected{Seeds: true}, publishTimes{}
 	o.fleet = newFleet(scheduler.Peer{Router: router, DataCentre: dc}, o.fixture.desk, o.fixture.catalogue, zerolog.Nop(), o.network.clock.now)
 	o.fleet.mesh = o
 	o.fleet.join(membership.Member{Router: router, DataCentre: dc, Incarnation: o.run, Address: string(router) + ":1"})
--- a/transport/edge/outbox.go
+++ b/transport/edge/outbox.go
@@ -45,9 +45,9 @@
 	return boxes
 }
 
-// deliverTo queues prompts and refusals for all links but one. Refusals stay in
+// enqueue queues prompts and refusals for all links but one. Refusals stay in
 // their data centre, where callers come back.
-func (f *fleet) deliverTo(boxes map[state.Router]*outbox, prompts []placement.Placed, refused []uint32, except state.Router) {
+func (f *fleet) enqueue(boxes map[state.Router]*outbox, prompts []placement.Placed, refused []uint32, except state.Router) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for router, box := range boxes {
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -19,7 +19,7 @@
 	urgent.Stop()
 	defer urgent.Stop()
 	waiting := false
-	var told timesTold
+	var last publishTimes
 	for {
 		select {
 		case <-ctx.Done():
@@ -27,18 +27,18 @@
 		case <-f.desk.urgent:
 			if !waiting {
 				waiting = true
-				urgent.Reset(max(f.urgentGap()-f.now().Sub(told.loads), 0))
+				urgent.Reset(max(f.urgentGap()-f.now().Sub(last.loads), 0))
 			}
 		case <-urgent.C:
 			waiting = false
-			told.loads = f.publishLoads(f.now(), told.loads)
+			last.loads = f.publishLoads(f.now(), last.loads)
 		case <-ticker.C:
 			f.publishSettled()
 			f.giveUpStalled()
 			f.tickOverlay()
 			f.fetchCatalogue()
 			f.fetchDue()
-			f.publishDue(&told)
+			f.publishDue(&last)
 		}
 	}
 }
@@ -58,8 +58,8 @@
 	}
 }
 
-// timesTold are when peers were last told of what.
-type timesTold struct {
+// publishTimes are when peers were last told of what.
+type publishTimes struct {
 	reading  bool
 	claim    time.Time
 	loads    time.Time
@@ -67,26 +67,26 @@
 }
 
 // publishDue tells peers what is due.
-func (f *fleet) publishDue(told *timesTold) {
+func (f *fleet) publishDue(last *publishTimes) {
 	now := f.now()
-	f.publishReading(now, told)
-	if now.Sub(told.loads) >= loadsEvery {
-		told.loads = f.publishLoads(now, told.loads)
+	f.publishReading(now, last)
+	if now.Sub(last.loads) >= loadsEvery {
+		last.loads = f.publishLoads(now, last.loads)
 	}
-	if now.Sub(told.spending) >= spendingEvery {
-		told.spending = now
+	if now.Sub(last.spending) >= spendingEvery {
+		last.spending = now
 		f.publishSpending(now)
 	}
 }
 
 // publishReading tells all peers that this router follows the store, and once
 // that it no longer does.
-func (f *fleet) publishReading(now time.Time, told *timesTold) {
+func (f *fleet) publishReading(now time.Time, last *publishTimes) {
 	reading := f.claim()
-	if reading == told.reading && (!reading || now.Sub(told.claim) < aliveEvery) {
+	if reading == last.reading && (!reading || now.Sub(last.claim) < aliveEvery) {
 		return
 	}
-	told.reading, told.claim = reading, now
+	last.reading, last.claim = reading, now
 	env := f.readingEnvelope(reading)
 	env.GetReading().Router = string(f.self.Router)
 	peers, _ := f.receivers()
@@ -99,7 +99,7 @@
 	placed, refused := f.desk.takePlaced(), f.desk.takeRefused()
 	peers, tree := f.receivers()
 	if tree {
-		f.deliverTo(f.outboxes(), placed, refused, "")
+		f.enqueue(f.outboxes(), placed, refused, "")
 		f.publishSums(now)
 		return now
 	}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -13,7 +13,7 @@
 
 // onEnvelope takes a message of a peer.
 func (f *fleet) onEnvelope(from peer.Peer, env *peerpb.Envelope) {
-	f.heard(from.Router)
+	f.markAlive(from.Router)
 	switch body := env.GetBody().(type) {
 	case *peerpb.Envelope_Members:
 		f.onMembers(from.Router, body.Members)
@@ -40,11 +40,11 @@
 	}
 }
 
-// heard notes that a link's peer lives.
-func (f *fleet) heard(from state.Router) {
+// markAlive notes that a link's peer lives.
+func (f *fleet) markAlive(from state.Router) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.overlay.Heard(f.now(), from)
+	f.overlay.MarkAlive(f.now(), from)
 }
 
 // counts says whether what a peer tells of work counts: with links, only what
@@ -72,7 +72,7 @@
 	f.desk.heardRefused(m.GetRefused())
 	boxes := f.outboxes()
 	if len(boxes) > 1 && len(loads)+len(prompts)+len(m.GetRefused()) > 0 {
-		f.deliverTo(boxes, prompts, m.GetRefused(), from)
+		f.enqueue(boxes, prompts, m.GetRefused(), from)
 		f.desk.wakeUp()
 	}
 }
