--- a/coordination/workload/read_lag_test.go
+++ b/coordination/workload/read_lag_test.go
@@ -7,8 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A small VM gets a thousand connections a second and reads three hundred: what
-// waits grows by the second.
+// A router that gets more connections than it reads sent requests on seconds late.
 func TestReadLagOfAFloodedRouter(t *testing.T) {
 	var l ReadLag
 	now := time.Unix(1000, 0)
@@ -18,8 +17,7 @@
 	require.InDelta(t, 0.7, l.Lag(now.Add(time.Second)).Seconds(), 0.05)
 }
 
-// Callers that open connections before they need them must not look like a
-// router that reads late.
+// Callers that open connections early must not look like a router that reads late.
 func TestSlowCallersAreNoReadLag(t *testing.T) {
 	var l ReadLag
 	now := time.Unix(1000, 0)
--- a/transport/edge/absence.go
+++ b/transport/edge/absence.go
@@ -6,23 +6,18 @@
 )
 
 const (
-	// minAway is how long a router that became busy says that it is not ready.
-	// Balancers take two seconds to send new callers elsewhere and none to send
-	// them all back.
+	// minAway is how long a router that became busy says that it is not ready,
+	// longer than balancers take to send new callers elsewhere.
 	minAway = 4 * time.Second
 	// maxAway bounds that time, which doubles each time that the router becomes
-	// busy again within relapseWithin of its return: the same callers came back
-	// and are more than it can serve.
+	// busy again within relapseWithin of its return.
 	maxAway       = 16 * time.Second
 	relapseWithin = 8 * time.Second
 )
 
-// absence is how long a router stays out of rotation. Balancers send all
-// callers of a workspace to one router until it says that it is not ready, and
-// then to the next. A small one that came back as soon as it was calm was
-// flooded anew every other second, while a larger one beside it had room for
-// all of them. What it relays meanwhile goes on, and balancers that lack routers
-// send callers nevertheless.
+// absence is how long a router stays out of rotation. One that came back as soon
+// as it was calm would be flooded by the same callers at once. What it relays
+// goes on, and balancers that lack routers send callers nevertheless.
 type absence struct {
 	// holds is set until the time is over; only the periodic task writes.
 	holds atomic.Bool
--- a/transport/edge/absence_test.go
+++ b/transport/edge/absence_test.go
@@ -19,10 +19,7 @@
 	return away
 }
 
-// All callers of a workspace meet one small router, and the next while that one
-// is not ready. It is calm two seconds after they have gone, and they come back
-// with its first word that it is ready. It must stay away longer each time, or
-// it is flooded every other second.
+// A small router was flooded by the same callers every other second.
 func TestFloodedRouterStaysAwayLonger(t *testing.T) {
 	p := newPressure(0, smallVM, frozen)
 	require.True(t, p.welcomes())
--- a/transport/edge/desk_test.go
+++ b/transport/edge/desk_test.go
@@ -179,9 +179,7 @@
 	require.Equal(t, 30*time.Second, f.desk.idleLimit())
 }
 
-// The callers of a workspace that got its share and those of one that got
-// nothing meet the same router, which has little room left. What is left
-// must go to the second, until there is none at all.
+// A workspace that had its share took the last room of a router from one that had not.
 func TestLittleRoomIsForWhoGotLittle(t *testing.T) {
 	f := newFixture()
 	f.desk.setTable(routing.NewTable(routing.Config{Version: 1, Limits: routing.Limits{Throughput: 100}}))
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -320,8 +320,7 @@
 	return nil
 }
 
-// A router that others are told through is killed while requests go on. All must
-// hear of the others' work, once, and of the lost router's no more.
+// A router that others hear through is killed while requests go on.
 func TestLoadsAreHeardPastALostRouter(t *testing.T) {
 	n := newNetwork(40, 4)
 	for _, one := range n.nodes {
@@ -430,9 +429,7 @@
 	}
 }
 
-// A configuration changes while a router that others hear through is gone without
-// anybody knowing it yet. All have the new one within the time that operators
-// allow.
+// A configuration changes while a router that others hear through is silent.
 func TestChangedObjectsReachAllRouters(t *testing.T) {
 	n := newNetwork(40, 4)
 	reader := n.nodes["r000"]
@@ -450,8 +447,7 @@
 	n.requireVersion(t, 3)
 }
 
-// A configuration of 1,400 routes, pushed by three readers and every relay, took
-// the links of all routers for seconds.
+// A large configuration took the links of all routers for seconds.
 func TestLargeConfigurationIsReceivedOnce(t *testing.T) {
 	for _, size := range []struct{ routers, dataCentres int }{{8, 4}, {19, 6}, {66, 3}} {
 		n := newNetwork(size.routers, size.dataCentres)
@@ -507,8 +503,7 @@
 	}
 }
 
-// A router starts while the store is away from it. One of its peers tells it
-// the configuration and the upstreams; the others don't tell them again.
+// A router that starts was told everything by each of its peers.
 func TestStartingRouterLearnsAllFromOnePeer(t *testing.T) {
 	n := newNetwork(40, 4)
 	late := n.nodes["r007"]
@@ -530,9 +525,7 @@
 	require.Less(t, n.objects, 2*51)
 }
 
-// A whole fleet loses power and starts again. One router has read the store
-// before it has sessions with the others; all must hold the configuration
-// within a few steps, and not wait until they may read the store themselves.
+// Routers of a fleet that starts waited until each might read the store itself.
 func TestFleetThatStartsLearnsFromItsFirstReader(t *testing.T) {
 	n := newNetwork(40, 4)
 	n.kill(slices.Collect(maps.Values(n.nodes))...)
@@ -547,8 +540,7 @@
 	}
 }
 
-// A router is cut off while the configuration changes. Sessions with the peers
-// that told of it open again, and it learns what it missed.
+// A data centre that was cut off missed a change of the configuration for good.
 func TestRouterThatWasCutOffLearnsWhatItMissed(t *testing.T) {
 	for _, routers := range []int{8, 40} {
 		n := newNetwork(routers, 4)
--- a/transport/edge/shed.go
+++ b/transport/edge/shed.go
@@ -56,11 +56,7 @@
 }
 
 // shedder closes connections whose requests could not even be refused in time.
-// Balancers send all callers of a workspace to one router, which may be small:
-// refusals then take its whole processor, callers wait in its sockets until
-// they give up, and the streams that it relays are late. A caller whose
-// connection is closed unread knows at once that its request was not taken, and
-// reaches another router; to close costs far less than to refuse.
+// Their callers know at once that nothing was taken, and reach another router.
 type shedder struct {
 	net.Listener
 	pressure *pressure
--- a/transport/edge/shed_test.go
+++ b/transport/edge/shed_test.go
@@ -24,9 +24,7 @@
 	}
 }
 
-// The callers of a workspace all meet one small VM, which has no room. As long
-// as refusals take little it refuses them with a time to come back. When they
-// have taken their part it closes what comes unread, until it has time again.
+// Refusals took the whole processor of a flooded router, and streams were late.
 func TestRefusalsLeaveTimeForStreams(t *testing.T) {
 	now := frozen()
 	p := newPressure(0, smallVM, func() time.Time { return now })
@@ -61,8 +59,7 @@
 	require.False(t, p.sheds())
 }
 
-// A full router accepts a connection that it has no time to refuse. The caller
-// must see its end at once, and the next one that finds room must be served.
+// Callers of a full router waited until their deadlines.
 func TestShedConnectionEndsAtOnce(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
