--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -218,7 +218,7 @@
 	o.advance(now)
 }
 
-// Heard notes that a message came over a session.
+// MarkAlive notes that a message came over a session.
 func (o *Overlay) MarkAlive(now time.Time, from state.Router) {
 	if l := o.links[from]; l != nil {
 		l.lastSeen = now
