Build no message that nobody is sent, and use the library's comparisons

Two loops stood beside slices.Equal and maps.Clone, and enqueue was handed the links that it can see itself.

Left: the tests' small networks of coordination/overlay and transport/edge open and close sessions alike, one over deciders and one over whole routers.

--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// plant goes over from sessions with all to a tree. A fleet that shrinks stays
+// becomeTree goes over from sessions with all to a tree. A fleet that shrinks stays
 // one: routers that disagree would hear of some work twice.
 func (o *Overlay) becomeTree(now time.Time) {
 	if o.tree {
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/coordination/overlay"
 	"github.com/figstile/figstile/coordination/scheduler"
@@ -94,7 +96,7 @@
 // the lock.
 func (f *fleet) publishLive() {
 	live := f.overlay.Live()
-	if samePeers(f.live, live) {
+	if slices.Equal(f.live, live) {
 		return
 	}
 	var gone []state.Router
@@ -105,18 +107,6 @@
 	f.desk.setRouters(len(live), gone)
 }
 
-func samePeers(a, b []scheduler.Peer) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // missing returns the routers of before that are not among the live.
 func missing(before, live []scheduler.Peer) []state.Router {
 	left := make(map[state.Router]bool, len(live))
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -117,7 +117,7 @@
 	if kind == KindConfig && !m.GetAnswer() {
 		f.desk.confirm()
 	}
-	if !m.GetAnswer() || f.isCaughtUp() {
+	if _, tree := f.receivers(); tree && (!m.GetAnswer() || f.isCaughtUp()) {
 		f.passOn(from, f.newsEnvelope(kind, o))
 	}
 }
--- a/transport/edge/outbox.go
+++ b/transport/edge/outbox.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"time"
 
 	"github.com/figstile/figstile/coordination/placement"
@@ -38,19 +39,15 @@
 func (f *fleet) outboxes() map[state.Router]*outbox {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	boxes := make(map[state.Router]*outbox, len(f.links))
-	for router, box := range f.links {
-		boxes[router] = box
-	}
-	return boxes
+	return maps.Clone(f.links)
 }
 
 // enqueue queues prompts and refusals for all links but one. Refusals stay in
 // their data centre, where callers come back.
-func (f *fleet) enqueue(boxes map[state.Router]*outbox, prompts []placement.Placed, refused []uint32, except state.Router) {
+func (f *fleet) enqueue(prompts []placement.Placed, refused []uint32, except state.Router) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for router, box := range boxes {
+	for router, box := range f.links {
 		if router == except {
 			continue
 		}
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -99,7 +99,7 @@
 	placed, refused := f.desk.takePlaced(), f.desk.takeRefused()
 	peers, tree := f.receivers()
 	if tree {
-		f.enqueue(f.outboxes(), placed, refused, "")
+		f.enqueue(placed, refused, "")
 		f.publishSums(now)
 		return now
 	}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -70,9 +70,8 @@
 	f.desk.heardLoads(from, loads, m.GetFull())
 	f.desk.heardPlaced(prompts)
 	f.desk.heardRefused(m.GetRefused())
-	boxes := f.outboxes()
-	if len(boxes) > 1 && len(loads)+len(prompts)+len(m.GetRefused()) > 0 {
-		f.enqueue(boxes, prompts, m.GetRefused(), from)
+	if peers, tree := f.receivers(); tree && len(peers) > 1 && len(loads)+len(prompts)+len(m.GetRefused()) > 0 {
+		f.enqueue(prompts, m.GetRefused(), from)
 		f.desk.wakeUp()
 	}
 }
