Count what workspaces ask for and get, by decision

Requests beyond a share, behind a full router and for want of room could not be told apart by workspace.

figstile_admission_cost counts the cost of generations by workspace and decision, once a request, in the units of the stated throughput.

--- a/transport/edge/observer.go
+++ b/transport/edge/observer.go
@@ -17,8 +17,11 @@
 }
 
 // Decided implements ingress.Observer.
-func (o observer) Decided(service state.Service, reason admission.Reason) {
-	o.metrics.Decided(service, reason.String())
+func (o observer) Decided(r admission.Request, reason admission.Reason, repeat bool) {
+	o.metrics.Decided(r.Service, reason.String())
+	if r.Cost > 0 && !repeat {
+		o.metrics.Judged(r.Workspace, reason.String(), r.Cost)
+	}
 }
 
 // Attempted implements ingress.Observer.
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -51,10 +51,11 @@
 	for {
 		x.request.Repeatable = x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
 		x.request.Resumed = x.began
-		verdict, ticket := x.h.Desk.Admit(x.request, x.attempts > 0 || unsent > 0)
+		repeat := x.attempts > 0 || unsent > 0
+		verdict, ticket := x.h.Desk.Admit(x.request, repeat)
 		x.verdict = verdict
 		if x.h.Observer != nil {
-			x.h.Observer.Decided(x.service, verdict.Reason)
+			x.h.Observer.Decided(x.request, verdict.Reason, repeat)
 		}
 		if !verdict.Admit() {
 			return x.settle(refusal(verdict))
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -67,8 +67,9 @@
 
 // Observer hears of requests, for metrics. It must not block.
 type Observer interface {
-	// Decided hears each decision to send or refuse a request.
-	Decided(service state.Service, reason admission.Reason)
+	// Decided hears each decision to send or refuse a request; repeat is set if
+	// the request was sent before.
+	Decided(r admission.Request, reason admission.Reason, repeat bool)
 	// Attempted hears how an attempt ended at its upstream.
 	Attempted(upstream state.Upstream, outcome placement.Outcome)
 	Finished(rec Record)
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	series    map[seriesKey]*Series
 	decisions counters
+	costs     counters
 	attempts  counters
 }
 
@@ -75,6 +76,7 @@
 		series:  make(map[seriesKey]*Series),
 
 		decisions: newCounters(scope, "decisions", "service", "decision"),
+		costs:     newCounters(scope, "admission_cost", "workspace", "decision"),
 		attempts:  newCounters(scope, "upstream_attempts", "upstream", "outcome"),
 	}
 }
@@ -109,18 +111,24 @@
 
 // Decided counts a decision on a request to a service.
 func (m *Metrics) Decided(service state.Service, decision string) {
-	m.count(&m.decisions, string(service), decision)
+	m.count(&m.decisions, string(service), decision, 1)
+}
+
+// Judged adds the cost of a request, in the units of the stated throughput, to
+// what was decided on requests of its workspace.
+func (m *Metrics) Judged(ws state.Workspace, decision string, cost float64) {
+	m.count(&m.costs, string(ws), decision, int64(cost))
 }
 
 // Attempted counts how an attempt ended at an upstream.
 func (m *Metrics) Attempted(upstream state.Upstream, outcome string) {
-	m.count(&m.attempts, string(upstream), outcome)
+	m.count(&m.attempts, string(upstream), outcome, 1)
 }
 
-func (m *Metrics) count(c *counters, subject, what string) {
+func (m *Metrics) count(c *counters, subject, what string, delta int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c.get(subject, what).Inc(1)
+	c.get(subject, what).Inc(delta)
 }
 
 // ViewAge sets the age of what the router knows of something, in seconds.
--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -39,6 +39,8 @@
 func TestCountersByUpstreamAndDecision(t *testing.T) {
 	m := New("r1", "dc")
 	m.Decided("drafts", "overload")
+	m.Judged("small", "over-share", 1200)
+	m.Judged("small", "over-share", 300)
 	m.Attempted("e1", "broken")
 	m.Attempted("e1", "broken")
 	m.ViewAge("configuration", 1500*time.Millisecond)
@@ -47,6 +49,7 @@
 	page := httptest.NewRecorder()
 	m.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
 	require.Contains(t, page.Body.String(), `figstile_decisions{data_centre="dc",decision="overload",router="r1",service="drafts"} 1`)
+	require.Contains(t, page.Body.String(), `figstile_admission_cost{data_centre="dc",decision="over-share",router="r1",workspace="small"} 1500`)
 	require.Contains(t, page.Body.String(), `figstile_upstream_attempts{data_centre="dc",outcome="broken",router="r1",upstream="e1"} 2`)
 	require.Contains(t, page.Body.String(), `figstile_view_age_seconds{data_centre="dc",router="r1",view="configuration"} 1.5`)
 }
