Write log batches in pieces that a pipe takes whole

A busy router writes up to 50 KB of log each tenth of a second. Nothing counted what was lost, since the process had written it.

Batches are now written in pieces of whole lines, up to the size that a pipe takes at once.

--- a/transport/logging/async.go
+++ b/transport/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -15,6 +16,9 @@
 	// usualPending bounds it for lines of success: refusals and failures still
 	// find room when those have filled their part.
 	usualPending = maxPending / 2
+	// atomicWrite is the size in bytes up to which a write to a pipe is not mixed
+	// with those of others (PIPE_BUF on Linux).
+	atomicWrite = 4096
 )
 
 // Async writes lines from a goroutine of its own. A line beyond the rate of
@@ -91,13 +95,29 @@
 	a.pending = a.spare[:0]
 	a.spare = nil
 	a.mu.Unlock()
-	// There is nobody to tell if the output is gone.
-	_, _ = a.out.Write(lines)
+	a.output(lines)
 	a.mu.Lock()
 	a.spare = lines[:0]
 	a.mu.Unlock()
 }
 
+// output writes whole lines, in pieces that a pipe takes at once; a longer line
+// is written by itself.
+func (a *Async) output(lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > atomicWrite {
+			end = bytes.LastIndexByte(lines[:atomicWrite], '\n') + 1
+			if end == 0 {
+				end = bytes.IndexByte(lines, '\n') + 1
+			}
+		}
+		// There is nobody to tell if the output is gone.
+		_, _ = a.out.Write(lines[:end])
+		lines = lines[end:]
+	}
+}
+
 // Close writes what is left and stops.
 func (a *Async) Close() {
 	close(a.stop)
--- a/transport/logging/async_test.go
+++ b/transport/logging/async_test.go
@@ -101,3 +101,30 @@
 		_, _ = a.Write(line)
 	}
 }
+
+// pieces records each write by itself.
+type pieces [][]byte
+
+func (p *pieces) Write(b []byte) (int, error) {
+	*p = append(*p, bytes.Clone(b))
+	return len(b), nil
+}
+
+// Guards against batches that a pipe takes in parts, so that a collector sees
+// lines cut, mixed with those of others or not at all.
+func TestBatchesFitAPipe(t *testing.T) {
+	var out pieces
+	a := newAsync(&out, frozen)
+	write(t, a, 100, "time=x level=info event=request detail=%s", strings.Repeat("x", 300))
+	write(t, a, 1, "time=x level=warn event=long detail=%s", strings.Repeat("y", 2*atomicWrite))
+	write(t, a, 1, "time=x level=info event=stopped")
+	a.flush()
+	lines := 0
+	for _, piece := range out {
+		require.True(t, bytes.HasSuffix(piece, []byte("\n")), "a line is cut")
+		n := bytes.Count(piece, []byte("\n"))
+		require.True(t, len(piece) <= atomicWrite || n == 1, "%d lines in %d bytes", n, len(piece))
+		lines += n
+	}
+	require.Equal(t, 102, lines)
+}
