--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -29,6 +29,10 @@
 	// worked out from a throughput that operators state; where the engines do
 	// less, the workspaces furthest from their shares go first.
 	nearShare = 0.5
+	// maxUse is how many times its fair share a workspace may get of engines that
+	// are merely idle. Who asks most often would else find most of them, however
+	// far below its share another is.
+	maxUse = 1.25
 	// rereading is the part of its target that a request's reading may grow by
 	// at another engine than the best while the fleet is short.
 	rereading = 0.05
@@ -236,7 +240,7 @@
 		v.RetryAfter = retryAfter(r, best.Wait, spread)
 		return v
 	}
-	if best.Disturbed <= maxDisturbed && (best.Free || best.Wait <= v.Limit) {
+	if best.Disturbed <= maxDisturbed && (best.Free || best.Wait <= v.Limit) && standing.Use < maxUse {
 		if r.outlasts(best) {
 			v.Reason = Stopping
 			v.RetryAfter = ElsewhereRetry
