--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -43,7 +43,7 @@
 	mesh      *peer.Mesh
 	poller    *upstream.Poller
 	polls     polls
-	orders    *orderDesk
+	orders    *orderManager
 	metrics   *metrics.Metrics
 	peers     peerSet
 	adverts   adverts
--- a/transport/daemon/orders.go
+++ b/transport/daemon/orders.go
@@ -18,10 +18,10 @@
 	"github.com/figstile/figstile/transport/upstream"
 )
 
-// orderDesk runs a controller of orders for each engine that this router owns
+// orderManager runs a controller of orders for each engine that this router owns
 // and whose settings say what it shall hold.
-type orderDesk struct {
-	options orderDeskOptions
+type orderManager struct {
+	options orderManagerOptions
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -32,8 +32,8 @@
 	engines map[state.Upstream]*engineOrders
 }
 
-// orderDeskOptions sets up an orderDesk.
-type orderDeskOptions struct {
+// orderManagerOptions sets up an orderManager.
+type orderManagerOptions struct {
 	Router      state.Router
 	Incarnation state.Incarnation
 	Store       objectstore.Store
@@ -69,9 +69,9 @@
 	models []state.Model
 }
 
-func newOrderDesk(options orderDeskOptions) *orderDesk {
+func newOrderManager(options orderManagerOptions) *orderManager {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &orderDesk{
+	return &orderManager{
 		options: options,
 		ctx:     ctx,
 		cancel:  cancel,
@@ -80,7 +80,7 @@
 }
 
 // setOwned replaces the upstreams that this router owns.
-func (o *orderDesk) setOwned(owned []state.Upstream) {
+func (o *orderManager) setOwned(owned []state.Upstream) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.owned = slices.Clone(owned)
@@ -88,7 +88,7 @@
 }
 
 // onSettings compares the controllers with new settings.
-func (o *orderDesk) onSettings() {
+func (o *orderManager) onSettings() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.refresh()
@@ -97,7 +97,7 @@
 // reported passes a load report on to the engine's controller. A report that
 // cannot be right is dropped: it would bring orders against a sound engine. The
 // first of a row is logged, as an engine is polled once a second.
-func (o *orderDesk) reported(report state.LoadReport) {
+func (o *orderManager) reported(report state.LoadReport) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e := o.engines[report.Upstream]
@@ -115,7 +115,7 @@
 }
 
 // refresh brings the controllers in line with ownership and settings.
-func (o *orderDesk) refresh() {
+func (o *orderManager) refresh() {
 	wishes, version := o.wishes()
 	for name, e := range o.engines {
 		if w, ok := wishes[name]; !ok || w.target != e.target {
@@ -129,7 +129,7 @@
 
 // wishes returns what the owned engines shall hold, and the version of the
 // settings that say so.
-func (o *orderDesk) wishes() (map[state.Upstream]wish, uint64) {
+func (o *orderManager) wishes() (map[state.Upstream]wish, uint64) {
 	wishes := make(map[state.Upstream]wish)
 	view, version := o.options.Settings()
 	if view == nil || o.closed {
@@ -152,7 +152,7 @@
 // if there is none. One that is leaving may still wait for the end of its last
 // order; a second beside it would give the engine two at a time. The next one
 // starts when it has ended.
-func (o *orderDesk) pursue(w wish, version uint64) {
+func (o *orderManager) pursue(w wish, version uint64) {
 	e := o.engines[w.target.upstream]
 	if e == nil {
 		e = o.start(w.target)
@@ -176,7 +176,7 @@
 	e.settings = version
 }
 
-func (o *orderDesk) start(target orderTarget) *engineOrders {
+func (o *orderManager) start(target orderTarget) *engineOrders {
 	e := &engineOrders{target: target, controller: orders.New(orders.Options{
 		Upstream: target.upstream,
 		BaseURL:  target.url,
@@ -196,7 +196,7 @@
 
 // run ends when the engine is given up, and then looks whether it is wanted
 // again.
-func (o *orderDesk) run(e *engineOrders) {
+func (o *orderManager) run(e *engineOrders) {
 	err := e.controller.Run(o.ctx)
 	o.options.Log.Info().Str("upstream", string(e.target.upstream)).Err(err).Msg("orders_ended")
 	o.mu.Lock()
@@ -205,7 +205,7 @@
 	o.refresh()
 }
 
-func (o *orderDesk) giveUp(e *engineOrders) {
+func (o *orderManager) giveUp(e *engineOrders) {
 	if e.leaving {
 		return
 	}
@@ -216,7 +216,7 @@
 // drain gives up every engine and waits until orders under way have ended and
 // the leases are released, so that the next owner need not wait for their end.
 // When the context ends it breaks off what is left.
-func (o *orderDesk) drain(ctx context.Context) error {
+func (o *orderManager) drain(ctx context.Context) error {
 	o.mu.Lock()
 	o.closed = true
 	o.refresh()
@@ -240,7 +240,7 @@
 var errOrdersCut = errors.New("daemon: orders to engines were broken off")
 
 // close breaks everything off at once.
-func (o *orderDesk) close() {
+func (o *orderManager) close() {
 	o.mu.Lock()
 	o.closed = true
 	o.mu.Unlock()
@@ -249,7 +249,7 @@
 }
 
 func (d *Daemon) openOrders() {
-	d.orders = newOrderDesk(orderDeskOptions{
+	d.orders = newOrderManager(orderManagerOptions{
 		Router:      d.options.router(),
 		Incarnation: d.incarnation,
 		Store:       d.store,
--- a/transport/daemon/orders_test.go
+++ b/transport/daemon/orders_test.go
@@ -23,9 +23,9 @@
 	poll "github.com/figstile/figstile/transport/upstream"
 )
 
-// deskBench is one router's orders before one engine whose loads last until
+// orderBench is one router's orders before one engine whose loads last until
 // the test lets them end.
-type deskBench struct {
+type orderBench struct {
 	t        *testing.T
 	platform *platform.Platform
 	engine   *engine.Engine
@@ -33,11 +33,11 @@
 	load     chan error
 	view     atomic.Pointer[config.View]
 	version  atomic.Uint64
-	desk     *orderDesk
+	manager  *orderManager
 }
 
-func newDeskBench(t *testing.T) *deskBench {
-	b := &deskBench{t: t, platform: platform.New(platform.Options{}), load: make(chan error)}
+func newOrderBench(t *testing.T) *orderBench {
+	b := &orderBench{t: t, platform: platform.New(platform.Options{}), load: make(chan error)}
 	b.engine = engine.New(engine.Options{
 		Options:   upstream.Options{Name: "engine-1", Sleep: b.sleep},
 		LoadDelay: time.Second,
@@ -52,7 +52,7 @@
 	timing := fencing.DefaultTiming()
 	timing.ReportLag, timing.Poll, timing.Retry = 0, time.Millisecond, time.Millisecond
 	timing.FirstBackoff, timing.LastBackoff = time.Hour, time.Hour
-	b.desk = newOrderDesk(orderDeskOptions{
+	b.manager = newOrderManager(orderManagerOptions{
 		Router:      "router-1",
 		Incarnation: 1,
 		Store:       objectstore.NewClient(objectstore.ClientOptions{BaseURL: server.URL}),
@@ -60,13 +60,13 @@
 		Settings:    func() (*config.View, uint64) { return b.view.Load(), b.version.Load() },
 		Log:         zerolog.Nop(),
 	})
-	t.Cleanup(b.desk.close)
-	b.desk.setOwned([]state.Upstream{"engine-1"})
+	t.Cleanup(b.manager.close)
+	b.manager.setOwned([]state.Upstream{"engine-1"})
 	return b
 }
 
 // sleep is a load under way.
-func (b *deskBench) sleep(ctx context.Context, _ time.Duration) error {
+func (b *orderBench) sleep(ctx context.Context, _ time.Duration) error {
 	select {
 	case err := <-b.load:
 		return err
@@ -75,26 +75,26 @@
 	}
 }
 
-func (b *deskBench) want(models ...state.Model) {
+func (b *orderBench) want(models ...state.Model) {
 	b.view.Store(config.NewView(config.Root{Services: []config.Service{{
 		Name: "drafts", Kind: config.KindEngine,
 		Upstreams: []config.Upstream{{Name: "engine-1", URL: b.url, DataCentre: "sala-laredo", WantedModels: models}},
 	}}}, nil))
 	b.version.Add(1)
-	if b.desk != nil {
-		b.desk.onSettings()
+	if b.manager != nil {
+		b.manager.onSettings()
 	}
 }
 
 // poll hands the engine's load to the orders.
-func (b *deskBench) poll() {
+func (b *orderBench) poll() {
 	report, err := poll.FetchReport(b.t.Context(), http.DefaultClient, b.url, "engine-1")
 	require.NoError(b.t, err)
-	b.desk.reported(report)
+	b.manager.reported(report)
 }
 
 // await polls until a condition holds.
-func (b *deskBench) await(what string, holds func() bool) {
+func (b *orderBench) await(what string, holds func() bool) {
 	b.t.Helper()
 	eventually(b.t, what, func() bool {
 		b.poll()
@@ -103,31 +103,31 @@
 }
 
 // drain gives up all engines and waits for that.
-func (b *deskBench) drain() {
+func (b *orderBench) drain() {
 	b.t.Helper()
 	ctx, cancel := context.WithTimeout(b.t.Context(), patience)
 	defer cancel()
-	require.NoError(b.t, b.desk.drain(ctx))
+	require.NoError(b.t, b.manager.drain(ctx))
 }
 
-func (b *deskBench) received() int { return len(b.engine.Orders().Orders) }
+func (b *orderBench) received() int { return len(b.engine.Orders().Orders) }
 
-func (b *deskBench) leaseHolder() string {
+func (b *orderBench) leaseHolder() string {
 	object, err := b.platform.Store().Get(b.t.Context(), orders.LeaseKey("engine-1"))
 	require.NoError(b.t, err)
 	return string(object.Value)
 }
 
-func (b *deskBench) engines() int {
-	b.desk.mu.Lock()
-	defer b.desk.mu.Unlock()
-	return len(b.desk.engines)
+func (b *orderBench) engines() int {
+	b.manager.mu.Lock()
+	defer b.manager.mu.Unlock()
+	return len(b.manager.engines)
 }
 
 // Hundreds of routers share the platform's rates. One whose engines hold what
 // is wanted, or want nothing, must not call it at all.
 func TestNoCallsWhileNothingIsToBeDone(t *testing.T) {
-	b := newDeskBench(t)
+	b := newOrderBench(t)
 	close(b.load)
 	b.poll()
 	require.Zero(t, b.engines(), "no wish, no controller")
@@ -140,7 +140,7 @@
 		b.poll()
 	}
 	b.want("m")
-	b.desk.setOwned(nil)
+	b.manager.setOwned(nil)
 	b.drain()
 	require.Equal(t, calls, b.platform.Calls().Total())
 }
@@ -150,12 +150,12 @@
 // may follow it, and then the lease is there for the new owner. When the
 // engine comes back meanwhile, there is still only one order at a time.
 func TestOwnershipMovesWhileAnOrderRuns(t *testing.T) {
-	b := newDeskBench(t)
-	b.desk.options.Timing.Poll = time.Second // A release must wait for its turn.
+	b := newOrderBench(t)
+	b.manager.options.Timing.Poll = time.Second // A release must wait for its turn.
 	b.want("m", "n")
 	b.await("the first load is under way", func() bool { return b.received() == 1 })
-	b.desk.setOwned(nil)
-	b.desk.setOwned([]state.Upstream{"engine-1"})
+	b.manager.setOwned(nil)
+	b.manager.setOwned([]state.Upstream{"engine-1"})
 	for range 50 {
 		b.poll()
 	}
@@ -163,7 +163,7 @@
 	require.Contains(t, b.leaseHolder(), "router-1")
 	b.load <- nil
 	b.await("the second load is under way", func() bool { return b.received() == 2 })
-	b.desk.setOwned(nil)
+	b.manager.setOwned(nil)
 	b.load <- nil
 	eventually(t, "the engine is given up", func() bool { return b.engines() == 0 })
 	require.NotContains(t, b.leaseHolder(), "router-1")
@@ -174,17 +174,17 @@
 // while the platform is away. The stop must not wait for either.
 func TestStopEndsOrders(t *testing.T) {
 	t.Run("time runs out", func(t *testing.T) {
-		b := newDeskBench(t)
+		b := newOrderBench(t)
 		b.want("m")
 		b.await("the load is under way", func() bool { return b.received() == 1 })
 		over, cancel := context.WithCancel(t.Context())
 		cancel()
-		require.ErrorIs(t, b.desk.drain(over), errOrdersCut)
+		require.ErrorIs(t, b.manager.drain(over), errOrdersCut)
 		require.Empty(t, b.engine.Models())
 	})
 	t.Run("platform is away", func(t *testing.T) {
-		b := newDeskBench(t)
-		b.desk.options.Timing.Renew = 0
+		b := newOrderBench(t)
+		b.manager.options.Timing.Renew = 0
 		b.want("m")
 		b.await("the load is under way", func() bool { return b.received() == 1 })
 		b.platform.SetFaults(platform.Faults{Outage: platform.Refuse})
@@ -200,7 +200,7 @@
 // Each change would start the load anew if it ended the back-off, and use up
 // the weight store's rate.
 func TestOtherChangesKeepTheBackOff(t *testing.T) {
-	b := newDeskBench(t)
+	b := newOrderBench(t)
 	b.want("m")
 	b.await("the load is under way", func() bool { return b.received() == 1 })
 	b.load <- errors.New("weight store is slow")
@@ -218,10 +218,10 @@
 // A report that cannot be right names no model that the engine holds. Orders
 // by it would load again what is there.
 func TestBrokenReportGivesNoOrder(t *testing.T) {
-	b := newDeskBench(t)
+	b := newOrderBench(t)
 	b.engine.SetHeld("m", true)
 	b.want("m")
-	b.desk.reported(state.LoadReport{Upstream: "engine-1", Boot: "1", Running: -1})
+	b.manager.reported(state.LoadReport{Upstream: "engine-1", Boot: "1", Running: -1})
 	b.drain()
 	require.Zero(t, b.received())
 	require.Zero(t, b.platform.Calls().Total())
--- a/transport/edge/arrival_test.go
+++ b/transport/edge/arrival_test.go
@@ -45,14 +45,14 @@
 // request.
 func TestRequestReadTooLateIsNotSentOn(t *testing.T) {
 	f := newFixture()
-	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s"}}}))
-	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 6}, true)
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s"}}}))
+	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 6}, true)
 	request := admission.Request{Patience: 4 * time.Second}
 	request.Service = "s"
-	verdict, ticket := f.desk.Admit(request, false)
+	verdict, ticket := f.dispatcher.Admit(request, false)
 	require.True(t, verdict.Admit())
-	f.desk.End(ticket, 0)
+	f.dispatcher.End(ticket, 0)
 	request.Patience = 10 * time.Millisecond
-	verdict, _ = f.desk.Admit(request, false)
+	verdict, _ = f.dispatcher.Admit(request, false)
 	require.False(t, verdict.Admit())
 }
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -30,10 +30,10 @@
 // catalogue holds the newest known objects of the store, whoever told them:
 // the store or a peer. Revisions only rise.
 type catalogue struct {
-	platform Platform
-	desk     *desk
-	log      zerolog.Logger
-	now      func() time.Time
+	platform   Platform
+	dispatcher *dispatcher
+	log        zerolog.Logger
+	now        func() time.Time
 
 	// decoding is held while a configuration is decoded, without mu.
 	decoding sync.Mutex
@@ -60,9 +60,9 @@
 	returned time.Time
 }
 
-func newCatalogue(platform Platform, desk *desk, log zerolog.Logger, now func() time.Time) *catalogue {
+func newCatalogue(platform Platform, dispatcher *dispatcher, log zerolog.Logger, now func() time.Time) *catalogue {
 	return &catalogue{
-		platform: platform, desk: desk, log: log, now: now,
+		platform: platform, dispatcher: dispatcher, log: log, now: now,
 		objects:  make(map[string]Object),
 		upstream: directory.New(),
 		lapsed:   make(map[state.Upstream]lapse),
@@ -104,7 +104,7 @@
 		return false
 	}
 	c.version = config.Version
-	c.desk.setTable(table)
+	c.dispatcher.setTable(table)
 	c.log.Info().Uint64("version", config.Version).Uint64("revision", o.Revision).Str("source", source).
 		Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("configuration taken")
 	return true
@@ -170,12 +170,12 @@
 // same says whether two entries differ in nothing that is decided on.
 func same(a, b directory.Entry) bool { return a.Present == b.Present && a.Upstream == b.Upstream }
 
-// show tells the desk of a changed entry.
+// show tells the dispatcher of a changed entry.
 func (c *catalogue) show(id state.Upstream, before, entry directory.Entry, source string) {
 	if same(before, entry) {
 		return
 	}
-	c.desk.setUpstream(id, entry.Upstream, entry.Present)
+	c.dispatcher.setUpstream(id, entry.Upstream, entry.Present)
 	c.log.Info().Str("upstream", string(id)).Str("service", string(entry.Upstream.Service)).
 		Str("address", entry.Upstream.Address).Bool("present", entry.Present).Bool("leaving", entry.Upstream.Leaving).
 		Uint64("revision", entry.Revision).Str("source", source).Msg("upstream changed")
--- a/transport/edge/catalogue_test.go
+++ b/transport/edge/catalogue_test.go
@@ -15,10 +15,10 @@
 	require.True(t, f.catalogue.take(KindConfig, configObject(10, 3), sourceStore))
 	require.False(t, f.catalogue.take(KindConfig, configObject(8, 2), "peer"))
 	require.False(t, f.catalogue.take(KindConfig, configObject(10, 3), "peer"))
-	require.EqualValues(t, 3, f.desk.Table().Version())
+	require.EqualValues(t, 3, f.dispatcher.Table().Version())
 	require.False(t, f.catalogue.take(KindConfig, Object{Name: "main", Revision: 11, Spec: []byte("{")}, sourceStore))
 	require.False(t, f.catalogue.take(KindConfig, removal("main", 12), sourceStore))
-	require.EqualValues(t, 3, f.desk.Table().Version())
+	require.EqualValues(t, 3, f.dispatcher.Table().Version())
 	require.True(t, f.catalogue.take(KindConfig, configObject(13, 4), sourceStore))
 }
 
@@ -30,7 +30,7 @@
 	require.Zero(t, f.usable())
 	require.False(t, f.catalogue.take(KindUpstream, upstreamObject("u", 1, false), sourceStore), "the store's answer was older than the peer's word")
 	require.True(t, f.catalogue.take(KindUpstream, removal("u", 2), sourceStore))
-	require.Empty(t, f.desk.picture.Unreachable())
+	require.Empty(t, f.dispatcher.picture.Unreachable())
 }
 
 // Another program writes an entry that names no upstream. The others hold.
@@ -99,7 +99,7 @@
 		g.catalogue.take(KindUpstream, o, "peer")
 	}
 	require.Equal(t, 1, g.usable())
-	require.EqualValues(t, 3, g.desk.Table().Version())
+	require.EqualValues(t, 3, g.dispatcher.Table().Version())
 }
 
 // Upstreams renew their entries every second. Peers hear of what changes only:
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -23,9 +23,9 @@
 // that reads it, this router still claims to hold the newest configuration.
 const currentWithin = 3 * time.Second
 
-// desk hosts the decisions behind one lock: each takes microseconds, and all
+// dispatcher hosts the decisions behind one lock: each takes microseconds, and all
 // need the same picture.
-type desk struct {
+type dispatcher struct {
 	settings Settings
 	now      func() time.Time
 	pressure *pressure
@@ -51,10 +51,10 @@
 	onLost func(f state.Fingerprint, run quarantine.Run)
 }
 
-func newDesk(settings Settings, now func() time.Time) *desk {
+func newDispatcher(settings Settings, now func() time.Time) *dispatcher {
 	picture := placement.New(settings.DataCentre)
 	picture.Seed(xxhash.Sum64String(string(settings.Router)))
-	return &desk{
+	return &dispatcher{
 		settings: settings,
 		now:      now,
 		pressure: newPressure(settings.MaxFiles, settings.Processors, now),
@@ -70,24 +70,24 @@
 	}
 }
 
-var _ ingress.Desk = (*desk)(nil)
+var _ ingress.Dispatcher = (*dispatcher)(nil)
 
-// Table implements ingress.Desk.
-func (d *desk) Table() *routing.Table {
+// Table implements ingress.Dispatcher.
+func (d *dispatcher) Table() *routing.Table {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table
 }
 
-// Current implements ingress.Desk.
-func (d *desk) Current() bool {
+// Current implements ingress.Dispatcher.
+func (d *dispatcher) Current() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return !d.heard.IsZero() && d.now().Sub(d.heard) <= currentWithin
 }
 
-// Admit implements ingress.Desk.
-func (d *desk) Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket) {
+// Admit implements ingress.Dispatcher.
+func (d *dispatcher) Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -119,7 +119,7 @@
 }
 
 // wakeUp asks for what changed to be told before its turn.
-func (d *desk) wakeUp() {
+func (d *dispatcher) wakeUp() {
 	select {
 	case d.urgent <- struct{}{}:
 	default:
@@ -127,7 +127,7 @@
 }
 
 // judge judges a request by its workspace's standing.
-func (d *desk) judge(now time.Time, r admission.Request) admission.Verdict {
+func (d *dispatcher) judge(now time.Time, r admission.Request) admission.Verdict {
 	standing := shares.Standing{}
 	if r.Cost > 0 && d.table != nil {
 		standing = d.ledger.Standing(now, r.Workspace, d.table.Limits().Throughput)
@@ -138,15 +138,15 @@
 	return admission.Judge(now, d.picture, r, standing, rand.Float64())
 }
 
-// Watch implements ingress.Desk.
-func (d *desk) Watch(t *placement.Ticket, giveUp func()) {
+// Watch implements ingress.Dispatcher.
+func (d *dispatcher) Watch(t *placement.Ticket, giveUp func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watched[t] = giveUp
 }
 
-// Output implements ingress.Desk.
-func (d *desk) Output(t *placement.Ticket, first bool) {
+// Output implements ingress.Dispatcher.
+func (d *dispatcher) Output(t *placement.Ticket, first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if first {
@@ -160,7 +160,7 @@
 }
 
 // giveUpStalled ends the attempts whose answers will not come.
-func (d *desk) giveUpStalled() int {
+func (d *dispatcher) giveUpStalled() int {
 	d.mu.Lock()
 	stalled := d.picture.Stalled(d.now(), d.repeat)
 	var giveUp []func()
@@ -174,8 +174,8 @@
 	return len(stalled)
 }
 
-// End implements ingress.Desk.
-func (d *desk) End(t *placement.Ticket, outcome placement.Outcome) {
+// End implements ingress.Dispatcher.
+func (d *dispatcher) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
 	delete(d.watched, t)
 	if t.Engine() {
@@ -190,7 +190,7 @@
 	d.tellLost(news)
 }
 
-func (d *desk) budget(service state.Service) *budget.Budget {
+func (d *dispatcher) budget(service state.Service) *budget.Budget {
 	b := d.budgets[service]
 	if b == nil {
 		b = &budget.Budget{}
@@ -199,41 +199,41 @@
 	return b
 }
 
-func (d *desk) retryLimits() budget.Limits {
+func (d *dispatcher) retryLimits() budget.Limits {
 	return budget.Limits{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow}
 }
 
-// Repeat implements ingress.Desk.
-func (d *desk) Repeat(service state.Service) bool {
+// Repeat implements ingress.Dispatcher.
+func (d *dispatcher) Repeat(service state.Service) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.repeat(service)
 }
 
 // repeat is Repeat for callers that hold the lock.
-func (d *desk) repeat(service state.Service) bool {
+func (d *dispatcher) repeat(service state.Service) bool {
 	return d.budget(service).Repeat(d.now(), d.retryLimits(), d.routers)
 }
 
-// Elapsed implements ingress.Desk.
-func (d *desk) Elapsed(f state.Fingerprint) time.Duration {
+// Elapsed implements ingress.Dispatcher.
+func (d *dispatcher) Elapsed(f state.Fingerprint) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.returns.Elapsed(d.now(), f)
 }
 
-// Blocked implements ingress.Desk.
-func (d *desk) Blocked(f state.Fingerprint) bool {
+// Blocked implements ingress.Dispatcher.
+func (d *dispatcher) Blocked(f state.Fingerprint) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.blocked.Blocked(d.now(), f)
 }
 
-// Lost implements ingress.Desk. A lost connection is no proof that the request
+// Lost implements ingress.Dispatcher. A lost connection is no proof that the request
 // took the upstream down: answers are lost on good upstreams too, and two such
 // losses would shut out a page that many callers fetch. It counts once the
 // upstream is seen to have fallen.
-func (d *desk) Lost(f state.Fingerprint, t *placement.Ticket) {
+func (d *dispatcher) Lost(f state.Fingerprint, t *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.suspicions.Add(d.now(), f, t.Upstream())
@@ -242,7 +242,7 @@
 
 // fell counts the requests whose connections an upstream took along, and
 // returns what peers have to know. The caller holds the lock.
-func (d *desk) fell(id state.Upstream) []lostRequest {
+func (d *dispatcher) fell(id state.Upstream) []lostRequest {
 	run, ok := d.lostRuns[id]
 	if !ok {
 		return nil
@@ -265,49 +265,49 @@
 }
 
 // tellLost tells peers; it is called without the lock.
-func (d *desk) tellLost(news []lostRequest) {
+func (d *dispatcher) tellLost(news []lostRequest) {
 	for _, n := range news {
 		d.onLost(n.fingerprint, n.run)
 	}
 }
 
 // heardLost takes a peer's word that an upstream broke off under a request.
-func (d *desk) heardLost(f state.Fingerprint, run quarantine.Run) {
+func (d *dispatcher) heardLost(f state.Fingerprint, run quarantine.Run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.blocked.Record(d.now(), f, run)
 }
 
-// Served implements ingress.Desk.
-func (d *desk) Served(f state.Fingerprint) {
+// Served implements ingress.Dispatcher.
+func (d *dispatcher) Served(f state.Fingerprint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.blocked.Absolve(f)
 }
 
-// Draining implements ingress.Desk.
-func (d *desk) Draining() bool {
+// Draining implements ingress.Dispatcher.
+func (d *dispatcher) Draining() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.course.Begun()
 }
 
-// StopAge implements ingress.Desk.
-func (d *desk) StopAge() time.Duration {
+// StopAge implements ingress.Dispatcher.
+func (d *dispatcher) StopAge() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.course.Age(d.now())
 }
 
-// Closing implements ingress.Desk.
-func (d *desk) Closing() bool {
+// Closing implements ingress.Dispatcher.
+func (d *dispatcher) Closing() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return !d.course.Taking(d.now())
 }
 
-// Full implements ingress.Desk.
-func (d *desk) Full() bool {
+// Full implements ingress.Dispatcher.
+func (d *dispatcher) Full() bool {
 	if !d.pressure.full() {
 		return false
 	}
@@ -315,8 +315,8 @@
 	return true
 }
 
-// FullFor implements ingress.Desk.
-func (d *desk) FullFor(ws state.Workspace) bool {
+// FullFor implements ingress.Dispatcher.
+func (d *dispatcher) FullFor(ws state.Workspace) bool {
 	if !d.pressure.tight() || !d.served(ws) {
 		return false
 	}
@@ -325,7 +325,7 @@
 }
 
 // served says whether a workspace has had its fair share.
-func (d *desk) served(ws state.Workspace) bool {
+func (d *dispatcher) served(ws state.Workspace) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if ws == "" || d.table == nil {
@@ -335,7 +335,7 @@
 }
 
 // stop notes the order to stop and returns the course of the stop.
-func (d *desk) stop() drain.Drain {
+func (d *dispatcher) stop() drain.Drain {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.course.Begun() {
@@ -345,7 +345,7 @@
 }
 
 // setTable takes a newer configuration.
-func (d *desk) setTable(table *routing.Table) {
+func (d *dispatcher) setTable(table *routing.Table) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table = table
@@ -354,7 +354,7 @@
 
 // setUpstream takes what is known of an upstream; present is false if it is
 // gone.
-func (d *desk) setUpstream(id state.Upstream, u directory.Upstream, present bool) {
+func (d *dispatcher) setUpstream(id state.Upstream, u directory.Upstream, present bool) {
 	d.mu.Lock()
 	var news []lostRequest
 	if !present || d.lostRuns[id] != placement.RunOf(u) {
@@ -370,13 +370,13 @@
 }
 
 // confirm notes that the configuration is the newest as of now.
-func (d *desk) confirm() {
+func (d *dispatcher) confirm() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heard = d.now()
 }
 
-func (d *desk) ready() bool {
+func (d *dispatcher) ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.table != nil && !d.course.Begun() && d.pressure.welcomes()
--- a/transport/edge/dispatcher_peers.go
+++ b/transport/edge/dispatcher_peers.go
@@ -7,13 +7,13 @@
 	"github.com/figstile/figstile/state/directory"
 )
 
-func (d *desk) ownLoads() map[state.Upstream]placement.Load {
+func (d *dispatcher) ownLoads() map[state.Upstream]placement.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.picture.Own()
 }
 
-func (d *desk) takeChangedLoads() map[state.Upstream]placement.Load {
+func (d *dispatcher) takeChangedLoads() map[state.Upstream]placement.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.ForgetSilent(d.now())
@@ -22,20 +22,20 @@
 
 // takeSums returns what all routers on this side of a link have, or what has
 // changed of it.
-func (d *desk) takeSums(peer state.Router, all bool) map[state.Upstream]placement.Load {
+func (d *dispatcher) takeSums(peer state.Router, all bool) map[state.Upstream]placement.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.ForgetSilent(d.now())
 	return d.picture.TakeSums(peer, all)
 }
 
-func (d *desk) takePlaced() []placement.Placed {
+func (d *dispatcher) takePlaced() []placement.Placed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.picture.TakePlaced()
 }
 
-func (d *desk) heardPlaced(placed []placement.Placed) {
+func (d *dispatcher) heardPlaced(placed []placement.Placed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, prompt := range placed {
@@ -44,50 +44,50 @@
 }
 
 // takeRefused returns the requests refused since the last call.
-func (d *desk) takeRefused() []uint32 {
+func (d *dispatcher) takeRefused() []uint32 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.returns.TakeRefused()
 }
 
-func (d *desk) heardRefused(keys []uint32) {
+func (d *dispatcher) heardRefused(keys []uint32) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.returns.Heard(d.now(), keys)
 }
 
-func (d *desk) unreachable() []directory.Upstream {
+func (d *dispatcher) unreachable() []directory.Upstream {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.picture.Unreachable()
 }
 
-func (d *desk) reached(id state.Upstream) {
+func (d *dispatcher) reached(id state.Upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.Reached(d.now(), id)
 }
 
-func (d *desk) heardLoads(from state.Router, loads map[state.Upstream]placement.Load, full bool) {
+func (d *dispatcher) heardLoads(from state.Router, loads map[state.Upstream]placement.Load, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.Heard(d.now(), from, loads, full)
 }
 
-func (d *desk) ownSpending() map[state.Workspace]shares.Usage {
+func (d *dispatcher) ownSpending() map[state.Workspace]shares.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ledger.Told(d.now())
 }
 
-func (d *desk) heardSpending(from state.Router, usage map[state.Workspace]shares.Usage) {
+func (d *dispatcher) heardSpending(from state.Router, usage map[state.Workspace]shares.Usage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger.Heard(d.now(), from, usage)
 }
 
 // spendingBeyond returns the counts of all routers on this side of a link.
-func (d *desk) spendingBeyond(peer state.Router) map[state.Workspace]shares.Usage {
+func (d *dispatcher) spendingBeyond(peer state.Router) map[state.Workspace]shares.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ledger.ToldBeyond(d.now(), peer)
@@ -95,7 +95,7 @@
 
 // setRouters takes the number of live routers and forgets the work of those that
 // went.
-func (d *desk) setRouters(live int, gone []state.Router) {
+func (d *dispatcher) setRouters(live int, gone []state.Router) {
 	d.mu.Lock()
 	d.routers = live
 	d.mu.Unlock()
@@ -105,7 +105,7 @@
 }
 
 // forget drops what a peer told of work.
-func (d *desk) forget(peer state.Router) {
+func (d *dispatcher) forget(peer state.Router) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.picture.Gone(peer)
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -19,24 +19,24 @@
 // lost them.
 func TestCrashingRequestIsBlockedAcrossRouters(t *testing.T) {
 	f, g := newFixture(), newFixture()
-	f.desk.onLost = func(fp state.Fingerprint, run quarantine.Run) { g.desk.heardLost(fp, run) }
-	g.desk.onLost = func(fp state.Fingerprint, run quarantine.Run) { f.desk.heardLost(fp, run) }
+	f.dispatcher.onLost = func(fp state.Fingerprint, run quarantine.Run) { g.dispatcher.heardLost(fp, run) }
+	g.dispatcher.onLost = func(fp state.Fingerprint, run quarantine.Run) { f.dispatcher.heardLost(fp, run) }
 	for _, name := range []string{"a", "b"} {
 		for _, x := range []*fixture{f, g} {
 			x.catalogue.take(KindUpstream, upstreamObject(name, 1, false), sourceStore)
 		}
 	}
 	lose := func(x *fixture, excluded ...state.Upstream) {
-		_, ticket := x.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Excluded: excluded}}, true)
-		x.desk.Lost(7, ticket)
-		x.desk.End(ticket, placement.Broken)
+		_, ticket := x.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Excluded: excluded}}, true)
+		x.dispatcher.Lost(7, ticket)
+		x.dispatcher.End(ticket, placement.Broken)
 		x.catalogue.take(KindUpstream, removal(string(ticket.Upstream()), 2), sourceStore)
 	}
 	lose(f, "a")
-	require.False(t, g.desk.Blocked(7))
+	require.False(t, g.dispatcher.Blocked(7))
 	lose(g, "b")
-	require.True(t, f.desk.Blocked(7))
-	require.True(t, g.desk.Blocked(7))
+	require.True(t, f.dispatcher.Blocked(7))
+	require.True(t, g.dispatcher.Blocked(7))
 }
 
 // Answers of a popular page are lost on their way, again and again, while the
@@ -46,65 +46,65 @@
 	f.catalogue.take(KindUpstream, upstreamObject("a", 1, false), sourceStore)
 	f.catalogue.take(KindUpstream, upstreamObject("b", 2, false), sourceStore)
 	for range 6 {
-		_, ticket := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s"}}, true)
-		f.desk.Lost(7, ticket)
-		f.desk.End(ticket, placement.Broken)
+		_, ticket := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s"}}, true)
+		f.dispatcher.Lost(7, ticket)
+		f.dispatcher.End(ticket, placement.Broken)
 	}
 	f.catalogue.take(KindUpstream, upstreamObject("a", 3, true), sourceStore)
-	require.False(t, f.desk.Blocked(7))
+	require.False(t, f.dispatcher.Blocked(7))
 }
 
 // Traffic begins at a small VM. Its requests stream for seconds, and must count
 // as work when they arrive and not when they end.
 func TestRequestsCountAsWorkOnArrival(t *testing.T) {
 	f := newFixture()
-	f.desk.pressure = newPressure(0, 0.2, frozen)
-	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 100_000}, true)
+	f.dispatcher.pressure = newPressure(0, 0.2, frozen)
+	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 100_000}, true)
 	for range 30 {
 		for range 45 {
-			f.desk.Admit(admission.Request{Work: placement.Work{Service: "s"}}, false)
+			f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s"}}, false)
 		}
-		f.desk.pressure.observe(0, scanEvery)
+		f.dispatcher.pressure.observe(0, scanEvery)
 	}
-	require.True(t, f.desk.pressure.busy.Load())
+	require.True(t, f.dispatcher.pressure.busy.Load())
 }
 
 // Streams count from when they are sent to when they end, whichever way; else
 // the router would refuse all in the end, or never.
 func TestStreamsUnderWayAreCounted(t *testing.T) {
 	f := newFixture()
-	f.desk.pressure = newPressure(0, 0.1, frozen)
-	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
-	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
+	f.dispatcher.pressure = newPressure(0, 0.1, frozen)
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
 	admit := func() *placement.Ticket {
-		verdict, ticket := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s"}}, false)
+		verdict, ticket := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s"}}, false)
 		require.True(t, verdict.Admit())
 		return ticket
 	}
-	idle := f.desk.pressure.work.Expected()
+	idle := f.dispatcher.pressure.work.Expected()
 	tickets := []*placement.Ticket{admit(), admit(), admit()}
-	require.Greater(t, f.desk.pressure.work.Expected(), idle)
-	f.desk.Output(tickets[0], true)
-	f.desk.Output(tickets[0], false)
-	f.desk.End(tickets[0], placement.Answered)
-	f.desk.End(tickets[1], placement.Withdrawn)
-	f.desk.Output(tickets[2], true)
-	f.desk.End(tickets[2], placement.Broken)
-	require.InDelta(t, idle, f.desk.pressure.work.Expected(), 1e-9)
+	require.Greater(t, f.dispatcher.pressure.work.Expected(), idle)
+	f.dispatcher.Output(tickets[0], true)
+	f.dispatcher.Output(tickets[0], false)
+	f.dispatcher.End(tickets[0], placement.Answered)
+	f.dispatcher.End(tickets[1], placement.Withdrawn)
+	f.dispatcher.Output(tickets[2], true)
+	f.dispatcher.End(tickets[2], placement.Broken)
+	require.InDelta(t, idle, f.dispatcher.pressure.work.Expected(), 1e-9)
 }
 
 func TestReadinessAndClosing(t *testing.T) {
 	f := newFixture()
-	require.False(t, f.desk.ready(), "no configuration yet")
+	require.False(t, f.dispatcher.ready(), "no configuration yet")
 	f.catalogue.take(KindConfig, configObject(1, 1), sourceStore)
-	require.True(t, f.desk.ready())
-	f.desk.settings.GracePeriod = 8 * time.Second
-	f.desk.stop()
-	require.False(t, f.desk.ready())
-	require.True(t, f.desk.Draining())
-	require.False(t, f.desk.Closing(), "callers on open connections are still served")
+	require.True(t, f.dispatcher.ready())
+	f.dispatcher.settings.GracePeriod = 8 * time.Second
+	f.dispatcher.stop()
+	require.False(t, f.dispatcher.ready())
+	require.True(t, f.dispatcher.Draining())
+	require.False(t, f.dispatcher.Closing(), "callers on open connections are still served")
 	f.clock.advance(4 * time.Second)
-	require.True(t, f.desk.Closing())
+	require.True(t, f.dispatcher.Closing())
 }
 
 // A router is told to stop and has 7.5 s until it cuts off what has not ended.
@@ -115,15 +115,15 @@
 // a token was known of them.
 func TestStoppingRouterTakesWhatCanEnd(t *testing.T) {
 	f := newFixture()
-	f.desk.settings.GracePeriod = 8 * time.Second
-	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
-	f.desk.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
+	f.dispatcher.settings.GracePeriod = 8 * time.Second
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
 	admits := func(output int) bool {
-		verdict, _ := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Patience: 15 * time.Second}, false)
+		verdict, _ := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Patience: 15 * time.Second}, false)
 		return verdict.Admit()
 	}
 	require.True(t, admits(600))
-	f.desk.stop()
+	f.dispatcher.stop()
 	f.clock.advance(2 * time.Second)
 	require.True(t, admits(50))
 	require.False(t, admits(600))
@@ -137,34 +137,34 @@
 // given up requests=1", then code=3002 decision=no-upstream.
 func TestStreamIsGivenUpOnlyIfItCanGoOnElsewhere(t *testing.T) {
 	f := newFixture()
-	f.desk.settings.RetryWindow, f.desk.settings.RetrySlack = 10*time.Second, 2
-	f.desk.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
-	f.desk.setUpstream("slow", directory.Upstream{ID: "slow", Service: "s", Slots: 64}, true)
+	f.dispatcher.settings.RetryWindow, f.dispatcher.settings.RetrySlack = 10*time.Second, 2
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.dispatcher.setUpstream("slow", directory.Upstream{ID: "slow", Service: "s", Slots: 64}, true)
 	begin := func() *int {
-		_, ticket := f.desk.Admit(admission.Request{Work: placement.Work{Service: "s", Repeatable: true}}, false)
+		_, ticket := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Repeatable: true}}, false)
 		require.Equal(t, state.Upstream("slow"), ticket.Upstream())
-		f.desk.Output(ticket, true)
+		f.dispatcher.Output(ticket, true)
 		givenUp := new(int)
-		f.desk.Watch(ticket, func() { *givenUp++ })
+		f.dispatcher.Watch(ticket, func() { *givenUp++ })
 		return givenUp
 	}
 	alone := begin()
 	f.clock.advance(2 * time.Second)
-	f.desk.giveUpStalled()
+	f.dispatcher.giveUpStalled()
 	require.Zero(t, *alone, "there is no other engine")
 
-	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
-	f.desk.giveUpStalled()
+	f.dispatcher.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
+	f.dispatcher.giveUpStalled()
 	require.Equal(t, 1, *alone)
 
-	f.desk.picture.Reached(f.clock.now(), "slow")
-	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64, Leaving: true}, true)
+	f.dispatcher.picture.Reached(f.clock.now(), "slow")
+	f.dispatcher.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64, Leaving: true}, true)
 	unpaid := begin()
-	f.desk.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
-	for f.desk.Repeat("s") {
+	f.dispatcher.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
+	for f.dispatcher.Repeat("s") {
 	}
 	f.clock.advance(2 * time.Second)
-	f.desk.giveUpStalled()
+	f.dispatcher.giveUpStalled()
 	require.Zero(t, *unpaid, "the budget for retries is spent")
 }
 
@@ -172,29 +172,29 @@
 // says, and for the default before there is one or where it says nothing.
 func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
 	f := newFixture()
-	require.Equal(t, defaultIdle, f.desk.idleLimit())
-	f.desk.setTable(routing.NewTable(routing.Config{}))
-	require.Equal(t, defaultIdle, f.desk.idleLimit())
-	f.desk.setTable(routing.NewTable(routing.Config{Limits: routing.Limits{IdleTimeout: 30 * time.Second}}))
-	require.Equal(t, 30*time.Second, f.desk.idleLimit())
+	require.Equal(t, defaultIdle, f.dispatcher.idleLimit())
+	f.dispatcher.setTable(routing.NewTable(routing.Config{}))
+	require.Equal(t, defaultIdle, f.dispatcher.idleLimit())
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Limits: routing.Limits{IdleTimeout: 30 * time.Second}}))
+	require.Equal(t, 30*time.Second, f.dispatcher.idleLimit())
 }
 
 // A workspace that had its share took the last room of a router from one that had not.
 func TestLittleRoomIsForWhoGotLittle(t *testing.T) {
 	f := newFixture()
-	f.desk.setTable(routing.NewTable(routing.Config{Version: 1, Limits: routing.Limits{Throughput: 100}}))
-	f.desk.pressure = newPressure(0, 0.2, frozen)
-	now := f.desk.now()
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Version: 1, Limits: routing.Limits{Throughput: 100}}))
+	f.dispatcher.pressure = newPressure(0, 0.2, frozen)
+	now := f.dispatcher.now()
 	for _, ws := range []state.Workspace{"served", "starved"} {
-		f.desk.ledger.Asked(now, ws, 1000)
+		f.dispatcher.ledger.Asked(now, ws, 1000)
 	}
-	f.desk.ledger.Admitted(now, "served", 180)
-	require.False(t, f.desk.FullFor("served"), "there is room")
-	load(f.desk.pressure, 0.8)
-	require.True(t, f.desk.FullFor("served"))
-	require.False(t, f.desk.FullFor("starved"))
-	require.False(t, f.desk.FullFor(""), "plain requests are small")
-	require.False(t, f.desk.Full())
-	load(f.desk.pressure, 0.9)
-	require.True(t, f.desk.Full())
+	f.dispatcher.ledger.Admitted(now, "served", 180)
+	require.False(t, f.dispatcher.FullFor("served"), "there is room")
+	load(f.dispatcher.pressure, 0.8)
+	require.True(t, f.dispatcher.FullFor("served"))
+	require.False(t, f.dispatcher.FullFor("starved"))
+	require.False(t, f.dispatcher.FullFor(""), "plain requests are small")
+	require.False(t, f.dispatcher.Full())
+	load(f.dispatcher.pressure, 0.9)
+	require.True(t, f.dispatcher.Full())
 }
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -64,10 +64,10 @@
 	for i := range routers {
 		router, dc := state.Router(fmt.Sprintf("r%03d", i)), state.DataCentre(fmt.Sprint(i%dataCentres))
 		f := &fixture{clock: n.clock, platform: &fakePlatform{}}
-		f.desk = newDesk(Settings{Router: router, DataCentre: dc}, n.clock.now)
-		f.catalogue = newCatalogue(f.platform, f.desk, zerolog.Nop(), n.clock.now)
+		f.dispatcher = newDispatcher(Settings{Router: router, DataCentre: dc}, n.clock.now)
+		f.catalogue = newCatalogue(f.platform, f.dispatcher, zerolog.Nop(), n.clock.now)
 		for e := range 4 {
-			f.desk.setUpstream(engineName(e), directory.Upstream{ID: engineName(e), Service: "s", Slots: 64}, true)
+			f.dispatcher.setUpstream(engineName(e), directory.Upstream{ID: engineName(e), Service: "s", Slots: 64}, true)
 		}
 		one := &node{network: n, fixture: f}
 		n.nodes[router] = one
@@ -82,11 +82,11 @@
 
 // start begins a run of the process, which knows what its fixture holds.
 func (o *node) start(dc state.DataCentre) {
-	router := o.fixture.desk.settings.Router
+	router := o.fixture.dispatcher.settings.Router
 	o.run++
 	o.dead = false
 	o.sessions, o.selected, o.told = make(map[state.Router]bool), membership.Selected{Seeds: true}, publishTimes{}
-	o.fleet = newFleet(scheduler.Peer{Router: router, DataCentre: dc}, o.fixture.desk, o.fixture.catalogue, zerolog.Nop(), o.network.clock.now)
+	o.fleet = newFleet(scheduler.Peer{Router: router, DataCentre: dc}, o.fixture.dispatcher, o.fixture.catalogue, zerolog.Nop(), o.network.clock.now)
 	o.fleet.mesh = o
 	o.fleet.join(membership.Member{Router: router, DataCentre: dc, Incarnation: o.run, Address: string(router) + ":1"})
 }
@@ -271,18 +271,18 @@
 
 // place sends requests to an engine.
 func (o *node) place(engine, requests int) {
-	o.fixture.desk.mu.Lock()
-	defer o.fixture.desk.mu.Unlock()
+	o.fixture.dispatcher.mu.Lock()
+	defer o.fixture.dispatcher.mu.Unlock()
 	for range requests {
-		o.fixture.desk.picture.Place(o.network.clock.now(), placement.Work{Service: "s"}, placement.Estimate{Upstream: engineName(engine)})
+		o.fixture.dispatcher.picture.Place(o.network.clock.now(), placement.Work{Service: "s"}, placement.Estimate{Upstream: engineName(engine)})
 	}
 }
 
 // believes returns how many requests a router thinks an engine has.
 func (o *node) believes(engine int) int {
-	o.fixture.desk.mu.Lock()
-	defer o.fixture.desk.mu.Unlock()
-	return o.fixture.desk.picture.Running(engineName(engine))
+	o.fixture.dispatcher.mu.Lock()
+	defer o.fixture.dispatcher.mu.Unlock()
+	return o.fixture.dispatcher.picture.Running(engineName(engine))
 }
 
 func (n *network) requireAllBelieve(t *testing.T, engine, want int) {
@@ -424,7 +424,7 @@
 	t.Helper()
 	for router, one := range n.nodes {
 		if !one.dead {
-			require.EqualValues(t, version, one.fixture.desk.Table().Version(), router)
+			require.EqualValues(t, version, one.fixture.dispatcher.Table().Version(), router)
 		}
 	}
 }
@@ -520,7 +520,7 @@
 	late.restart()
 	n.objects = 0
 	n.run(500 * time.Millisecond)
-	require.EqualValues(t, 2, late.fixture.desk.Table().Version())
+	require.EqualValues(t, 2, late.fixture.dispatcher.Table().Version())
 	require.Equal(t, 54, late.fixture.usable())
 	require.Less(t, n.objects, 2*51)
 }
@@ -536,7 +536,7 @@
 	n.nodes["r000"].fixture.catalogue.take(KindConfig, configObject(5, 2), sourceStore)
 	n.run(500 * time.Millisecond)
 	for router, one := range n.nodes {
-		require.NotNil(t, one.fixture.desk.Table(), router)
+		require.NotNil(t, one.fixture.dispatcher.Table(), router)
 	}
 }
 
@@ -555,7 +555,7 @@
 		reader.fleet.reading = true
 		reader.read(configObject(9, 3))
 		n.run(time.Second)
-		require.EqualValues(t, 2, n.nodes["r007"].fixture.desk.Table().Version())
+		require.EqualValues(t, 2, n.nodes["r007"].fixture.dispatcher.Table().Version())
 		n.cutOff = ""
 		for range 6 {
 			reader.fleet.onAnswer()
--- a/transport/edge/fakes_test.go
+++ b/transport/edge/fakes_test.go
@@ -86,17 +86,17 @@
 
 // fixture is a router's views without its sockets.
 type fixture struct {
-	clock     *fakeClock
-	platform  *fakePlatform
-	desk      *desk
-	catalogue *catalogue
+	clock      *fakeClock
+	platform   *fakePlatform
+	dispatcher *dispatcher
+	catalogue  *catalogue
 }
 
 func newFixture() *fixture {
 	f := &fixture{clock: newClock(), platform: &fakePlatform{}}
-	f.desk = newDesk(Settings{DataCentre: "dc"}, f.clock.now)
-	f.catalogue = newCatalogue(f.platform, f.desk, zerolog.Nop(), f.clock.now)
+	f.dispatcher = newDispatcher(Settings{DataCentre: "dc"}, f.clock.now)
+	f.catalogue = newCatalogue(f.platform, f.dispatcher, zerolog.Nop(), f.clock.now)
 	return f
 }
 
-func (f *fixture) usable() int { return f.desk.picture.Usable("s") }
+func (f *fixture) usable() int { return f.dispatcher.picture.Usable("s") }
--- a/transport/edge/figures.go
+++ b/transport/edge/figures.go
@@ -20,17 +20,17 @@
 			return
 		case <-ticker.C:
 			r.measure()
-			r.conns.CloseIdle(r.desk.idleLimit())
+			r.conns.CloseIdle(r.dispatcher.idleLimit())
 		}
 	}
 }
 
 func (r *Router) measure() {
-	ages := r.desk.viewAges()
+	ages := r.dispatcher.viewAges()
 	r.metrics.ViewAge("configuration", ages.configuration)
 	r.metrics.ViewAge("loads", ages.loads)
-	r.metrics.Gauge("routers_live", float64(r.desk.liveRouters()))
-	r.metrics.Gauge("ready", flag(r.desk.ready()))
+	r.metrics.Gauge("routers_live", float64(r.dispatcher.liveRouters()))
+	r.metrics.Gauge("ready", flag(r.dispatcher.ready()))
 	r.metrics.Gauge("caller_connections", float64(r.pressure.callers.Load()))
 	r.metrics.Gauge("upstream_connections", float64(r.pressure.upstreams.Load()))
 }
@@ -51,7 +51,7 @@
 	loads time.Duration
 }
 
-func (d *desk) viewAges() viewAges {
+func (d *dispatcher) viewAges() viewAges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
@@ -63,7 +63,7 @@
 }
 
 // liveRouters counts the routers that share the retry budget.
-func (d *desk) liveRouters() int {
+func (d *dispatcher) liveRouters() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.routers
@@ -77,7 +77,7 @@
 // of the configuration and may change, while net/http takes one for the life of
 // a server: connections that callers still counted on were closed, or kept for
 // longer than operators allow.
-func (d *desk) idleLimit() time.Duration {
+func (d *dispatcher) idleLimit() time.Duration {
 	table := d.Table()
 	if table == nil || table.Limits().IdleTimeout <= 0 {
 		return defaultIdle
--- a/transport/edge/figures_test.go
+++ b/transport/edge/figures_test.go
@@ -14,11 +14,11 @@
 // must show that it has heard nothing for so long, else nobody finds it.
 func TestAgesOfViews(t *testing.T) {
 	f := newFixture()
-	require.Zero(t, f.desk.viewAges())
-	f.desk.confirm()
-	f.desk.heardLoads("r2", map[state.Upstream]placement.Load{}, true)
+	require.Zero(t, f.dispatcher.viewAges())
+	f.dispatcher.confirm()
+	f.dispatcher.heardLoads("r2", map[state.Upstream]placement.Load{}, true)
 	f.clock.advance(2 * time.Second)
-	f.desk.heardLoads("r3", map[state.Upstream]placement.Load{}, true)
+	f.dispatcher.heardLoads("r3", map[state.Upstream]placement.Load{}, true)
 	f.clock.advance(time.Second)
-	require.Equal(t, viewAges{configuration: 3 * time.Second, loads: 3 * time.Second}, f.desk.viewAges())
+	require.Equal(t, viewAges{configuration: 3 * time.Second, loads: 3 * time.Second}, f.dispatcher.viewAges())
 }
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -68,12 +68,12 @@
 
 // fleet talks with the peers.
 type fleet struct {
-	self      scheduler.Peer
-	desk      *desk
-	catalogue *catalogue
-	mesh      sender
-	log       zerolog.Logger
-	now       func() time.Time
+	self       scheduler.Peer
+	dispatcher *dispatcher
+	catalogue  *catalogue
+	mesh       sender
+	log        zerolog.Logger
+	now        func() time.Time
 
 	// patience is how long after its start the router does not read the store.
 	patience time.Duration
@@ -108,13 +108,13 @@
 	resumed time.Time
 }
 
-func newFleet(self scheduler.Peer, desk *desk, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
+func newFleet(self scheduler.Peer, dispatcher *dispatcher, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
 	f := &fleet{
-		self: self, desk: desk, catalogue: catalogue, log: log, now: now, started: now(),
+		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, started: now(),
 		claims: make(map[state.Router]readerWord), links: make(map[state.Router]*outbox), names: make(map[state.Router]names),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
-	desk.onLost = f.sendLost
+	dispatcher.onLost = f.sendLost
 	return f
 }
 
@@ -130,7 +130,7 @@
 	f.mu.Lock()
 	f.answered = f.now()
 	f.mu.Unlock()
-	f.desk.confirm()
+	f.dispatcher.confirm()
 }
 
 func (f *fleet) onFailure() {
@@ -162,14 +162,14 @@
 	if now.Sub(f.resumed) < catchUp {
 		return
 	}
-	if n := f.desk.giveUpStalled(); n > 0 {
+	if n := f.dispatcher.giveUpStalled(); n > 0 {
 		f.log.Warn().Int("requests", n).Msg("stalled requests given up")
 	}
 }
 
 // watchPressure logs when the router becomes busy or calm.
 func (f *fleet) watchPressure(sinceScan time.Duration) {
-	p := f.desk.pressure
+	p := f.dispatcher.pressure
 	busy, changed := p.observe(min(max(sinceScan-scanEvery, 0), time.Second), sinceScan)
 	if changed {
 		f.log.Warn().Bool("busy", busy).Int64("callers", p.callers.Load()).Int64("upstreams", p.upstreams.Load()).
--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -16,7 +16,7 @@
 )
 
 func (f *fixture) fleet(name state.Router) *fleet {
-	fleet := newFleet(scheduler.Peer{Router: name}, f.desk, f.catalogue, zerolog.Nop(), f.clock.now)
+	fleet := newFleet(scheduler.Peer{Router: name}, f.dispatcher, f.catalogue, zerolog.Nop(), f.clock.now)
 	fleet.mesh = nobody{}
 	return fleet
 }
@@ -153,17 +153,17 @@
 	from := peer.Peer{Router: "r01"}
 	fleet.onEnvelope(from, objectEnvelope(KindConfig, configObject(5, 2)))
 	fleet.onEnvelope(from, objectEnvelope(KindUpstream, upstreamObject("u", 6, false)))
-	require.EqualValues(t, 2, f.desk.Table().Version())
+	require.EqualValues(t, 2, f.dispatcher.Table().Version())
 	require.Equal(t, 1, f.usable())
-	require.True(t, f.desk.Current(), "it has just read the store")
+	require.True(t, f.dispatcher.Current(), "it has just read the store")
 	f.clock.advance(currentWithin + time.Second)
-	require.False(t, f.desk.Current())
+	require.False(t, f.dispatcher.Current())
 	fleet.onEnvelope(from, fleet.readingEnvelope(true))
-	require.True(t, f.desk.Current())
+	require.True(t, f.dispatcher.Current())
 	fleet.onEnvelope(from, objectEnvelope(KindUpstream, removal("u", 7)))
 	require.Zero(t, f.usable())
 	f.clock.advance(currentWithin + time.Second)
-	require.False(t, f.desk.Current())
+	require.False(t, f.dispatcher.Current())
 }
 
 // A router starts and learns the configuration from a peer. A caller with an
@@ -177,11 +177,11 @@
 		answer.GetConfigObject().Answer = true
 		from := peer.Peer{Router: "r01"}
 		fleet.onEnvelope(from, answer)
-		require.False(t, f.desk.Current())
+		require.False(t, f.dispatcher.Current())
 		fleet.onEnvelope(from, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{
 			CatalogueEnd: &peerpb.CatalogueEnd{Holds: true, ReadsStore: reads},
 		}})
-		require.Equal(t, reads, f.desk.Current())
+		require.Equal(t, reads, f.dispatcher.Current())
 	}
 }
 
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -35,7 +35,7 @@
 	f.mu.Unlock()
 	f.mesh.Send(s.Router, f.readingEnvelope(f.claim()))
 	if direct {
-		f.mesh.Send(s.Router, loadsEnvelope(f.desk.ownLoads(), true))
+		f.mesh.Send(s.Router, loadsEnvelope(f.dispatcher.ownLoads(), true))
 	}
 }
 
@@ -78,7 +78,7 @@
 			f.linked(a.Router)
 		case overlay.Unlinked:
 			delete(f.links, a.Router)
-			f.desk.forget(a.Router)
+			f.dispatcher.forget(a.Router)
 		}
 	}
 	f.publishLive()
@@ -86,13 +86,13 @@
 
 // linked begins to tell a peer of this side.
 func (f *fleet) linked(router state.Router) {
-	f.desk.forget(router)
+	f.dispatcher.forget(router)
 	f.links[router] = &outbox{}
 	f.catchUp.Rejoined(f.now())
 	f.log.Info().Str("router", string(router)).Msg("linked")
 }
 
-// publishLive tells the desk of a change of the live routers. The caller holds
+// publishLive tells the dispatcher of a change of the live routers. The caller holds
 // the lock.
 func (f *fleet) publishLive() {
 	live := f.overlay.Live()
@@ -104,7 +104,7 @@
 		gone = missing(f.live, live)
 	}
 	f.live = live
-	f.desk.setRouters(len(live), gone)
+	f.dispatcher.setRouters(len(live), gone)
 }
 
 // missing returns the routers of before that are not among the live.
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -115,7 +115,7 @@
 		f.mesh.SendEach(peers, f.readingEnvelope(f.claim()))
 	}
 	if kind == KindConfig && !m.GetAnswer() {
-		f.desk.confirm()
+		f.dispatcher.confirm()
 	}
 	if _, tree := f.receivers(); tree && (!m.GetAnswer() || f.isCaughtUp()) {
 		f.passOn(from, f.newsEnvelope(kind, o))
--- a/transport/edge/outbox.go
+++ b/transport/edge/outbox.go
@@ -74,7 +74,7 @@
 		box.prompts, box.refused = nil, nil
 		all := now.Sub(box.summed) >= sumsEvery
 		f.mu.Unlock()
-		loads := f.desk.takeSums(router, all)
+		loads := f.dispatcher.takeSums(router, all)
 		if !all && len(loads)+len(prompts)+len(refused) == 0 && now.Sub(box.sent) < aliveEvery {
 			continue
 		}
--- a/transport/edge/prober.go
+++ b/transport/edge/prober.go
@@ -20,7 +20,7 @@
 	dialer := NewDialer()
 	for pause.For(ctx, probeEachAfter) == nil {
 		var round sync.WaitGroup
-		for _, u := range r.desk.unreachable() {
+		for _, u := range r.dispatcher.unreachable() {
 			round.Go(func() { r.probeOne(ctx, dialer.DialContext, u) })
 		}
 		round.Wait()
@@ -33,6 +33,6 @@
 		return
 	}
 	_ = conn.Close()
-	r.desk.reached(u.ID)
+	r.dispatcher.reached(u.ID)
 	r.log.Info().Str("upstream", string(u.ID)).Msg("upstream reached again")
 }
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -24,7 +24,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.desk.urgent:
+		case <-f.dispatcher.urgent:
 			if !waiting {
 				waiting = true
 				urgent.Reset(max(f.urgentGap()-f.now().Sub(last.loads), 0))
@@ -96,14 +96,14 @@
 // publishLoads tells what has changed, or after a while that nothing has, and
 // returns when peers were last told.
 func (f *fleet) publishLoads(now, last time.Time) time.Time {
-	placed, refused := f.desk.takePlaced(), f.desk.takeRefused()
+	placed, refused := f.dispatcher.takePlaced(), f.dispatcher.takeRefused()
 	peers, tree := f.receivers()
 	if tree {
 		f.enqueue(placed, refused, "")
 		f.publishSums(now)
 		return now
 	}
-	loads := f.desk.takeChangedLoads()
+	loads := f.dispatcher.takeChangedLoads()
 	if len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last) < aliveEvery {
 		return last
 	}
@@ -117,13 +117,13 @@
 	peers, tree := f.receivers()
 	if tree {
 		for _, router := range peers {
-			if usage := f.desk.spendingBeyond(router); len(usage) > 0 {
+			if usage := f.dispatcher.spendingBeyond(router); len(usage) > 0 {
 				f.mesh.Send(router, spendingEnvelope(usage))
 			}
 		}
 		return
 	}
-	if usage := f.desk.ownSpending(); len(usage) > 0 {
+	if usage := f.dispatcher.ownSpending(); len(usage) > 0 {
 		f.mesh.SendEach(peers, spendingEnvelope(usage))
 	}
 }
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -67,12 +67,12 @@
 		f.log.Warn().Str("peer", string(from)).Msg("malformed loads")
 		return
 	}
-	f.desk.heardLoads(from, loads, m.GetFull())
-	f.desk.heardPlaced(prompts)
-	f.desk.heardRefused(m.GetRefused())
+	f.dispatcher.heardLoads(from, loads, m.GetFull())
+	f.dispatcher.heardPlaced(prompts)
+	f.dispatcher.heardRefused(m.GetRefused())
 	if peers, tree := f.receivers(); tree && len(peers) > 1 && len(loads)+len(prompts)+len(m.GetRefused()) > 0 {
 		f.enqueue(prompts, m.GetRefused(), from)
-		f.desk.wakeUp()
+		f.dispatcher.wakeUp()
 	}
 }
 
@@ -94,12 +94,12 @@
 	for _, e := range m.GetEntries() {
 		usage[state.Workspace(e.GetWorkspace())] = shares.Usage{Asked: float64(e.GetAsked()), Admitted: float64(e.GetAdmitted())}
 	}
-	f.desk.heardSpending(from, usage)
+	f.dispatcher.heardSpending(from, usage)
 }
 
 // onCrash takes a peer's word that an upstream broke off under a request.
 func (f *fleet) onCrash(from state.Router, m *peerpb.Crash, env *peerpb.Envelope) {
-	f.desk.heardLost(state.Fingerprint(m.GetFingerprint()),
+	f.dispatcher.heardLost(state.Fingerprint(m.GetFingerprint()),
 		quarantine.Run{Upstream: state.Upstream(m.GetUpstream()), Boot: m.GetBoot()})
 	f.passOn(from, env)
 }
@@ -123,7 +123,7 @@
 	f.mu.Unlock()
 	f.fetchCatalogue()
 	if m.GetStore() {
-		f.desk.confirm()
+		f.dispatcher.confirm()
 	}
 }
 
@@ -163,6 +163,6 @@
 	f.caughtUp = f.caughtUp || m.GetHolds()
 	f.mu.Unlock()
 	if m.GetHolds() && m.GetReadsStore() {
-		f.desk.confirm()
+		f.dispatcher.confirm()
 	}
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -51,17 +51,17 @@
 
 // Router is one router.
 type Router struct {
-	settings  Settings
-	log       zerolog.Logger
-	desk      *desk
-	catalogue *catalogue
-	fleet     *fleet
-	mesh      *peer.Mesh
-	followers []*follower
-	metrics   *metrics.Metrics
-	handler   *ingress.Handler
-	pressure  *pressure
-	conns     *conntrack.Tracker
+	settings   Settings
+	log        zerolog.Logger
+	dispatcher *dispatcher
+	catalogue  *catalogue
+	fleet      *fleet
+	mesh       *peer.Mesh
+	followers  []*follower
+	metrics    *metrics.Metrics
+	handler    *ingress.Handler
+	pressure   *pressure
+	conns      *conntrack.Tracker
 
 	callers net.Listener
 	ready   net.Listener
@@ -74,15 +74,15 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
 	r := &Router{
-		settings: settings,
-		log:      log,
-		desk:     newDesk(settings, boottime.Now),
-		conns:    conntrack.New(boottime.Now),
-		metrics:  metrics.New(settings.Router, settings.DataCentre),
+		settings:   settings,
+		log:        log,
+		dispatcher: newDispatcher(settings, boottime.Now),
+		conns:      conntrack.New(boottime.Now),
+		metrics:    metrics.New(settings.Router, settings.DataCentre),
 	}
-	r.catalogue = newCatalogue(platform, r.desk, log, boottime.Now)
-	r.pressure = r.desk.pressure
-	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.desk, r.catalogue, log, boottime.Now)
+	r.catalogue = newCatalogue(platform, r.dispatcher, log, boottime.Now)
+	r.pressure = r.dispatcher.pressure
+	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.dispatcher, r.catalogue, log, boottime.Now)
 	r.fleet.patience = patience(settings)
 	incarnation := state.Incarnation(time.Now().UnixNano())
 	r.fleet.join(membership.Member{
@@ -119,8 +119,8 @@
 
 func (r *Router) openCallers(platform Platform) {
 	r.handler = ingress.NewHandler(ingress.Options{
-		Dialect: platform,
-		Desk:    r.desk,
+		Dialect:    platform,
+		Dispatcher: r.dispatcher,
 		Client: upstream.NewClient(upstream.ClientOptions{
 			Dial:            r.pressure.dial(NewDialer().DialContext),
 			EchoHeader:      platform.AttemptHeader(),
@@ -278,7 +278,7 @@
 // readiness answers whether new callers are welcome, whatever the path.
 func (r *Router) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !r.desk.ready() {
+		if !r.dispatcher.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
@@ -297,7 +297,7 @@
 // has not ended in time.
 func (r *Router) stop() {
 	r.log.Info().Msg("stopping")
-	course := r.desk.stop()
+	course := r.dispatcher.stop()
 	for course.Taking(boottime.Now()) {
 		time.Sleep(stopPoll)
 	}
--- a/transport/edge/run_test.go
+++ b/transport/edge/run_test.go
@@ -70,6 +70,6 @@
 		<-done
 	}
 	tb.Cleanup(stop)
-	require.Eventually(tb, router.desk.ready, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(tb, router.dispatcher.ready, 5*time.Second, 10*time.Millisecond)
 	return router, stop
 }
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -17,7 +17,7 @@
 
 // admit reads and checks a request. It returns the refusal if it is not ok.
 func (x *exchange) admit() (result.Result, bool) {
-	x.table = x.h.Desk.Table()
+	x.table = x.h.Dispatcher.Table()
 	if x.table == nil {
 		return result.New(result.NotReady, ""), false
 	}
@@ -27,11 +27,11 @@
 	if res, ok := x.readBody(); !ok {
 		return res, false
 	}
-	if x.h.Desk.Full() {
+	if x.h.Dispatcher.Full() {
 		return result.New(result.TooManyRequests, "").After(admission.ElsewhereRetry), false
 	}
 	// The routes may have changed while the body was read.
-	x.table = x.h.Desk.Table()
+	x.table = x.h.Dispatcher.Table()
 	for _, check := range []func() (result.Result, bool){x.findRoute, x.readHeader, x.authenticate, x.room, x.describe} {
 		if res, ok := check(); !ok {
 			return res, false
@@ -97,7 +97,7 @@
 // a newer configuration cannot say that a thing does not exist; one that says
 // so wrongly turns a caller away for good.
 func (x *exchange) unknown(code result.Code) result.Result {
-	if x.h.Desk.Current() {
+	if x.h.Dispatcher.Current() {
 		return result.New(code, "")
 	}
 	return result.New(result.NotReady, "The router may not hold the newest configuration.")
@@ -156,7 +156,7 @@
 // room refuses a workspace that has had its part while the process has little
 // room left, so that others whose callers share the router are served.
 func (x *exchange) room() (result.Result, bool) {
-	if x.h.Desk.FullFor(x.workspace) {
+	if x.h.Dispatcher.FullFor(x.workspace) {
 		return result.New(result.TooManyRequests, "").After(admission.ElsewhereRetry), false
 	}
 	return result.Result{}, true
@@ -178,13 +178,13 @@
 		Workspace:   x.workspace,
 		Cost:        x.cost(),
 		MaxOutput:   x.in.MaxOutput,
-		Elapsed:     x.h.Desk.Elapsed(x.fingerprint) + x.unread,
+		Elapsed:     x.h.Dispatcher.Elapsed(x.fingerprint) + x.unread,
 		Patience:    patience,
 	}
-	if x.h.Desk.Blocked(x.fingerprint) {
+	if x.h.Dispatcher.Blocked(x.fingerprint) {
 		return result.New(result.Suspected, "").After(patience / 2), false
 	}
-	if x.h.Desk.Closing() {
+	if x.h.Dispatcher.Closing() {
 		return result.New(result.Draining, "").After(admission.ElsewhereRetry), false
 	}
 	return result.Result{}, true
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -52,7 +52,7 @@
 		x.request.Repeatable = x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
 		x.request.Resumed = x.began
 		repeat := x.attempts > 0 || unsent > 0
-		verdict, ticket := x.h.Desk.Admit(x.request, repeat)
+		verdict, ticket := x.h.Dispatcher.Admit(x.request, repeat)
 		x.verdict = verdict
 		if x.h.Observer != nil {
 			x.h.Observer.Decided(x.request, verdict.Reason, repeat)
@@ -89,7 +89,7 @@
 	case end.fate == fateFailed && !x.route.Repeatable():
 		return false
 	default:
-		return x.repeatPaid || x.h.Desk.Repeat(x.service)
+		return x.repeatPaid || x.h.Dispatcher.Repeat(x.service)
 	}
 }
 
@@ -140,12 +140,12 @@
 func (x *exchange) attempt(ctx context.Context, ticket *placement.Ticket) attemptEnd {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x.h.Desk.Watch(ticket, func() { cancel(errStalled) })
+	x.h.Dispatcher.Watch(ticket, func() { cancel(errStalled) })
 	var end attemptEnd
 	outcome := placement.Withdrawn
 	// A ticket that did not end would count as load for good, so it ends even
 	// if handling the answer panics.
-	defer func() { x.h.Desk.End(ticket, outcome) }()
+	defer func() { x.h.Dispatcher.End(ticket, outcome) }()
 	end, outcome = x.exchange(inner, ticket)
 	x.repeatPaid = x.began && errors.Is(context.Cause(inner), errStalled)
 	if ctx.Err() != nil {
@@ -162,7 +162,7 @@
 
 func (x *exchange) logAttempt(ticket *placement.Ticket, end attemptEnd) {
 	x.h.Log.Warn().Str("id", x.in.Attempt).Str("upstream", string(ticket.Upstream())).
-		Int64("stop_age_ms", x.h.Desk.StopAge().Milliseconds()).
+		Int64("stop_age_ms", x.h.Dispatcher.StopAge().Milliseconds()).
 		Int("attempt", x.attempts+1).Int("fate", int(end.fate)).Int("code", int(end.res.Code)).
 		Str("cause", end.res.Detail).Str("last_event", x.lastEvent).Msg("attempt ended")
 }
@@ -228,5 +228,5 @@
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, upstream.ErrCrossed) || errors.Is(err, errStalled) {
 		return
 	}
-	x.h.Desk.Lost(x.fingerprint, ticket)
+	x.h.Dispatcher.Lost(x.fingerprint, ticket)
 }
--- a/transport/ingress/bench_test.go
+++ b/transport/ingress/bench_test.go
@@ -26,14 +26,14 @@
 // router's: 0.36 ms for a request of sixty events, most of it system calls.
 func BenchmarkStream(b *testing.B) {
 	address := startRawEngine(b)
-	desk := newScriptedDesk(benchTable())
-	desk.add("u", address)
+	dispatcher := newScriptedDispatcher(benchTable())
+	dispatcher.add("u", address)
 	server := httptest.NewServer(NewHandler(Options{
-		Dialect: plainDialect{},
-		Desk:    desk,
-		Client:  upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt"}),
-		Log:     zerolog.Nop(),
-		Now:     time.Now,
+		Dialect:    plainDialect{},
+		Dispatcher: dispatcher,
+		Client:     upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt"}),
+		Log:        zerolog.Nop(),
+		Now:        time.Now,
 	}))
 	defer server.Close()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
--- a/transport/ingress/dispatcher.go
+++ b/transport/ingress/dispatcher.go
@@ -9,9 +9,9 @@
 	"github.com/figstile/figstile/state/routing"
 )
 
-// Desk makes the decisions on requests. It is safe for concurrent use and does
+// Dispatcher makes the decisions on requests. It is safe for concurrent use and does
 // not block.
-type Desk interface {
+type Dispatcher interface {
 	// Table returns the routes in force, nil before there are any.
 	Table() *routing.Table
 	// Current says whether the routes are known to be the newest, so that
@@ -21,8 +21,8 @@
 	// before: it counts once. The ticket is nil unless the verdict admits, and
 	// must be ended.
 	Admit(r admission.Request, repeat bool) (admission.Verdict, *placement.Ticket)
-	// Watch lets the desk end an attempt whose answer will not come. If the
-	// caller has the beginning of the answer, the desk has spent a repeat on
+	// Watch lets the dispatcher end an attempt whose answer will not come. If the
+	// caller has the beginning of the answer, the dispatcher has spent a repeat on
 	// it then.
 	Watch(t *placement.Ticket, giveUp func())
 	// Output notes that a part of an answer came; first is set for the first
--- a/transport/ingress/doc.go
+++ b/transport/ingress/doc.go
@@ -9,5 +9,5 @@
 // every upstream it was sent to has said that it did not run it.
 //
 // How messages spell what is decided on is a Dialect's business; the decisions
-// on placing and admitting are a Desk's.
+// on placing and admitting are a Dispatcher's.
 package ingress
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -98,15 +98,15 @@
 
 // door is a handler under test with its fakes.
 type door struct {
-	url  string
-	desk *scriptedDesk
+	url        string
+	dispatcher *scriptedDispatcher
 }
 
 func openDoor(t *testing.T, route routing.Route, upstreams ...*rawUpstream) *door {
 	t.Helper()
 	route.Name, route.Host, route.Prefix = "r", "h", "/a/"
 	route.Backends = []routing.Backend{{Service: "s", Weight: 1}}
-	desk := newScriptedDesk(routing.NewTable(routing.Config{
+	dispatcher := newScriptedDispatcher(routing.NewTable(routing.Config{
 		Version:    1,
 		Routes:     []routing.Route{route},
 		Services:   []routing.Service{{Name: "s"}},
@@ -114,18 +114,18 @@
 		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"secret"}}},
 	}))
 	for i, u := range upstreams {
-		desk.add(state.Upstream(fmt.Sprintf("u%d", i)), u.address())
+		dispatcher.add(state.Upstream(fmt.Sprintf("u%d", i)), u.address())
 	}
 	server := httptest.NewServer(NewHandler(Options{
-		Dialect: plainDialect{},
-		Desk:    desk,
-		Client:  upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true}),
-		Log:     zerolog.Nop(),
-		Now:     time.Now,
-		Left:    func(*http.Request) bool { return desk.left },
+		Dialect:    plainDialect{},
+		Dispatcher: dispatcher,
+		Client:     upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true}),
+		Log:        zerolog.Nop(),
+		Now:        time.Now,
+		Left:       func(*http.Request) bool { return dispatcher.left },
 	}))
 	t.Cleanup(server.Close)
-	return &door{url: server.URL, desk: desk}
+	return &door{url: server.URL, dispatcher: dispatcher}
 }
 
 func (d *door) request(t *testing.T, ctx context.Context, body string) *http.Request {
@@ -146,9 +146,9 @@
 	return response
 }
 
-// scriptedDesk sends each request to its upstreams in turn.
-type scriptedDesk struct {
-	// broken makes the desk panic at the end of an answer.
+// scriptedDispatcher sends each request to its upstreams in turn.
+type scriptedDispatcher struct {
+	// broken makes the dispatcher panic at the end of an answer.
 	broken bool
 	// left is what the kernel knows of the caller's connection.
 	left    bool
@@ -169,20 +169,20 @@
 	watched   []func()
 }
 
-func newScriptedDesk(table *routing.Table) *scriptedDesk {
-	return &scriptedDesk{table: table, picture: placement.New("dc")}
+func newScriptedDispatcher(table *routing.Table) *scriptedDispatcher {
+	return &scriptedDispatcher{table: table, picture: placement.New("dc")}
 }
 
-func (d *scriptedDesk) add(id state.Upstream, address string) {
+func (d *scriptedDispatcher) add(id state.Upstream, address string) {
 	u := directory.Upstream{ID: id, Address: address, Service: "s"}
 	d.upstreams = append(d.upstreams, u)
 	d.picture.SetUpstream(u)
 }
 
-func (d *scriptedDesk) Table() *routing.Table { return d.table }
-func (d *scriptedDesk) Current() bool         { return !d.stale }
+func (d *scriptedDispatcher) Table() *routing.Table { return d.table }
+func (d *scriptedDispatcher) Current() bool         { return !d.stale }
 
-func (d *scriptedDesk) Admit(r admission.Request, _ bool) (admission.Verdict, *placement.Ticket) {
+func (d *scriptedDispatcher) Admit(r admission.Request, _ bool) (admission.Verdict, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.verdict.Admit() {
@@ -206,63 +206,65 @@
 	return false
 }
 
-func (d *scriptedDesk) Watch(_ *placement.Ticket, giveUp func()) {
+func (d *scriptedDispatcher) Watch(_ *placement.Ticket, giveUp func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watched = append(d.watched, giveUp)
 }
 
-func (d *scriptedDesk) giveUp(n int) {
+func (d *scriptedDispatcher) giveUp(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.watched[n]()
 }
 
-func (d *scriptedDesk) Output(*placement.Ticket, bool) {}
+func (d *scriptedDispatcher) Output(*placement.Ticket, bool) {}
 
-func (d *scriptedDesk) End(_ *placement.Ticket, outcome placement.Outcome) {
+func (d *scriptedDispatcher) End(_ *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.outcomes = append(d.outcomes, outcome)
 }
 
-func (d *scriptedDesk) Repeat(state.Service) bool               { return !d.noRepeats }
-func (d *scriptedDesk) Elapsed(state.Fingerprint) time.Duration { return 0 }
-func (d *scriptedDesk) Blocked(state.Fingerprint) bool          { return d.blocked }
+func (d *scriptedDispatcher) Repeat(state.Service) bool               { return !d.noRepeats }
+func (d *scriptedDispatcher) Elapsed(state.Fingerprint) time.Duration { return 0 }
+func (d *scriptedDispatcher) Blocked(state.Fingerprint) bool          { return d.blocked }
 
-func (d *scriptedDesk) Lost(state.Fingerprint, *placement.Ticket) {
+func (d *scriptedDispatcher) Lost(state.Fingerprint, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lost++
 }
 
-func (d *scriptedDesk) Served(state.Fingerprint) {
+func (d *scriptedDispatcher) Served(state.Fingerprint) {
 	if d.broken {
 		panic("broken")
 	}
 }
 
 // ended returns how attempts ended so far.
-func (d *scriptedDesk) ended() []placement.Outcome {
+func (d *scriptedDispatcher) ended() []placement.Outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.outcomes)
 }
 
-func (d *scriptedDesk) Draining() bool         { return d.closing }
-func (d *scriptedDesk) StopAge() time.Duration { return 0 }
-func (d *scriptedDesk) Full() bool             { return d.full }
-func (d *scriptedDesk) Closing() bool          { return d.closing }
+func (d *scriptedDispatcher) Draining() bool         { return d.closing }
+func (d *scriptedDispatcher) StopAge() time.Duration { return 0 }
+func (d *scriptedDispatcher) Full() bool             { return d.full }
+func (d *scriptedDispatcher) Closing() bool          { return d.closing }
 
 // awaitEnded waits until one attempt has ended, and checks how. An attempt ends
 // after its caller has the answer.
-func (d *scriptedDesk) awaitEnded(t *testing.T, outcome placement.Outcome) {
+func (d *scriptedDispatcher) awaitEnded(t *testing.T, outcome placement.Outcome) {
 	t.Helper()
 	require.Eventually(t, func() bool { return len(d.ended()) > 0 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, []placement.Outcome{outcome}, d.ended())
 }
 
-func (d *scriptedDesk) FullFor(ws state.Workspace) bool { return d.fullFor != "" && d.fullFor == ws }
+func (d *scriptedDispatcher) FullFor(ws state.Workspace) bool {
+	return d.fullFor != "" && d.fullFor == ws
+}
 
 // plainDialect spells the few fields that tests need.
 type plainDialect struct{}
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -33,11 +33,11 @@
 
 // Options wire a Handler.
 type Options struct {
-	Dialect  Dialect
-	Desk     Desk
-	Client   *upstream.Client
-	Observer Observer
-	Log      zerolog.Logger
+	Dialect    Dialect
+	Dispatcher Dispatcher
+	Client     *upstream.Client
+	Observer   Observer
+	Log        zerolog.Logger
 	// Now is the clock for latencies.
 	Now func() time.Time
 	// Crowded says whether callers should close their connections after an
@@ -118,7 +118,7 @@
 	attempts int
 	// began is set once the head of the answer went to the caller.
 	began bool
-	// repeatPaid is set if the desk spent a retry when it gave up the last
+	// repeatPaid is set if the dispatcher spent a retry when it gave up the last
 	// attempt.
 	repeatPaid bool
 	// abort is set if the answer under way must not be ended cleanly.
@@ -141,11 +141,11 @@
 // ServeHTTP runs one request to its final answer. An answer that broke off
 // ends with its connection, so that the caller's HTTP library sees it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now(), stopAge: h.Desk.StopAge()}
+	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now(), stopAge: h.Dispatcher.StopAge()}
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	defer x.recovered()
-	if h.Desk.Draining() || h.Crowded != nil && h.Crowded() {
+	if h.Dispatcher.Draining() || h.Crowded != nil && h.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if h.Waited != nil {
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -49,7 +49,7 @@
 	require.Equal(t, "h", seen.Host)
 	require.Equal(t, "w", seen.Header.Get("Workspace"))
 	require.Empty(t, seen.Header.Get("Key"), "the key is not the upstream's business")
-	d.desk.awaitEnded(t, placement.Answered)
+	d.dispatcher.awaitEnded(t, placement.Answered)
 }
 
 // A visitor's page is fetched by a request that publishes something. The worker
@@ -64,7 +64,7 @@
 	require.Equal(t, "unknown", response.Header.Get("Figstile-Ran"))
 	require.Len(t, u.seen(), 1)
 	require.Empty(t, spare.seen())
-	require.Equal(t, 1, d.desk.lost)
+	require.Equal(t, 1, d.dispatcher.lost)
 }
 
 func TestIdempotentRequestGoesToAnotherUpstream(t *testing.T) {
@@ -97,7 +97,7 @@
 func TestNoRepeatWithoutBudget(t *testing.T) {
 	u, spare := startUpstream(t, say(whole(500, "no"))), startUpstream(t, say(whole(200, "page")))
 	d := openDoor(t, repeatable, u, spare)
-	d.desk.noRepeats = true
+	d.dispatcher.noRepeats = true
 	response := d.post(t)
 	body, err := bodyOf(t, response)
 	require.NoError(t, err)
@@ -132,18 +132,18 @@
 		change func(d *door, r *http.Request)
 		status int
 	}{
-		"overload":        {func(d *door, _ *http.Request) { d.desk.verdict.Reason = admission.Overload }, 503},
-		"beyond share":    {func(d *door, _ *http.Request) { d.desk.verdict.Reason = admission.OverShare }, 429},
+		"overload":        {func(d *door, _ *http.Request) { d.dispatcher.verdict.Reason = admission.Overload }, 503},
+		"beyond share":    {func(d *door, _ *http.Request) { d.dispatcher.verdict.Reason = admission.OverShare }, 429},
 		"no key":          {func(_ *door, r *http.Request) { r.Header.Del("Key") }, 401},
 		"no route":        {func(_ *door, r *http.Request) { r.Host = "other" }, 404},
-		"no table":        {func(d *door, _ *http.Request) { d.desk.table = nil }, 503},
-		"stale, no key":   {func(d *door, r *http.Request) { d.desk.stale = true; r.Header.Del("Key") }, 503},
-		"stale, no route": {func(d *door, r *http.Request) { d.desk.stale = true; r.Host = "other" }, 503},
+		"no table":        {func(d *door, _ *http.Request) { d.dispatcher.table = nil }, 503},
+		"stale, no key":   {func(d *door, r *http.Request) { d.dispatcher.stale = true; r.Header.Del("Key") }, 503},
+		"stale, no route": {func(d *door, r *http.Request) { d.dispatcher.stale = true; r.Host = "other" }, 503},
 		"long head":       {func(_ *door, r *http.Request) { r.Header.Set("Filler", strings.Repeat("x", 2000)) }, 431},
-		"blocked":         {func(d *door, _ *http.Request) { d.desk.blocked = true }, 503},
-		"full":            {func(d *door, _ *http.Request) { d.desk.full = true }, 429},
-		"no room for it":  {func(d *door, _ *http.Request) { d.desk.fullFor = "w" }, 429},
-		"closing":         {func(d *door, _ *http.Request) { d.desk.closing = true }, 503},
+		"blocked":         {func(d *door, _ *http.Request) { d.dispatcher.blocked = true }, 503},
+		"full":            {func(d *door, _ *http.Request) { d.dispatcher.full = true }, 429},
+		"no room for it":  {func(d *door, _ *http.Request) { d.dispatcher.fullFor = "w" }, 429},
+		"closing":         {func(d *door, _ *http.Request) { d.dispatcher.closing = true }, 503},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -211,7 +211,7 @@
 }
 
 // A worker takes a request and its answer is lost: the connection stays open
-// and silent. The desk sees that later requests were answered and gives it up;
+// and silent. The dispatcher sees that later requests were answered and gives it up;
 // the caller gets the page from another worker instead of waiting.
 func TestStalledAttemptIsRepeated(t *testing.T) {
 	reached := make(chan struct{})
@@ -220,14 +220,14 @@
 	d := openDoor(t, repeatable, u, spare)
 	go func() {
 		<-reached
-		d.desk.giveUp(0)
+		d.dispatcher.giveUp(0)
 	}()
 	body, err := bodyOf(t, d.post(t))
 	require.NoError(t, err)
 	require.Equal(t, "page", body)
 }
 
-// A stream stalls after its first event. The desk has spent a retry on it when
+// A stream stalls after its first event. The dispatcher has spent a retry on it when
 // it gives it up, so that the stream goes on at another engine even if nobody
 // else gets a retry now; asked again for one, its caller saw it break off.
 func TestStreamThatWasGivenUpGoesOn(t *testing.T) {
@@ -237,9 +237,9 @@
 	})
 	spare := startUpstream(t, say(streamHead+chunk(event(2))+"0\r\n\r\n"))
 	d := openDoor(t, resumable, u, spare)
-	d.desk.noRepeats = true
+	d.dispatcher.noRepeats = true
 	response := d.post(t)
-	d.desk.giveUp(0)
+	d.dispatcher.giveUp(0)
 	body, err := bodyOf(t, response)
 	require.NoError(t, err)
 	require.Equal(t, event(1)+event(2), body)
@@ -272,9 +272,9 @@
 // of the request, and the upstream counted as busy with it for good.
 func TestFailedHandlingIsAnswered(t *testing.T) {
 	d := openDoor(t, repeatable, startUpstream(t, say(whole(200, "page"))))
-	d.desk.broken = true
+	d.dispatcher.broken = true
 	require.Equal(t, http.StatusInternalServerError, d.post(t).StatusCode)
-	d.desk.awaitEnded(t, placement.Withdrawn)
+	d.dispatcher.awaitEnded(t, placement.Withdrawn)
 }
 
 // A caller gave up while its request waited for the processor. Nothing has read
@@ -283,11 +283,11 @@
 func TestRequestOfACallerWhoLeftIsNotSent(t *testing.T) {
 	u := startUpstream(t, say(whole(200, "page")))
 	d := openDoor(t, repeatable, u)
-	d.desk.left = true
+	d.dispatcher.left = true
 	_, err := http.DefaultClient.Do(d.request(t, context.Background(), "hello")) //nolint:bodyclose // There is no answer.
 	require.Error(t, err)
 	require.Empty(t, u.seen())
-	d.desk.awaitEnded(t, placement.Withdrawn)
+	d.dispatcher.awaitEnded(t, placement.Withdrawn)
 }
 
 // The operator's timeout passes while a worker is at it. The caller gets an
@@ -310,7 +310,7 @@
 	body, err := bodyOf(t, d.post(t))
 	require.NoError(t, err)
 	require.Equal(t, "page", body)
-	require.Equal(t, placement.Unconnected, d.desk.ended()[0])
+	require.Equal(t, placement.Unconnected, d.dispatcher.ended()[0])
 }
 
 // An answer without a length ends with its connection. Closed in order it is
--- a/transport/ingress/held.go
+++ b/transport/ingress/held.go
@@ -47,7 +47,7 @@
 		// A stream that was to go on got another answer instead.
 		return attemptEnd{fateFailed, result.New(result.AnswerTruncated, "The stream could not be resumed.")}, placement.Failed
 	}
-	x.h.Desk.Served(x.fingerprint)
+	x.h.Dispatcher.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, x.deliver(held)}, outcome
 }
 
@@ -82,7 +82,7 @@
 func (x *exchange) relayLong(answer *upstream.Answer, held *heldAnswer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	// Nothing more is told of this answer: from here on it must not be taken
 	// for stalled, or its caller would see it break off.
-	x.h.Desk.Watch(ticket, func() {})
+	x.h.Dispatcher.Watch(ticket, func() {})
 	x.begin(held)
 	if length := answer.Header.Get("Content-Length"); length != "" {
 		x.w.Header().Set("Content-Length", length)
@@ -97,6 +97,6 @@
 		x.lost(err, ticket)
 		return attemptEnd{fateDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
 	}
-	x.h.Desk.Served(x.fingerprint)
+	x.h.Dispatcher.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, result.New(result.OK, "")}, placement.Answered
 }
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -32,7 +32,7 @@
 		n, err := answer.Read(buffer[:])
 		whole := events.add(buffer[:n])
 		if len(whole) > 0 {
-			x.h.Desk.Output(ticket, !began)
+			x.h.Dispatcher.Output(ticket, !began)
 			began = true
 			if failed := x.pass(answer, whole, events.lastID); failed != nil {
 				x.abort = true
@@ -85,6 +85,6 @@
 		x.begin(&heldAnswer{status: answer.Status, header: answer.Header})
 		x.w.WriteHeader(http.StatusOK)
 	}
-	x.h.Desk.Served(x.fingerprint)
+	x.h.Dispatcher.Served(x.fingerprint)
 	return attemptEnd{fateDelivered, result.New(result.OK, "")}, placement.Answered
 }
