Comments without figures, one line on tests of failures, timeouts by their name

What was called patience is a timeout, a delay or a settle time. Names and comments only; tests of coordination, transport, capacity and devfleet pass.

--- a/capacity/measure_platform.go
+++ b/capacity/measure_platform.go
@@ -132,7 +132,7 @@
 
 // awaitWatches returns once every router has listed and watches.
 func awaitWatches(ctx context.Context, p *platform.Platform, routers int64) error {
-	deadline := time.Now().Add(sessionPatience)
+	deadline := time.Now().Add(sessionTimeout)
 	for p.Calls().Watch < routers {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return errNoWatch
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &countedServer{Listener: listener, server: &http.Server{Handler: handler, ReadHeaderTimeout: sessionPatience}}
+	s := &countedServer{Listener: listener, server: &http.Server{Handler: handler, ReadHeaderTimeout: sessionTimeout}}
 	go func() { _ = s.server.Serve(s) }()
 	return s, nil
 }
--- a/capacity/measure_sessions.go
+++ b/capacity/measure_sessions.go
@@ -22,8 +22,8 @@
 	SessionQueue  Name = "session.queue"
 )
 
-// sessionPatience ends a measurement whose sessions do not come about.
-const sessionPatience = 10 * time.Second
+// sessionTimeout ends a measurement whose sessions do not come about.
+const sessionTimeout = 10 * time.Second
 
 var errNoSession = errors.New("capacity: no session between routers on loopback")
 
@@ -118,7 +118,7 @@
 
 // await returns once every router has a session with every other one.
 func (m *meshes) await(ctx context.Context) error {
-	deadline := time.Now().Add(sessionPatience)
+	deadline := time.Now().Add(sessionTimeout)
 	for !m.connected() {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return errNoSession
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -15,14 +15,11 @@
 	onTime = 0.65
 	// plainOnTime is the same for requests without a prompt. A plain worker's
 	// slots hold one piece of work each and its queue is short, so that the
-	// estimate errs to the high side: with 85 routers and a fifth more than
-	// five workers can do, 0.77 are on time at 0.9 and 0.64 at 0.65.
+	// estimate errs to the high side.
 	plainOnTime = 0.9
 	// overShare is the part of its target that a request of a workspace
 	// beyond its fair share may wait. It is small, so that such requests
-	// fill idle capacity but build no queue before the others: over fifteen
-	// days of mixed faults 0.56 of all requests were on time and 0.071 late
-	// at 0.03, 0.55 and 0.063 at 0.01.
+	// fill idle capacity but build no queue before the others.
 	overShare = 0.01
 	// nearShare is the part of its fair share from which a workspace's requests
 	// may wait less and less, down to overShare at all of it. The share is
@@ -43,14 +40,13 @@
 	maxDisturbed = 5
 	// hopelessWait is the part of its own reading time that a prompt may wait which
 	// is late wherever it goes. Places in a queue are worth more to those that
-	// can be on time; at nothing, the largest tenth of the prompts got 0.34 to
-	// 0.46 of what they were owed, and 0.42 to 0.53 with long waits.
+	// can be on time, but without any the longest prompts would hardly be served.
 	hopelessWait = 0.5
 	// least is the part of its target that a request may wait even if its
 	// own prompt takes the rest. Long prompts would otherwise never be
 	// admitted, however idle the engines.
 	least = 0.15
-	// returned is the part of the remaining patience that a request may wait
+	// returned is the part of the remaining time that a request may wait
 	// which was refused before and is late already: to refuse it again costs
 	// its caller the answer, to serve it late does not.
 	returned = 0.3
@@ -60,9 +56,9 @@
 	// noUpstreamRetry is when to come back while a service has no upstream:
 	// a restart takes seconds.
 	noUpstreamRetry = time.Second
-	// patienceShare is the part of the remaining time that a caller is
+	// retryShare is the part of the remaining time that a caller is
 	// willing to wait before it comes back.
-	patienceShare = 1.0 / 3
+	retryShare = 1.0 / 3
 	// longerThanExpected is how many times the expected time of its answer a
 	// request gets that a stopping router takes. Half of the answers are longer
 	// than callers' hints; a caller who is sent to another router loses some
@@ -112,8 +108,8 @@
 	// Elapsed is the time since the caller's first attempt; zero unless it was
 	// refused since.
 	Elapsed time.Duration
-	// Patience is how long the caller will wait from now.
-	Patience time.Duration
+	// Timeout is how long the caller will wait from now.
+	Timeout time.Duration
 	// MaxOutput is the most generated tokens that the caller takes, zero if it
 	// did not say.
 	MaxOutput int
@@ -141,13 +137,13 @@
 		return false
 	}
 	longest := e.Wait + time.Duration(r.longer()*float64(e.Own+e.Stream))
-	return min(longest, r.Patience) > r.Remaining
+	return min(longest, r.Timeout) > r.Remaining
 }
 
 // hopeless says whether a request's caller will have left before the answer can
 // have ended. Half of the expected stream counts, since many are shorter.
 func (r Request) hopeless(e placement.Estimate) bool {
-	return r.Patience > 0 && e.Total()+e.Stream/2 > r.Patience
+	return r.Timeout > 0 && e.Total()+e.Stream/2 > r.Timeout
 }
 
 // longer is how many times the expected time an answer is given: no more than
@@ -184,10 +180,8 @@
 
 // Judge decides on a request and the upstream that it goes to. Where the best
 // one has too long a queue, the request may go to the one that answers first,
-// though prompt parts are read there once more: with two subjects that get half
-// of the requests, 0.91 of all were on time without this, as engines idled
-// beside those that held the subjects, and 0.99 with it (replayed with eight
-// routers and twelve engines).
+// though prompt parts are read there once more: engines would idle beside those
+// that hold the few subjects of most requests.
 func Judge(now time.Time, upstreams Upstreams, r Request, standing shares.Standing, spread float64) Verdict {
 	best, soonest, found := upstreams.Candidates(now, r.Work)
 	verdict := Decide(r, best, found, standing, spread)
@@ -203,10 +197,8 @@
 // mayReadAgain says whether a request may go to the upstream that answers first
 // instead of the best one. What is read again is taken from others: it must be
 // little unless the fleet has engines to spare, and a workspace near its share or
-// beyond gets none. Over ten to fifteen days of mixed faults 0.55 of all requests
-// were on time so and 0.59 where such workspaces got idle engines, but the
-// largest tenth of the prompts then got 0.36 instead of 0.46 of what they were
-// owed, and the workspaces worst served 0.60 instead of 0.63.
+// beyond gets none: its repeated reading would delay the longest prompts and the
+// workspaces worst served.
 func mayReadAgain(r Request, standing shares.Standing, best, soonest placement.Estimate) bool {
 	little := soonest.Own-best.Own <= share(r.Target, rereading)
 	switch {
@@ -270,17 +262,17 @@
 // waitLimit returns how long a request may wait at its upstream.
 func waitLimit(r Request, best placement.Estimate) time.Duration {
 	if r.Target <= 0 {
-		return share(r.Patience, returned)
+		return share(r.Timeout, returned)
 	}
 	left := r.Target - r.Elapsed
 	if left <= 0 {
-		return share(r.Patience, returned)
+		return share(r.Timeout, returned)
 	}
 	limit := share(left, r.onTime()) - best.Own
 	if len(r.Prompt) > 0 && best.Own > left {
 		limit = share(best.Own, hopelessWait)
 	}
-	return min(max(limit, share(r.Target, least)), share(r.Patience, onTime))
+	return min(max(limit, share(r.Target, least)), share(r.Timeout, onTime))
 }
 
 // retryAfter returns when a backlog will have drained, spread out so that
@@ -289,7 +281,7 @@
 func retryAfter(r Request, backlog time.Duration, spread float64) time.Duration {
 	after := max(backlog, minRetryAfter)
 	after += time.Duration(spread * spreadShare * float64(after))
-	return min(after, share(r.Patience, patienceShare))
+	return min(after, share(r.Timeout, retryShare))
 }
 
 func share(d time.Duration, part float64) time.Duration {
--- a/coordination/admission/fleet_test.go
+++ b/coordination/admission/fleet_test.go
@@ -157,7 +157,7 @@
 		}, Target: a.target},
 		Workspace: a.workspace,
 		Cost:      float64(a.own),
-		Patience:  15 * time.Second,
+		Timeout:   15 * time.Second,
 	}
 	r.ledger.Asked(now, a.workspace, request.Cost)
 	*result = outcome{arrival: a}
--- a/coordination/admission/hopeless_test.go
+++ b/coordination/admission/hopeless_test.go
@@ -16,12 +16,12 @@
 	idle := placement.Estimate{Own: 200 * time.Millisecond, Stream: 2 * time.Second, Free: true}
 	request := Request{Work: placement.Work{Prompt: []prefix.Part{{ID: 1, Tokens: 600}}, Target: time.Second}}
 	for _, c := range []struct {
-		patience time.Duration
+		timeout  time.Duration
 		admitted bool
 	}{{4 * time.Second, true}, {1300 * time.Millisecond, true}, {time.Second, false}, {100 * time.Millisecond, false}} {
-		request.Patience = c.patience
+		request.Timeout = c.timeout
 		verdict := Decide(request, idle, true, shares.Standing{}, 0)
-		require.Equal(t, c.admitted, verdict.Admit(), c.patience)
+		require.Equal(t, c.admitted, verdict.Admit(), c.timeout)
 	}
 	request.Begun = true
 	require.True(t, Decide(request, idle, true, shares.Standing{}, 0).Admit(), "it may have run already")
--- a/coordination/admission/plain_test.go
+++ b/coordination/admission/plain_test.go
@@ -116,7 +116,7 @@
 	r := f.routers[f.draw.IntN(len(f.routers))]
 	f.dispatch(at, p, r, Request{
 		Work:    placement.Work{Service: plainService, Target: plainTarget},
-		Elapsed: at - p.began, Patience: plainPatient - (at - p.began),
+		Elapsed: at - p.began, Timeout: plainPatient - (at - p.began),
 	})
 }
 
--- a/coordination/admission/replay_test.go
+++ b/coordination/admission/replay_test.go
@@ -52,9 +52,7 @@
 	return func() state.Workspace { return name }
 }
 
-// Twice what the engines can read arrives for half a minute. Those who are
-// admitted get their first token in time, the engines read all the while, and
-// nobody waits for an answer that comes too late.
+// Guards against late answers and idle engines while twice what they can read arrives.
 func TestSaturationKeepsAnswersOnTime(t *testing.T) {
 	draw := rand.New(rand.NewPCG(1, 1))
 	load := guides(draw, 0, replayTime, 400, even(draw))
@@ -77,8 +75,7 @@
 	require.Less(t, portion(naive.run(load), all, inTime), 0.15, "the same load placed at random and never refused")
 }
 
-// A burst of three times the usual for two seconds: refusals end with it, and
-// the backlog does not make later requests late.
+// Guards against a backlog that outlasts the burst which caused it.
 func TestBurstLeavesNoBacklog(t *testing.T) {
 	draw := rand.New(rand.NewPCG(2, 1))
 	load := merge(
@@ -91,8 +88,7 @@
 	require.Greater(t, portion(results, after, inTime), 0.97)
 }
 
-// One workspace sends as much as the fleet can do, nine others a little. The
-// nine are served as if it were not there; it gets what they leave.
+// Guards against a workspace that sends as much as the fleet can do and starves nine others.
 func TestFloodDoesNotStarveTheOthers(t *testing.T) {
 	draw := rand.New(rand.NewPCG(3, 1))
 	load := merge(
@@ -107,8 +103,7 @@
 	require.Greater(t, portion(results, flood, inTime), 0.15, "what the others leave goes to it")
 }
 
-// Short notes come beside long guides, some of which keep an engine for a
-// second. Notes go to engines that read none.
+// Guards against short notes that wait behind guides which keep an engine for a second.
 func TestShortWorkIsNotHeldUpByLongWork(t *testing.T) {
 	draw := rand.New(rand.NewPCG(4, 1))
 	load := merge(guides(draw, 0, replayTime, 90, even(draw)), notes(draw, 0, replayTime, 150, even(draw)))
@@ -118,8 +113,7 @@
 	require.Greater(t, portion(results, note, inTime), 0.97)
 }
 
-// One engine reads four times slower than the others. Its answers show it, and
-// it gets less, without anybody being told.
+// Guards against an engine that reads four times slower and gets as much as the others.
 func TestSlowEngineGetsLess(t *testing.T) {
 	draw := rand.New(rand.NewPCG(5, 1))
 	load := guides(draw, 0, replayTime, 110, even(draw))
@@ -137,8 +131,7 @@
 	require.Greater(t, portion(results, all, inTime), 0.9)
 }
 
-// A few subjects get most of the requests. They are spread over more engines
-// as one becomes too slow for them, and shared parts are seldom read again.
+// Guards against engines that idle beside those which hold the few subjects of most requests.
 func TestHotSubjectIsSpread(t *testing.T) {
 	draw := rand.New(rand.NewPCG(6, 1))
 	hot := guides(draw, 0, replayTime, 60, even(draw))
@@ -158,8 +151,7 @@
 	require.Less(t, again, 0.2)
 }
 
-// The fleet restarts and knows nothing, while the engines still hold what they
-// read. Shared parts have a home, so that most requests find theirs.
+// Guards against parts that are read again everywhere after the routers restart.
 func TestColdRoutersFindWhatEnginesHold(t *testing.T) {
 	draw := rand.New(rand.NewPCG(7, 1))
 	before := newSimulation(replayRouters, replayEngines, 7)
@@ -176,7 +168,7 @@
 }
 
 func TestDecide(t *testing.T) {
-	request := Request{Work: placement.Work{Target: time.Second}, Patience: 9 * time.Second}
+	request := Request{Work: placement.Work{Target: time.Second}, Timeout: 9 * time.Second}
 	request.Prompt = []prefix.Part{{ID: 1, Tokens: 100}}
 	require.Equal(t, NoUpstream, Decide(request, estimate(0, 0), false, idle, 0).Reason)
 	require.True(t, Decide(request, estimate(500, 100), true, idle, 0).Admit())
@@ -190,15 +182,14 @@
 	begun := request
 	begun.Begun = true
 	require.True(t, Decide(begun, estimate(60000, 100), true, sated, 0).Admit(), "a refusal would say that it has not run")
-	plain := Request{Work: placement.Work{Target: time.Second}, Patience: 9 * time.Second}
+	plain := Request{Work: placement.Work{Target: time.Second}, Timeout: 9 * time.Second}
 	require.True(t, Decide(plain, estimate(800, 100), true, idle, 0).Admit())
 	require.Equal(t, Overload, Decide(plain, estimate(850, 100), true, idle, 0).Reason)
 }
 
-// A prompt of fifty thousand tokens comes while every engine runs thirty streams.
-// Read anywhere, it would make thirty callers late to serve one.
+// Guards against a prompt whose reading makes the streams of thirty callers late.
 func TestPromptThatStallsManyStreamsIsRefused(t *testing.T) {
-	request := Request{Work: placement.Work{Target: time.Second, Prompt: []prefix.Part{{ID: 1, Tokens: 50000}}}, Patience: 9 * time.Second}
+	request := Request{Work: placement.Work{Target: time.Second, Prompt: []prefix.Part{{ID: 1, Tokens: 50000}}}, Timeout: 9 * time.Second}
 	e := estimate(0, 1400)
 	e.Interferes, e.Disturbed = true, 30
 	require.Equal(t, Overload, Decide(request, e, true, idle, 0).Reason)
@@ -206,22 +197,20 @@
 	require.True(t, Decide(request, e, true, idle, 0).Admit())
 }
 
-// A prompt takes longer to read than its target. It waits behind others for half
-// of its own time at most: a place in the queue is worth more to those who can
-// be on time.
+// Guards against prompts that are late anyway and take places from those that can be on time.
 func TestHopelessPromptWaitsLittle(t *testing.T) {
-	request := Request{Work: placement.Work{Target: time.Second, Prompt: []prefix.Part{{ID: 1, Tokens: 50000}}}, Patience: 9 * time.Second}
+	request := Request{Work: placement.Work{Target: time.Second, Prompt: []prefix.Part{{ID: 1, Tokens: 50000}}}, Timeout: 9 * time.Second}
 	require.True(t, Decide(request, estimate(690, 1400), true, idle, 0).Admit())
 	require.Equal(t, Overload, Decide(request, estimate(710, 1400), true, idle, 0).Reason)
 }
 
-func TestRetryAfterStaysWithinPatience(t *testing.T) {
+func TestRetryAfterStaysWithinTimeout(t *testing.T) {
 	for _, spread := range []float64{0, 0.5, 0.999} {
-		for _, patience := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 15 * time.Second} {
-			v := Decide(Request{Work: placement.Work{Target: 200 * time.Millisecond}, Patience: patience}, estimate(20000, 50), true, idle, spread)
+		for _, timeout := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 15 * time.Second} {
+			v := Decide(Request{Work: placement.Work{Target: 200 * time.Millisecond}, Timeout: timeout}, estimate(20000, 50), true, idle, spread)
 			require.False(t, v.Admit())
 			require.Positive(t, v.RetryAfter)
-			require.LessOrEqual(t, v.RetryAfter, patience/3)
+			require.LessOrEqual(t, v.RetryAfter, timeout/3)
 		}
 	}
 }
--- a/coordination/admission/returns.go
+++ b/coordination/admission/returns.go
@@ -8,7 +8,7 @@
 
 const (
 	// returnMemory is how long a refused request is remembered at least. Its
-	// caller comes back within a third of its patience, which is 15 s at most.
+	// caller comes back within a third of its timeout, which is 15 s at most.
 	returnMemory = 5 * time.Second
 	// maxReturns bounds the requests remembered in that time, some 64 bytes
 	// each, and those told to peers at once. What is left out is judged as new.
@@ -17,11 +17,9 @@
 )
 
 // Returns recognises callers that come back after a refusal, to this router or
-// a neighbour. A caller says how long it will wait, not how long it has waited:
-// taken from the longest deadline of a route, half of all first requests on an
-// idle fleet counted as 0.6 s old or more, since callers differ by 15 %, and
-// were let into queues as being late already. It is not safe for concurrent
-// use.
+// a neighbour. A caller says how long it will wait, not how long it has waited,
+// and callers of a route differ too much to tell the one from the other. It is
+// not safe for concurrent use.
 type Returns struct {
 	// recent and older hold when requests first arrived, by what they were
 	// refused in this and the last period of memory.
--- a/coordination/admission/returns_test.go
+++ b/coordination/admission/returns_test.go
@@ -9,9 +9,7 @@
 	"github.com/figstile/figstile/state"
 )
 
-// Callers of one route have patience of 12.8 to 15 s. The less patient look as
-// if they had waited for two seconds, were admitted to long queues as being late
-// already, and were late for that. Only a request that was refused has waited.
+// Guards against first requests that count as late because callers' deadlines differ.
 func TestOnlyRefusedRequestsHaveWaited(t *testing.T) {
 	var here, neighbour Returns
 	now := epoch
--- a/coordination/admission/stop_test.go
+++ b/coordination/admission/stop_test.go
@@ -16,7 +16,7 @@
 // other router could begin it.
 func TestStoppingRouterRefusesWhatMayOutlastIt(t *testing.T) {
 	estimate := placement.Estimate{Own: 100 * time.Millisecond, Stream: 3 * time.Second, Free: true}
-	request := Request{Work: placement.Work{Target: time.Second}, Patience: 15 * time.Second, Remaining: 5 * time.Second}
+	request := Request{Work: placement.Work{Target: time.Second}, Timeout: 15 * time.Second, Remaining: 5 * time.Second}
 	decide := func(r Request, e placement.Estimate) Verdict { return Decide(r, e, true, shares.Standing{}, 0) }
 
 	refused := decide(request, estimate)
@@ -36,7 +36,7 @@
 	require.True(t, decide(limited, estimate).Admit(), "its caller takes no more than four seconds of it")
 
 	hasty := request
-	hasty.Patience = 4 * time.Second
+	hasty.Timeout = 4 * time.Second
 	require.True(t, decide(hasty, estimate).Admit(), "its caller is gone before the router")
 
 	waiting := estimate
--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -111,14 +111,14 @@
 		d.theirs, d.own, d.steady = theirs, own, now
 	}
 	c.differences[from] = d
-	if now.Sub(d.steady) >= lacksFor || now.Sub(d.since) >= c.patience(now) {
+	if now.Sub(d.steady) >= lacksFor || now.Sub(d.since) >= c.settleTime(now) {
 		delete(c.differences, from)
 		c.done, c.need, c.knows = false, now, from
 	}
 }
 
-// patience is how long a difference may last that goes on to change.
-func (c *CatchUp) patience(now time.Time) time.Duration {
+// settleTime is how long a difference may last that goes on to change.
+func (c *CatchUp) settleTime(now time.Time) time.Duration {
 	if now.Sub(c.rejoined) < differsFor {
 		return lacksFor
 	}
--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -29,8 +29,7 @@
 	running int
 	unread  int
 	peers   map[state.Router]Load
-	// others is the sum of peers. Adding up seventy peers at sixty engines took
-	// 60 microseconds for each request, with the sums kept it takes 6.
+	// others is the sum of peers, kept because it is needed for each request.
 	others Load
 	// told is what peers were last told of running and unread, published what
 	// the peers of links were told of the sum on this side.
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -336,10 +336,7 @@
 	// scatterBy is how far plain requests are scattered, over the work that
 	// arrives unseen within newsAge. Routers that all send to the worker which
 	// was least busy a moment ago fill its slots several times over before they
-	// hear of it: with 85 routers and five workers at four fifths of their
-	// capacity, 3,914 of 7,588 requests were rejected and 0.76 were on time;
-	// scattered so, 71 of 4,130, and 0.99 were on time. With eight routers
-	// rejections fall from 441 to 1.
+	// hear of it.
 	scatterBy = 6.0
 )
 
@@ -379,8 +376,7 @@
 
 // reread is how much dearer the reading of shared parts counts than its time:
 // it delays the requests behind as well, and takes memory from the parts of
-// others. Replayed with eight routers and twelve engines beside a flood, 0.95 of
-// the other requests are on time at 6 and 8, and 0.93 at 10 and 15.
+// others.
 const reread = 8.0
 
 // crowding is the handicap of an upstream with all slots taken: a full batch
--- a/coordination/placement/reading.go
+++ b/coordination/placement/reading.go
@@ -29,9 +29,7 @@
 	// Lessons are learned in logarithms. Requests of peers that are not known
 	// of yet make some of them several times too long, and none too short: up
 	// counts more than down, so that an estimate settles at what an engine
-	// does undisturbed. With equal weights the estimates of equal engines
-	// differed by a fifth, and 0.91 instead of 0.96 of the requests beside a
-	// flood were on time (replayed with eight routers and twelve engines).
+	// does undisturbed.
 	upWeight   = 0.05
 	upReach    = 0.5
 	downWeight = 0.02
--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -63,10 +63,9 @@
 }
 
 // weightOf weighs a bucket by its age in buckets: the newest twice, the oldest
-// hardly, all together as many as there are. A workspace that got much in one
-// second was refused all for the next three and then got all again, as the
-// window let go of it at once. Weighed, its usage falls by a sixteenth of what
-// it began with at each step.
+// hardly, all together as many as there are. Usage then falls steadily; with
+// equal weights a workspace that got much at once is refused until the window
+// lets go of it, and then floods again.
 func weightOf(age int64) float64 {
 	return 2 * (buckets - float64(age) - 0.5) / buckets
 }
@@ -234,10 +233,8 @@
 	// produces and this one got its max-min share already.
 	Limited bool
 	// Use is what the workspace got over its max-min share of what the fleet
-	// takes on; 0 if the fleet is not short. Engines often do more than
-	// operators state. By the stated share alone, workspaces beyond it were
-	// served by luck: of two that asked for several times as much, one got 2.4
-	// times what the other did over six seconds.
+	// takes on; 0 if the fleet is not short. That is more than the stated
+	// throughput where engines do more than operators state.
 	Use float64
 	// Here is the same by this router's own requests: the part of them that was
 	// admitted, over the part that the fleet may admit of all the workspace's.
--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -111,9 +111,7 @@
 	require.Contains(t, told, state.Workspace("big"))
 }
 
-// A workspace gets its share of four seconds within one. What it got then must
-// lose its weight little by little: with a window that lets go of it all at
-// once it is refused for seconds and then floods again.
+// Guards against a workspace that is refused for seconds after a burst and then floods again.
 func TestUsageFadesSteadily(t *testing.T) {
 	l := New()
 	l.Admitted(start, "w", 1600)
--- a/coordination/workload/doc.go
+++ b/coordination/workload/doc.go
@@ -4,7 +4,7 @@
 //
 // The load it is made for is a balancer that sends one small VM a quarter of
 // the callers of a fleet. A stream that is admitted costs little until its
-// engine begins to answer, and then some tens of events a second: a router that
-// looked at what it did just now admitted twice what it could relay, and its
-// callers' first tokens were 200 to 700 ms late. No I/O and no clock.
+// engine begins to answer, and then some tens of events a second, so that a router
+// which looks only at what it does now admits more than it can relay. No I/O and
+// no clock.
 package workload
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -7,10 +7,8 @@
 
 const (
 	// requestTime, refusalTime and eventTime are what a request that is sent,
-	// one that is refused, and an event of a stream take of a processor: the
-	// first and the last fitted to 12.1 s of processor time for 7,404 requests
-	// with 263,000 events, the other a third of the first, as there is no
-	// upstream. The process's own clock is no measure where a VM's share is
+	// one that is refused, and an event of a stream take of a processor. They are
+	// fixed, since the process's own clock is no measure where a VM's share is
 	// less than a core.
 	requestTime = 400 * time.Microsecond
 	refusalTime = 130 * time.Microsecond
--- a/devfleet/fleet_test.go
+++ b/devfleet/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/figstile/figstile/state"
 )
 
-// patience ends a start that never succeeds; no outcome depends on it.
-const patience = time.Minute
+// waitTimeout ends a start that never succeeds; no outcome depends on it.
+const waitTimeout = time.Minute
 
 func TestUnknownSample(t *testing.T) {
 	_, err := SampleByName("santander")
@@ -34,7 +34,7 @@
 func TestFleetServes(t *testing.T) {
 	sample, err := SampleByName("aravena")
 	require.NoError(t, err)
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
 	fleet, err := Start(ctx, Options{Sample: sample, Log: zerolog.Nop(), TokenDelay: time.Millisecond})
 	require.NoError(t, err)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -249,14 +249,14 @@
 	require.NoError(t, json.Unmarshal([]byte(body), into), body)
 }
 
-// patience ends a test that waits for something that never comes. It is no
+// waitTimeout ends a test that waits for something that never comes. It is no
 // expectation on speed: every wait ends as soon as its condition holds.
-const patience = 30 * time.Second
+const waitTimeout = 30 * time.Second
 
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	gaveUp := time.After(patience)
+	gaveUp := time.After(waitTimeout)
 	for !holds() {
 		select {
 		case <-gaveUp:
--- a/e2e/soak_keeper_test.go
+++ b/e2e/soak_keeper_test.go
@@ -81,7 +81,7 @@
 	reader := bufio.NewReader(conn)
 	for ctx.Err() == nil {
 		kind, id := soakKinds[draw.IntN(2)], s.ledger.id()
-		request, err := soakRequest(context.Background(), r, kind, id, soakPatience)
+		request, err := soakRequest(context.Background(), r, kind, id, soakTimeout)
 		if err != nil || !s.ask(conn, reader, request, kind, lost{id, life}) {
 			return
 		}
@@ -90,10 +90,10 @@
 }
 
 // ask sends one request and returns whether the connection stays open. Its own
-// patience ends it without a verdict.
+// timeout ends it without a verdict.
 func (s *soak) ask(conn net.Conn, reader *bufio.Reader, request *http.Request, kind string, asked lost) bool {
 	changes, good := s.engineLinks()
-	_ = conn.SetDeadline(time.Now().Add(soakPatience))
+	_ = conn.SetDeadline(time.Now().Add(soakTimeout))
 	if request.Write(conn) != nil {
 		return false
 	}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -38,8 +38,8 @@
 	// soakSteps is the number of faults in a short run; FIGSTILE_SOAK_STEPS
 	// gives another.
 	soakSteps = 12
-	// soakPatience bounds one request, like its caller's deadline.
-	soakPatience = 8 * time.Second
+	// soakTimeout bounds one request, like its caller's deadline.
+	soakTimeout = 8 * time.Second
 )
 
 // soakKinds are the routes of the requests.
@@ -247,17 +247,17 @@
 	draw := rand.New(rand.NewPCG(uint64(caller), 5))
 	for ctx.Err() == nil {
 		kind := soakKinds[draw.IntN(2)]
-		s.one(s.routers[draw.IntN(len(s.routers))], kind, s.ledger.id(), soakPatience)
+		s.one(s.routers[draw.IntN(len(s.routers))], kind, s.ledger.id(), soakTimeout)
 		time.Sleep(soakPause)
 	}
 }
 
 // one sends a request, records what its caller saw and returns the status, 0
 // without an answer.
-func (s *soak) one(r *edgeRouter, kind, id string, patience time.Duration) int {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func (s *soak) one(r *edgeRouter, kind, id string, timeout time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request, err := soakRequest(ctx, r, kind, id, patience)
+	request, err := soakRequest(ctx, r, kind, id, timeout)
 	if err != nil {
 		return 0
 	}
@@ -272,7 +272,7 @@
 	return response.StatusCode
 }
 
-func soakRequest(ctx context.Context, r *edgeRouter, kind, id string, patience time.Duration) (*http.Request, error) {
+func soakRequest(ctx context.Context, r *edgeRouter, kind, id string, timeout time.Duration) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.callers+"/"+kind+"/"+id, strings.NewReader(id))
 	if err != nil {
 		return nil, err
@@ -280,7 +280,7 @@
 	request.Host = "h.example"
 	request.Header.Set("Authorization", "Bearer k1")
 	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	return request, nil
 }
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -14,8 +14,8 @@
 	"github.com/figstile/figstile/state"
 )
 
-// patience bounds waits on conditions; no outcome depends on it.
-const patience = 20 * time.Second
+// waitTimeout bounds waits on conditions; no outcome depends on it.
+const waitTimeout = 20 * time.Second
 
 func serve(t *testing.T, opts engine.Options) (*engine.Engine, string) {
 	t.Helper()
@@ -55,7 +55,7 @@
 			require.Equal(t, c.tokens, answer.Usage.CompletionTokens)
 			require.Eventually(t, func() bool {
 				return e.Ledger().Entries()[0].Outcome == upstream.Finished
-			}, patience, time.Millisecond)
+			}, waitTimeout, time.Millisecond)
 			require.Equal(t, c.tokens, e.Ledger().Entries()[0].Units)
 		})
 	}
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -14,8 +14,8 @@
 	"github.com/figstile/figstile/standin/worker"
 )
 
-// patience bounds waits on conditions; no outcome depends on it.
-const patience = 20 * time.Second
+// waitTimeout bounds waits on conditions; no outcome depends on it.
+const waitTimeout = 20 * time.Second
 
 // bench is a worker whose requests stay busy until the gate opens, and whose
 // clock moves one second at each look.
@@ -77,7 +77,7 @@
 	require.Eventually(b.t, func() bool {
 		load := b.Load()
 		return load.Running == running && load.Waiting == waiting
-	}, patience, time.Millisecond)
+	}, waitTimeout, time.Millisecond)
 }
 
 func (b *bench) outcome(index int) upstream.Outcome { return b.Ledger().Entries()[index].Outcome }
@@ -130,7 +130,7 @@
 	require.Error(t, (<-running).err)
 	b.wait(0, 0)
 	for index := range 2 {
-		require.Eventually(t, func() bool { return b.outcome(index) == upstream.Cancelled }, patience, time.Millisecond)
+		require.Eventually(t, func() bool { return b.outcome(index) == upstream.Cancelled }, waitTimeout, time.Millisecond)
 	}
 	require.Zero(t, b.Ledger().Started("key-b"))
 }
@@ -146,7 +146,7 @@
 	require.Error(t, (<-beside).err)
 	b.wait(0, 0)
 	require.NotEqual(t, boot, b.Load().Boot)
-	require.Eventually(t, func() bool { return b.outcome(0) == upstream.Crashed }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return b.outcome(0) == upstream.Crashed }, waitTimeout, time.Millisecond)
 	close(b.gate)
 	r := <-b.send(t.Context(), "c", `{}`)
 	require.NoError(t, r.err)
--- a/transport/claims/host.go
+++ b/transport/claims/host.go
@@ -19,15 +19,15 @@
 	// callTimeout bounds one call to the platform, which answers in
 	// milliseconds. A call that takes this long has most likely been lost.
 	callTimeout = time.Second
-	// patience bounds a caller's wait for its claim: two calls that time
+	// claimTimeout bounds a caller's wait for its claim: two calls that time
 	// out and a round between them. Then it hears "not run" and may send
 	// again, which serves it better than an open connection.
-	patience = 3 * time.Second
+	claimTimeout = 3 * time.Second
 	// wholeTimeout bounds the read of a whole chain, once for each shard after
 	// a start: some megabytes where a shard remembers all that it may. While
 	// a platform that does not answer is not known to be away, every caller
 	// waits in vain, hence no longer than one of them would.
-	wholeTimeout = patience
+	wholeTimeout = claimTimeout
 )
 
 // Options wire a Host.
@@ -94,7 +94,7 @@
 	if h.closed.Load() {
 		return result.New(result.Draining, "")
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	answer := make(chan result.Result, 1)
 	h.send(ask{request: req, answer: answer})
--- a/transport/daemon/orders_test.go
+++ b/transport/daemon/orders_test.go
@@ -105,7 +105,7 @@
 // drain gives up all engines and waits for that.
 func (b *orderBench) drain() {
 	b.t.Helper()
-	ctx, cancel := context.WithTimeout(b.t.Context(), patience)
+	ctx, cancel := context.WithTimeout(b.t.Context(), waitTimeout)
 	defer cancel()
 	require.NoError(b.t, b.manager.drain(ctx))
 }
--- a/transport/daemon/partition_test.go
+++ b/transport/daemon/partition_test.go
@@ -25,12 +25,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// patience ends a test whose condition never comes.
-const patience = 30 * time.Second
+// waitTimeout ends a test whose condition never comes.
+const waitTimeout = 30 * time.Second
 
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	require.Eventually(t, holds, patience, 10*time.Millisecond, what)
+	require.Eventually(t, holds, waitTimeout, 10*time.Millisecond, what)
 }
 
 // region is two data centres with two routers each, whose links to each other
--- a/transport/edge/arrival_test.go
+++ b/transport/edge/arrival_test.go
@@ -47,12 +47,12 @@
 	f := newFixture()
 	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s"}}}))
 	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 6}, true)
-	request := admission.Request{Patience: 4 * time.Second}
+	request := admission.Request{Timeout: 4 * time.Second}
 	request.Service = "s"
 	verdict, ticket := f.dispatcher.Admit(request, false)
 	require.True(t, verdict.Admit())
 	f.dispatcher.End(ticket, 0)
-	request.Patience = 10 * time.Millisecond
+	request.Timeout = 10 * time.Millisecond
 	verdict, _ = f.dispatcher.Admit(request, false)
 	require.False(t, verdict.Admit())
 }
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -119,7 +119,7 @@
 	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
 	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
 	admits := func(output int) bool {
-		verdict, _ := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Patience: 15 * time.Second}, false)
+		verdict, _ := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Timeout: 15 * time.Second}, false)
 		return verdict.Admit()
 	}
 	require.True(t, admits(600))
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -75,9 +75,9 @@
 	log        zerolog.Logger
 	now        func() time.Time
 
-	// patience is how long after its start the router does not read the store.
-	patience time.Duration
-	started  time.Time
+	// readDelay is how long after its start the router does not read the store.
+	readDelay time.Duration
+	started   time.Time
 
 	mu sync.Mutex
 	// overlay decides on sessions and links, live are the routers that it
--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -116,18 +116,18 @@
 // first time; only seeds read at once.
 func TestStartingRouterWaitsForItsPeers(t *testing.T) {
 	settings := Settings{Addresses: Addresses{Peers: "10.0.0.9:1"}, Seeds: []string{"10.0.0.1:1"}}
-	require.Equal(t, startPatience, patience(settings))
+	require.Equal(t, startReadDelay, readDelay(settings))
 	f := newFixture()
 	fleet := f.fleet("r00")
-	fleet.patience = patience(settings)
+	fleet.readDelay = readDelay(settings)
 	require.False(t, fleet.reads())
-	f.clock.advance(startPatience)
+	f.clock.advance(startReadDelay)
 	require.True(t, fleet.reads(), "nobody told it")
 	settings.FirstStart = true
-	require.Equal(t, firstPatience, patience(settings))
+	require.Equal(t, firstReadDelay, readDelay(settings))
 	settings.Seeds = []string{"10.0.0.9:1"}
-	require.Zero(t, patience(settings))
-	require.Zero(t, patience(Settings{}))
+	require.Zero(t, readDelay(settings))
+	require.Zero(t, readDelay(Settings{}))
 }
 
 // The store turns this router away. It must not tell peers that it follows the
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -17,9 +17,9 @@
 // descriptors that the process may open.
 const (
 	// crowdedShare is how many callers' connections there may be before
-	// answers ask to close them. Callers that leave connections idle filled
-	// all 4,100 descriptors of a router at 500 requests a second; new callers
-	// then waited for their opening packet to be sent again.
+	// answers ask to close them. Connections that callers leave idle would take
+	// the descriptors, and new callers wait for their opening packet to be sent
+	// again.
 	crowdedShare = 0.25
 	// busyShare is how many connections of all kinds there may be before the
 	// router says that it is not ready, so that new callers go to others, and
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -17,16 +17,15 @@
 	// missing, and aloneFor how long nobody may read before all others do.
 	eagerReaders = 2 * readers
 	aloneFor     = 500 * time.Millisecond
-	// firstPatience is how long a router leaves it to the seeds to read the
+	// firstReadDelay is how long a router leaves it to the seeds to read the
 	// store when the whole fleet starts for the first time, and waits for a
-	// peer to tell it what they read. While each read for itself, 85 routers
-	// made 400 calls at once and 19 of them told all others a configuration
-	// of 36 KB. Balancers ask for readiness once a second.
-	firstPatience = 700 * time.Millisecond
-	// startPatience is the same for any other start. Live peers answer within
+	// peer to tell it what they read, so that a large fleet does not exceed the
+	// store's rate at its start. Balancers ask for readiness once a second.
+	firstReadDelay = 700 * time.Millisecond
+	// startReadDelay is the same for any other start. Live peers answer within
 	// some ten milliseconds; if the whole fleet has lost power, callers wait
 	// and sessions with seeds that start a moment later take a second.
-	startPatience = 100 * time.Millisecond
+	startReadDelay = 100 * time.Millisecond
 	// lateRetry is the mean pause of the others between two calls to a store
 	// that does not answer.
 	lateRetry = 2500 * time.Millisecond
@@ -45,7 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	if now.Sub(f.started) < f.patience {
+	if now.Sub(f.started) < f.readDelay {
 		return false
 	}
 	before, others := f.claimants(now)
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -83,7 +83,7 @@
 	r.catalogue = newCatalogue(platform, r.dispatcher, log, boottime.Now)
 	r.pressure = r.dispatcher.pressure
 	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.dispatcher, r.catalogue, log, boottime.Now)
-	r.fleet.patience = patience(settings)
+	r.fleet.readDelay = readDelay(settings)
 	incarnation := state.Incarnation(time.Now().UnixNano())
 	r.fleet.join(membership.Member{
 		Router: settings.Router, DataCentre: settings.DataCentre, Incarnation: incarnation, Address: settings.Addresses.Peers,
@@ -104,16 +104,16 @@
 	return r, nil
 }
 
-// patience returns how long a router waits for its peers before it reads the
+// readDelay returns how long a router waits for its peers before it reads the
 // store. Seeds have nobody to wait for.
-func patience(settings Settings) time.Duration {
+func readDelay(settings Settings) time.Duration {
 	switch {
 	case len(settings.Seeds) == 0 || slices.Contains(settings.Seeds, settings.Addresses.Peers):
 		return 0
 	case settings.FirstStart:
-		return firstPatience
+		return firstReadDelay
 	default:
-		return startPatience
+		return startReadDelay
 	}
 }
 
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -129,14 +129,14 @@
 	}
 	x.in = in
 	x.lastEvent = in.LastEvent
-	patience := in.Deadline
-	if patience <= 0 {
-		patience = defaultDeadline
+	timeout := in.Deadline
+	if timeout <= 0 {
+		timeout = defaultDeadline
 	}
-	if x.route.Timeout > 0 && x.route.Timeout < patience {
-		patience = x.route.Timeout
+	if x.route.Timeout > 0 && x.route.Timeout < timeout {
+		timeout = x.route.Timeout
 	}
-	x.limit = x.arrived.Add(patience - x.unread)
+	x.limit = x.arrived.Add(timeout - x.unread)
 	return result.Result{}, true
 }
 
@@ -165,7 +165,7 @@
 // describe works out what is decided on, and refuses what is known to do harm.
 func (x *exchange) describe() (result.Result, bool) {
 	x.fingerprint = x.digest()
-	patience := x.limit.Sub(x.arrived)
+	timeout := x.limit.Sub(x.arrived)
 	x.request = admission.Request{
 		Work: placement.Work{
 			Service: x.service,
@@ -179,10 +179,10 @@
 		Cost:        x.cost(),
 		MaxOutput:   x.in.MaxOutput,
 		Elapsed:     x.h.Dispatcher.Elapsed(x.fingerprint) + x.unread,
-		Patience:    patience,
+		Timeout:     timeout,
 	}
 	if x.h.Dispatcher.Blocked(x.fingerprint) {
-		return result.New(result.Suspected, "").After(patience / 2), false
+		return result.New(result.Suspected, "").After(timeout / 2), false
 	}
 	if x.h.Dispatcher.Closing() {
 		return result.New(result.Draining, "").After(admission.ElsewhereRetry), false
--- a/transport/objectstore/faults_test.go
+++ b/transport/objectstore/faults_test.go
@@ -15,8 +15,8 @@
 	"github.com/figstile/figstile/transport/objectstore"
 )
 
-// patience bounds waits on conditions; no outcome depends on it.
-const patience = 20 * time.Second
+// waitTimeout bounds waits on conditions; no outcome depends on it.
+const waitTimeout = 20 * time.Second
 
 // An operator saves a change and the connection breaks before the answer: once
 // after the platform applied the write and once before. To the client both look
@@ -44,7 +44,7 @@
 		_, err := client.Put(ctx, "a", nil, 0)
 		errs <- err
 	}()
-	require.Eventually(t, func() bool { return p.Calls().Put == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Calls().Put == 1 }, waitTimeout, time.Millisecond)
 	cancel()
 	err := <-errs
 	require.ErrorIs(t, err, objectstore.ErrUnknownOutcome)
@@ -54,7 +54,7 @@
 		_, err := client.Get(t.Context(), "a")
 		errs <- err
 	}()
-	require.Eventually(t, func() bool { return p.Calls().Get == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Calls().Get == 1 }, waitTimeout, time.Millisecond)
 	p.SetFaults(platform.Faults{})
 	require.ErrorIs(t, <-errs, objectstore.ErrUnavailable)
 }
@@ -82,7 +82,7 @@
 		_, _, err := client.Watch(t.Context(), "a", 0)
 		ended <- err
 	}()
-	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, waitTimeout, time.Millisecond)
 	_, err = client.VMs(t.Context())
 	require.NoError(t, err)
 	p.SetFaults(platform.Faults{Outage: platform.Drop})
@@ -115,7 +115,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _, _, _ = client.Watch(ctx, "z", 0) }()
-	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return p.Store().Waiting() == 1 }, waitTimeout, time.Millisecond)
 	_, err = client.Get(t.Context(), "a")
 	require.NoError(t, err)
 	_, err = client.Get(t.Context(), "a")
--- a/transport/orders/controller_test.go
+++ b/transport/orders/controller_test.go
@@ -22,8 +22,8 @@
 	poll "github.com/figstile/figstile/transport/upstream"
 )
 
-// patience bounds waits on conditions; no outcome depends on it.
-const patience = 20 * time.Second
+// waitTimeout bounds waits on conditions; no outcome depends on it.
+const waitTimeout = 20 * time.Second
 
 // bench is an engine, a store and a clock that only the test moves.
 type bench struct {
@@ -182,7 +182,7 @@
 		c.Report(report)
 		models := e.Models()
 		return len(models) == 1 && models[0] == "m"
-	}, patience, time.Millisecond)
+	}, waitTimeout, time.Millisecond)
 	cancel()
 	require.ErrorIs(t, <-ended, context.Canceled)
 	c.Want(nil, 1)
