Ask the dispatcher once for the course of a stop

Whether the router drains, for how long and whether it still takes requests were three methods with a lock each, of which every request took two at its start; the drain itself answers all three. No behaviour changes: the handler and the dispatcher use the same clock. Tests of transport/ingress and transport/edge pass.

--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -285,25 +285,11 @@
 	d.blocked.Absolve(f)
 }
 
-// Draining implements ingress.Dispatcher.
-func (d *dispatcher) Draining() bool {
+// Drain implements ingress.Dispatcher.
+func (d *dispatcher) Drain() drain.Drain {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.course.Begun()
-}
-
-// StopAge implements ingress.Dispatcher.
-func (d *dispatcher) StopAge() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.course.Age(d.now())
-}
-
-// Closing implements ingress.Dispatcher.
-func (d *dispatcher) Closing() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.course.Taking(d.now())
+	return d.course
 }
 
 // Full implements ingress.Dispatcher.
@@ -334,8 +320,8 @@
 	return d.ledger.Standing(d.now(), ws, d.table.Limits().Throughput).Use >= 1
 }
 
-// stop notes the order to stop and returns the course of the stop.
-func (d *dispatcher) stop() drain.Drain {
+// beginDrain notes the order to stop and returns the course of the stop.
+func (d *dispatcher) beginDrain() drain.Drain {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.course.Begun() {
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -99,12 +99,12 @@
 	f.catalogue.take(KindConfig, configObject(1, 1), sourceStore)
 	require.True(t, f.dispatcher.ready())
 	f.dispatcher.settings.GracePeriod = 8 * time.Second
-	f.dispatcher.stop()
+	f.dispatcher.beginDrain()
 	require.False(t, f.dispatcher.ready())
-	require.True(t, f.dispatcher.Draining())
-	require.False(t, f.dispatcher.Closing(), "callers on open connections are still served")
+	require.True(t, f.dispatcher.Drain().Begun())
+	require.True(t, f.dispatcher.Drain().Taking(f.clock.now()), "callers on open connections are still served")
 	f.clock.advance(4 * time.Second)
-	require.True(t, f.dispatcher.Closing())
+	require.False(t, f.dispatcher.Drain().Taking(f.clock.now()))
 }
 
 // A router is told to stop and has 7.5 s until it cuts off what has not ended.
@@ -123,7 +123,7 @@
 		return verdict.Admit()
 	}
 	require.True(t, admits(600))
-	f.dispatcher.stop()
+	f.dispatcher.beginDrain()
 	f.clock.advance(2 * time.Second)
 	require.True(t, admits(50))
 	require.False(t, admits(600))
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -297,7 +297,7 @@
 // has not ended in time.
 func (r *Router) stop() {
 	r.log.Info().Msg("stopping")
-	course := r.dispatcher.stop()
+	course := r.dispatcher.beginDrain()
 	for course.Taking(boottime.Now()) {
 		time.Sleep(stopPoll)
 	}
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -184,7 +184,7 @@
 	if x.h.Dispatcher.Blocked(x.fingerprint) {
 		return result.New(result.Suspected, "").After(timeout / 2), false
 	}
-	if x.h.Dispatcher.Closing() {
+	if !x.h.Dispatcher.Drain().Taking(x.h.Now()) {
 		return result.New(result.Draining, "").After(admission.ElsewhereRetry), false
 	}
 	return result.Result{}, true
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -162,7 +162,7 @@
 
 func (x *exchange) logAttempt(ticket *placement.Ticket, end attemptEnd) {
 	x.h.Log.Warn().Str("id", x.in.Attempt).Str("upstream", string(ticket.Upstream())).
-		Int64("stop_age_ms", x.h.Dispatcher.StopAge().Milliseconds()).
+		Int64("stop_age_ms", x.h.Dispatcher.Drain().Age(x.h.Now()).Milliseconds()).
 		Int("attempt", x.attempts+1).Int("fate", int(end.fate)).Int("code", int(end.res.Code)).
 		Str("cause", end.res.Detail).Str("last_event", x.lastEvent).Msg("attempt ended")
 }
--- a/transport/ingress/dispatcher.go
+++ b/transport/ingress/dispatcher.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/routing"
@@ -42,17 +43,11 @@
 	Lost(f state.Fingerprint, t *placement.Ticket)
 	// Served notes that a request was answered whole.
 	Served(f state.Fingerprint)
-	// Draining says whether the router is about to stop.
-	Draining() bool
-	// StopAge returns how long ago the router was told to stop, zero if it
-	// was not.
-	StopAge() time.Duration
+	// Drain returns the course of the stop, zero until the router is told to.
+	Drain() drain.Drain
 	// Full says whether the process has no room for another request.
 	Full() bool
 	// FullFor says whether the process has so little room that what is left is
 	// for workspaces that are short of their shares, and this one is not.
 	FullFor(workspace state.Workspace) bool
-	// Closing says whether the router is so near its end that a request
-	// taken now may be cut off.
-	Closing() bool
 }
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
@@ -249,10 +250,15 @@
 	return slices.Clone(d.outcomes)
 }
 
-func (d *scriptedDispatcher) Draining() bool         { return d.closing }
-func (d *scriptedDispatcher) StopAge() time.Duration { return 0 }
-func (d *scriptedDispatcher) Full() bool             { return d.full }
-func (d *scriptedDispatcher) Closing() bool          { return d.closing }
+func (d *scriptedDispatcher) Full() bool { return d.full }
+
+// Drain returns a stop that has gone on for too long to take requests.
+func (d *scriptedDispatcher) Drain() drain.Drain {
+	if !d.closing {
+		return drain.Drain{}
+	}
+	return drain.Begin(time.Unix(1, 0), time.Second)
+}
 
 // awaitEnded waits until one attempt has ended, and checks how. An attempt ends
 // after its caller has the answer.
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -141,11 +141,13 @@
 // ServeHTTP runs one request to its final answer. An answer that broke off
 // ends with its connection, so that the caller's HTTP library sees it.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now(), stopAge: h.Dispatcher.StopAge()}
+	stop := h.Dispatcher.Drain()
+	x := &exchange{h: h, w: w, r: r, control: http.NewResponseController(w), arrived: h.Now()}
+	x.stopAge = stop.Age(x.arrived)
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	defer x.recovered()
-	if h.Dispatcher.Draining() || h.Crowded != nil && h.Crowded() {
+	if stop.Begun() || h.Crowded != nil && h.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if h.Waited != nil {
