--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -99,12 +99,12 @@
 	f.catalogue.take(KindConfig, configObject(1, 1), sourceStore)
 	require.True(t, f.dispatcher.ready())
 	f.dispatcher.settings.GracePeriod = 8 * time.Second
-	f.dispatcher.stop()
+	f.dispatcher.beginDrain()
 	require.False(t, f.dispatcher.ready())
-	require.True(t, f.dispatcher.Draining())
-	require.False(t, f.dispatcher.Closing(), "callers on open connections are still served")
+	require.True(t, f.dispatcher.Drain().Begun())
+	require.True(t, f.dispatcher.Drain().Taking(f.clock.now()), "callers on open connections are still served")
 	f.clock.advance(4 * time.Second)
-	require.True(t, f.dispatcher.Closing())
+	require.False(t, f.dispatcher.Drain().Taking(f.clock.now()))
 }
 
 // A router is told to stop and has 7.5 s until it cuts off what has not ended.
@@ -119,11 +119,11 @@
 	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
 	f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
 	admits := func(output int) bool {
-		verdict, _ := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Patience: 15 * time.Second}, false)
+		verdict, _ := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Output: output}, Timeout: 15 * time.Second}, false)
 		return verdict.Admit()
 	}
 	require.True(t, admits(600))
-	f.dispatcher.stop()
+	f.dispatcher.beginDrain()
 	f.clock.advance(2 * time.Second)
 	require.True(t, admits(50))
 	require.False(t, admits(600))
