Log the share by which idle engines are refused, and explain such refusals

A refusal of a workspace that is too far beyond its share could not be told from its line: the wait may be within the limit, and the use by this router's own requests, which may have decided, was not logged. Lines have share_here now, and the story of a request says that its workspace had too much for an idle engine.

--- a/logstory/story.go
+++ b/logstory/story.go
@@ -111,12 +111,23 @@
 	case result.Overloaded:
 		return fmt.Sprintf("Refused: the best upstream %s would have begun after %s ms, and %s ms was the limit for an answer in time.", f["upstream"], f["wait_ms"], f["limit_ms"])
 	case result.OverShare:
-		return fmt.Sprintf("Refused: workspace %s had %s of its fair share, and the wait of %s ms was above its limit of %s ms.", f["workspace"], f["share_used"], f["wait_ms"], f["limit_ms"])
+		return overShare(f)
 	default:
 		return fmt.Sprintf("Ended with %s. %s %s", named(f["code"]), result.Lookup(result.Code(code)).Meaning, f["detail"])
 	}
 }
 
+// overShare tells whether the wait decided, or that the workspace has so much that
+// no engine is for it however idle.
+func overShare(f map[string]string) string {
+	wait, _ := strconv.Atoi(f["wait_ms"])
+	limit, _ := strconv.Atoi(f["limit_ms"])
+	if wait <= limit {
+		return fmt.Sprintf("Refused: workspace %s had %s of its fair share, and %s of it here, too much for an idle engine.", f["workspace"], f["share_used"], f["share_here"])
+	}
+	return fmt.Sprintf("Refused: workspace %s had %s of its fair share, and the wait of %s ms was above its limit of %s ms.", f["workspace"], f["share_used"], f["wait_ms"], f["limit_ms"])
+}
+
 func named(code string) string {
 	number, err := strconv.Atoi(code)
 	if err != nil {
--- a/logstory/story_test.go
+++ b/logstory/story_test.go
@@ -37,6 +37,8 @@
 
 func TestVerdicts(t *testing.T) {
 	require.Contains(t, collect(t, "b2", over).Verdict(), "workspace w had 1.3 of its fair share")
+	beyond := strings.NewReplacer("share_used=1.3", "share_here=1.4 share_used=0.8", "wait_ms=90", "wait_ms=0").Replace(over)
+	require.Contains(t, collect(t, "b2", beyond).Verdict(), "had 0.8 of its fair share, and 1.4 of it here, too much for an idle engine")
 	require.Contains(t, collect(t, "none", over).Verdict(), "No line bears the id")
 	require.Contains(t, collect(t, "a1", lost).Verdict(), "no final line")
 }
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -236,6 +236,7 @@
 			Int64("own_ms", x.verdict.Estimate.Own.Milliseconds()).
 			Int64("limit_ms", x.verdict.Limit.Milliseconds()).
 			Float64("share_used", x.verdict.Standing.Use).
+			Float64("share_here", x.verdict.Standing.Here).
 			Uint64("fingerprint", uint64(x.fingerprint)).
 			Int("prompt", x.in.PromptTokens).
 			Int("unread", x.verdict.Estimate.Unread).
