--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -14,9 +14,7 @@
 	"github.com/figstile/figstile/state/routing"
 )
 
-// A request crashes each worker that begins to run it, and its caller sends it
-// again at any router. Two workers are enough to know it, whichever routers
-// lost them.
+// Guards against a request that crashes worker after worker, sent again at any router.
 func TestCrashingRequestIsBlockedAcrossRouters(t *testing.T) {
 	f, g := newFixture(), newFixture()
 	f.dispatcher.onLost = func(fp state.Fingerprint, run quarantine.Run) { g.dispatcher.heardLost(fp, run) }
@@ -39,8 +37,7 @@
 	require.True(t, g.dispatcher.Blocked(7))
 }
 
-// Answers of a popular page are lost on their way, again and again, while the
-// workers live. The page must not be shut out for it.
+// Guards against a popular page that is shut out because its answers are lost on their way.
 func TestLostAnswersShutNobodyOut(t *testing.T) {
 	f := newFixture()
 	f.catalogue.take(KindUpstream, upstreamObject("a", 1, false), sourceStore)
@@ -54,8 +51,7 @@
 	require.False(t, f.dispatcher.Blocked(7))
 }
 
-// Traffic begins at a small VM. Its requests stream for seconds, and must count
-// as work when they arrive and not when they end.
+// Guards against a small VM that takes too much since streams count only when they end.
 func TestRequestsCountAsWorkOnArrival(t *testing.T) {
 	f := newFixture()
 	f.dispatcher.pressure = newPressure(0, 0.2, frozen)
@@ -69,8 +65,7 @@
 	require.True(t, f.dispatcher.pressure.busy.Load())
 }
 
-// Streams count from when they are sent to when they end, whichever way; else
-// the router would refuse all in the end, or never.
+// Guards against a router that refuses all in the end, or never, as streams are miscounted.
 func TestStreamsUnderWayAreCounted(t *testing.T) {
 	f := newFixture()
 	f.dispatcher.pressure = newPressure(0, 0.1, frozen)
@@ -107,12 +102,7 @@
 	require.False(t, f.dispatcher.Drain().Taking(f.clock.now()))
 }
 
-// A router is told to stop and has 7.5 s until it cuts off what has not ended.
-// Long streams that arrive in the next seconds were taken like all others; 7.5 s
-// after the order their callers saw the stream break off. Nothing asked whether
-// a stream could end by then: of 59 that were cut off on four days 43 had been
-// taken after the order (stop_age_ms=0 to 2789), and output=242 to 1122 at 8 ms
-// a token was known of them.
+// Guards against streams that a stopping router takes and then cuts off.
 func TestStoppingRouterTakesWhatCanEnd(t *testing.T) {
 	f := newFixture()
 	f.dispatcher.settings.GracePeriod = 8 * time.Second
@@ -129,12 +119,7 @@
 	require.False(t, admits(600))
 }
 
-// An engine makes a long pause in a stream, as it reads long prompts, and lives.
-// The router took the stream for stalled and gave it up, though no other engine
-// took it or the retry budget was spent: the caller, who had read half of it, saw
-// it break off where it would have gone on. The router asked for a place and a
-// retry only after it had closed the upstream's connection: "stalled requests
-// given up requests=1", then code=3002 decision=no-upstream.
+// Guards against streams that are broken off where no other engine can go on with them.
 func TestStreamIsGivenUpOnlyIfItCanGoOnElsewhere(t *testing.T) {
 	f := newFixture()
 	f.dispatcher.settings.RetryWindow, f.dispatcher.settings.RetrySlack = 10*time.Second, 2
@@ -168,8 +153,7 @@
 	require.Zero(t, *unpaid, "the budget for retries is spent")
 }
 
-// Callers keep unused connections for as long as the configuration in force
-// says, and for the default before there is one or where it says nothing.
+// Guards against connections closed, or kept, by another limit than the configuration's.
 func TestIdleLimitFollowsTheConfiguration(t *testing.T) {
 	f := newFixture()
 	require.Equal(t, defaultIdle, f.dispatcher.idleLimit())
@@ -179,7 +163,7 @@
 	require.Equal(t, 30*time.Second, f.dispatcher.idleLimit())
 }
 
-// A workspace that had its share took the last room of a router from one that had not.
+// Guards against a workspace with its full share that takes the last room of a router.
 func TestLittleRoomIsForWhoGotLittle(t *testing.T) {
 	f := newFixture()
 	f.dispatcher.setTable(routing.NewTable(routing.Config{Version: 1, Limits: routing.Limits{Throughput: 100}}))
