Count the engines' use in the replays in one place

The replay of a saturated fleet summed what was served by itself, as usedPart does for the replays of floods. Tests of admission, vet and staticcheck pass.

Looked at and left: the two tables of floods differ in routers and the age of news; the small networks of coordination/overlay and transport/edge open sessions alike, one over deciders and one over whole routers; NextHop sorts a router's links, at most fifteen, for a message that is relayed, which is rare.

--- a/coordination/admission/replay_test.go
+++ b/coordination/admission/replay_test.go
@@ -59,13 +59,7 @@
 	s := newSimulation(replayRouters, replayEngines, 1)
 	results := s.run(load)
 	late := 1 - portion(results, admitted, inTime)
-	served := 0
-	for _, o := range results {
-		if o.verdict.Admit() {
-			served += o.own
-		}
-	}
-	use := float64(served) / (readRate * replayEngines * replayTime.Seconds())
+	use := usedPart(results, 0, replayTime)
 	t.Logf("late %.3f of the admitted, %.2f of the reading rate used", late, use)
 	require.Less(t, late, 0.08)
 	require.Greater(t, use, 0.75)
