Tell each second what a router under pressure spends its processor on

Whether a full router admitted, refused or closed connections unread could not be told apart after a complaint: refusals are bounded lines, and connections closed unread were a total beside two changes of state. A line a second says how many of each there were, with the events and streams, how long requests wait unread, and how old peers' word of workspaces' use is; connections_shed and the age of spending are figures as well. They tell a router that reads instead of relaying from one that judges on old sums. No decision changes.

--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -189,6 +189,17 @@
 	l.peers[from] = peerUsage{heard: now, usage: usage}
 }
 
+// Age returns the age of the oldest counts of a source that still count.
+func (l *Ledger) Age(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, peer := range l.peers {
+		if since := now.Sub(peer.heard); since <= PeerExpiry {
+			age = max(age, since)
+		}
+	}
+	return age
+}
+
 // Gone forgets a source.
 func (l *Ledger) Gone(from state.Router) { delete(l.peers, from) }
 
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -42,11 +42,20 @@
 	emitting atomic.Int64
 
 	rates  atomic.Pointer[rates]
-	before counts
+	before Totals
 }
 
-// counts are totals at the last round.
-type counts struct{ requests, refusals, shed, events int64 }
+// Totals count a router's work since its start.
+type Totals struct {
+	// Requests were sent to upstreams, Refusals answered by the router, and Shed
+	// are connections that were closed unread. Events are those of streams.
+	Requests, Refusals, Shed, Events int64
+}
+
+// Since returns what was counted since earlier totals.
+func (t Totals) Since(earlier Totals) Totals {
+	return Totals{t.Requests - earlier.Requests, t.Refusals - earlier.Refusals, t.Shed - earlier.Shed, t.Events - earlier.Events}
+}
 
 // rates are averages over some rounds.
 type rates struct {
@@ -73,8 +82,13 @@
 // Shed counts a connection that is closed unread.
 func (e *Estimate) Shed() { e.shed.Add(1) }
 
-// ShedTotal returns how many connections were closed unread since the start.
-func (e *Estimate) ShedTotal() int64 { return e.shed.Load() }
+// Totals returns the counts.
+func (e *Estimate) Totals() Totals {
+	return Totals{e.requests.Load(), e.refusals.Load(), e.shed.Load(), e.events.Load()}
+}
+
+// Streams returns how many streams are under way.
+func (e *Estimate) Streams() int64 { return e.active.Load() }
 
 // RefusalRate returns how many refusals a second take a part of the share; 0 if
 // the share is not known.
@@ -102,19 +116,19 @@
 
 // Observe takes the length of the round since the last call.
 func (e *Estimate) Observe(round time.Duration) {
-	now := counts{e.requests.Load(), e.refusals.Load(), e.shed.Load(), e.events.Load()}
-	done := counts{now.requests - e.before.requests, now.refusals - e.before.refusals, now.shed - e.before.shed, now.events - e.before.events}
+	now := e.Totals()
+	done := now.Since(e.before)
 	e.before = now
 	if e.processors <= 0 || round <= 0 {
 		return
 	}
 	next := *e.rates.Load()
 	share := e.processors * float64(round)
-	arrivals := float64(done.requests)*float64(requestTime) + float64(done.refusals)*float64(refusalTime) + float64(done.shed)*float64(shedTime)
+	arrivals := float64(done.Requests)*float64(requestTime) + float64(done.Refusals)*float64(refusalTime) + float64(done.Shed)*float64(shedTime)
 	next.arrivals += learning * (arrivals/share - next.arrivals)
-	next.events += learning * (float64(done.events)*float64(eventTime)/share - next.events)
+	next.events += learning * (float64(done.Events)*float64(eventTime)/share - next.events)
 	if emitting := e.emitting.Load(); emitting >= minEmitting {
-		next.pace += learning * (float64(done.events)/round.Seconds()/float64(emitting) - next.pace)
+		next.pace += learning * (float64(done.Events)/round.Seconds()/float64(emitting) - next.pace)
 	}
 	e.rates.Store(&next)
 }
--- a/transport/edge/figures.go
+++ b/transport/edge/figures.go
@@ -20,6 +20,7 @@
 			return
 		case <-ticker.C:
 			r.measure()
+			r.logWork()
 			r.conns.CloseIdle(r.dispatcher.idleLimit())
 		}
 	}
@@ -29,12 +30,30 @@
 	ages := r.dispatcher.viewAges()
 	r.metrics.ViewAge("configuration", ages.configuration)
 	r.metrics.ViewAge("loads", ages.loads)
+	r.metrics.ViewAge("spending", ages.spending)
 	r.metrics.Gauge("routers_live", float64(r.dispatcher.liveRouters()))
 	r.metrics.Gauge("ready", flag(r.dispatcher.ready()))
 	r.metrics.Gauge("caller_connections", float64(r.pressure.callers.Load()))
 	r.metrics.Gauge("upstream_connections", float64(r.pressure.upstreams.Load()))
 }
 
+// logWork tells what the router's processor went to in the last second, if it
+// turned callers away for want of it.
+func (r *Router) logWork() {
+	work := r.pressure.work.Totals()
+	done := work.Since(r.logged)
+	r.logged = work
+	r.metrics.Count("connections_shed", done.Shed)
+	if done.Shed == 0 && !r.pressure.busy.Load() {
+		return
+	}
+	r.log.Warn().Int64("admitted", done.Requests).Int64("refused", done.Refusals).Int64("shed", done.Shed).
+		Int64("events", done.Events).Int64("streams", r.pressure.work.Streams()).
+		Float64("processor", r.pressure.work.Expected()).
+		Int64("unread_ms", r.pressure.arrivals.estimate().Milliseconds()).
+		Int64("spending_age_ms", r.dispatcher.viewAges().spending.Milliseconds()).Msg("under pressure")
+}
+
 func flag(set bool) float64 {
 	if set {
 		return 1
@@ -47,15 +66,16 @@
 	// configuration was last known to be the newest so long ago; zero if it
 	// never was.
 	configuration time.Duration
-	// loads is the age of the oldest loads that count.
-	loads time.Duration
+	// loads is the age of the oldest loads that count, spending that of the
+	// oldest counts of what workspaces got.
+	loads, spending time.Duration
 }
 
 func (d *dispatcher) viewAges() viewAges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	ages := viewAges{loads: d.picture.LoadsAge(now)}
+	ages := viewAges{loads: d.picture.LoadsAge(now), spending: d.ledger.Age(now)}
 	if !d.heard.IsZero() {
 		ages.configuration = now.Sub(d.heard)
 	}
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -174,6 +174,6 @@
 	if changed {
 		f.log.Warn().Bool("busy", busy).Int64("callers", p.callers.Load()).Int64("upstreams", p.upstreams.Load()).
 			Dur("lag", time.Duration(p.lag.Load())).Float64("processor", p.work.Expected()).
-			Int64("shed", p.work.ShedTotal()).Msg("pressure changed")
+			Int64("shed", p.work.Totals().Shed).Msg("pressure changed")
 	}
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/coordination/workload"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/transport/boottime"
 	"github.com/figstile/figstile/transport/conntrack"
@@ -62,6 +63,8 @@
 	handler    *ingress.Handler
 	pressure   *pressure
 	conns      *conntrack.Tracker
+	// logged is the work that was told of; used by tend alone.
+	logged workload.Totals
 
 	callers net.Listener
 	ready   net.Listener
