Bound what a router takes on by its processor, before it is read

Callers of a workspace whose connections reach one VM of 0.192 cores got a third of what others got, and what they got was seconds late, while the fleet had room.

Cause: nothing decided on a connection between its arrival and the judgement of its request. A flooded router accepted and read everything, refused 500 to 1,950 requests a second, for shares without any bound, and streams that it had admitted waited behind that. Its estimate of its own use is made of the work that was done, so that a router which relays little seems to have room. What it could not even refuse piled up unread and was closed some thousand at a time.

A router now has a budget of processor time (coordination/workload) that fills with the VM's share. A stream is charged to its end when it is taken on; a connection holds the room of a stream from its acceptance until its request is read, so that what waits unread is bounded as well; refusals of all kinds are charged. A connection for which there is no room is closed before it is read, with two system calls in place of six. A router that does so says that it is not ready. The quota on refusals and the limit of 400 ms on what waits unread are gone: the budget does what both did.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -35,8 +35,10 @@
 	engine bool
 	// sequence numbers the requests of this router at one upstream.
 	sequence uint64
-	// heard is when the upstream last sent something of the answer.
+	// heard is when the upstream last sent something of the answer, parts how
+	// often it did.
 	heard time.Time
+	parts int
 	// repeatable requests can be given up here and sent elsewhere.
 	repeatable bool
 	givenUp    bool
@@ -50,6 +52,9 @@
 // Upstream returns where the request runs.
 func (t *Ticket) Upstream() state.Upstream { return t.upstream }
 
+// Parts returns in how many parts the answer came so far.
+func (t *Ticket) Parts() int { return t.parts }
+
 // Engine says whether it runs at an engine.
 func (t *Ticket) Engine() bool { return t.engine }
 
@@ -105,6 +110,7 @@
 		p.learnPause(now, t)
 	}
 	t.heard = now
+	t.parts++
 	if t.host == nil {
 		return
 	}
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -15,7 +15,7 @@
 	eventTime   = 25 * time.Microsecond
 	// shedTime is what a connection takes that is closed unread: no goroutine,
 	// no head and no log line.
-	shedTime = 20 * time.Microsecond
+	shedTime = 13 * time.Microsecond
 	// learning is the weight of one round of a tenth of a second: rates follow
 	// within half a second, in which a start of traffic fills a small VM.
 	learning = 0.2
@@ -90,12 +90,6 @@
 // Streams returns how many streams are under way.
 func (e *Estimate) Streams() int64 { return e.active.Load() }
 
-// RefusalRate returns how many refusals a second take a part of the share; 0 if
-// the share is not known.
-func (e *Estimate) RefusalRate(part float64) float64 {
-	return part * e.processors / refusalTime.Seconds()
-}
-
 // Event counts an event of a stream.
 func (e *Estimate) Event() { e.events.Add(1) }
 
--- a/transport/edge/arrival.go
+++ b/transport/edge/arrival.go
@@ -24,6 +24,8 @@
 // time that callers give is counted from the reading, and would be too long.
 type arrivals struct {
 	now func() time.Time
+	// onRead is called once the first request of a connection was read.
+	onRead func()
 
 	mu  sync.Mutex
 	lag workload.ReadLag
@@ -47,6 +49,7 @@
 
 // read takes the first request of a connection and returns how long it waited.
 func (a *arrivals) read(accepted time.Time) time.Duration {
+	a.onRead()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -97,13 +97,12 @@
 	}
 	verdict := d.judge(now, r)
 	if !verdict.Admit() {
-		d.pressure.work.Refusal()
+		d.pressure.refused()
 		if len(r.Prompt) > 0 {
 			d.returns.Refused(now, r.Fingerprint, r.Elapsed)
 		}
 		return verdict, nil
 	}
-	d.pressure.work.Request()
 	if !repeat {
 		d.ledger.Admitted(now, r.Workspace, r.Cost)
 	}
@@ -112,9 +111,7 @@
 		d.wakeUp()
 	}
 	ticket := d.picture.Place(now, r.Work, best)
-	if ticket.Engine() {
-		d.pressure.work.Began()
-	}
+	d.pressure.requested(ticket.Engine())
 	return verdict, ticket
 }
 
@@ -179,7 +176,7 @@
 	d.mu.Lock()
 	delete(d.watched, t)
 	if t.Engine() {
-		d.pressure.work.Ended(t.Answering())
+		d.pressure.streamEnded(t.Answering(), eventsOf(t, outcome))
 	}
 	d.picture.End(d.now(), t, outcome)
 	var news []lostRequest
@@ -190,6 +187,15 @@
 	d.tellLost(news)
 }
 
+// eventsOf returns how many parts the stream of a ticket had; zero unless it was
+// answered whole.
+func eventsOf(t *placement.Ticket, outcome placement.Outcome) int {
+	if outcome != placement.Answered {
+		return 0
+	}
+	return t.Parts()
+}
+
 func (d *dispatcher) budget(service state.Service) *budget.Budget {
 	b := d.budgets[service]
 	if b == nil {
@@ -297,7 +303,7 @@
 	if !d.pressure.full() {
 		return false
 	}
-	d.pressure.refusals.count()
+	d.pressure.refused()
 	return true
 }
 
@@ -306,7 +312,7 @@
 	if !d.pressure.tight() || !d.served(ws) {
 		return false
 	}
-	d.pressure.refusals.count()
+	d.pressure.refused()
 	return true
 }
 
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -45,11 +45,11 @@
 	// tightProcessor is the same for workspaces that have had their fair
 	// shares, so that others whose callers meet the same router are served.
 	tightProcessor = 0.75
-	// fullLag is how late requests may be read before all are refused, and
-	// shedLag before connections are closed unread: what waits longer is late
-	// wherever it goes.
+	// tightBudget is the part of the burst of processor time from which what is
+	// left is kept for them as well.
+	tightBudget = 0.25
+	// fullLag is how late requests may be read before callers are turned away.
 	fullLag = 150 * time.Millisecond
-	shedLag = 400 * time.Millisecond
 	// busyLag is the lateness of a periodic task, on average over some
 	// rounds, from which the processor counts as overloaded.
 	busyLag = 120 * time.Millisecond
@@ -66,21 +66,50 @@
 	away      absence
 	// lag is the average lateness; only the periodic task writes it.
 	lag atomic.Int64
-	// work estimates the processor's use.
-	work *workload.Estimate
-	// refusals bounds the processor time that refusals take.
-	refusals *refusals
+	now func() time.Time
+	// work estimates the processor's use, budget bounds what is taken on.
+	work   *workload.Estimate
+	budget *workload.Budget
+	// shedBefore is how many connections had been closed unread by the last round;
+	// only the periodic task uses it.
+	shedBefore int64
 	// arrivals measures how late requests are read.
 	arrivals *arrivals
 }
 
 func newPressure(maxFiles int, processors float64, now func() time.Time) *pressure {
-	work := workload.New(processors)
-	return &pressure{
-		limit:    float64(max(maxFiles-reservedFiles, 0)),
-		work:     work,
-		refusals: newRefusals(work, now),
-		arrivals: &arrivals{now: now},
+	p := &pressure{
+		limit:  float64(max(maxFiles-reservedFiles, 0)),
+		now:    now,
+		work:   workload.New(processors),
+		budget: workload.NewBudget(processors),
+	}
+	p.arrivals = &arrivals{now: now, onRead: func() { p.budget.Read(now()) }}
+	return p
+}
+
+// requested counts a request that is sent to an upstream.
+func (p *pressure) requested(engine bool) {
+	p.work.Request()
+	if !engine {
+		p.budget.Request(p.now())
+		return
+	}
+	p.work.Began()
+	p.budget.Stream(p.now())
+}
+
+// refused counts a request that is refused.
+func (p *pressure) refused() {
+	p.work.Refusal()
+	p.budget.Refusal(p.now())
+}
+
+// streamEnded counts a stream that ended; events is 0 if it was not answered whole.
+func (p *pressure) streamEnded(emitting bool, events int) {
+	p.work.Ended(emitting)
+	if events > 0 {
+		p.budget.Ended(events)
 	}
 }
 
@@ -132,11 +161,13 @@
 
 // full says whether there is no room for another request.
 func (p *pressure) full() bool {
-	return p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare) || p.arrivals.estimate() > fullLag
+	return p.budget.Left(p.now()) < 0 || p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare) || p.arrivals.estimate() > fullLag
 }
 
 // tight says whether there is little room left.
-func (p *pressure) tight() bool { return p.work.Expected() > tightProcessor }
+func (p *pressure) tight() bool {
+	return p.work.Expected() > tightProcessor || p.budget.Left(p.now()) < tightBudget
+}
 
 // observe takes how late a periodic task ran and how long after the last time,
 // and says whether the router became busy or calm.
@@ -151,7 +182,10 @@
 	if was {
 		files, lateness, processor = calmShare, busyLag/2, calmProcessor
 	}
-	busy = p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
+	shed := p.work.Totals().Shed
+	sheds := shed > p.shedBefore
+	p.shedBefore = shed
+	busy = sheds || p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
 	p.busy.Store(busy)
 	p.away.observe(busy, busy && !was, round)
 	return busy, busy != was
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -66,7 +66,7 @@
 	// logged is the work that was told of; used by tend alone.
 	logged workload.Totals
 
-	callers net.Listener
+	callers *net.TCPListener
 	ready   net.Listener
 	figures net.Listener
 }
@@ -192,13 +192,20 @@
 // listenCallers listens without probes of idle connections: unused ones are
 // closed after the configuration's limit, and to set the probes up took four
 // system calls for each connection.
-func listenCallers(address string) (net.Listener, error) {
+func listenCallers(address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{KeepAlive: -1}
-	return config.Listen(context.Background(), "tcp", address)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return listener.(*net.TCPListener), nil
 }
 
 func (r *Router) close() {
-	for _, l := range []net.Listener{r.callers, r.ready, r.figures} {
+	if r.callers != nil {
+		_ = r.callers.Close()
+	}
+	for _, l := range []net.Listener{r.ready, r.figures} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/transport/edge/shed.go
+++ b/transport/edge/shed.go
@@ -4,71 +4,73 @@
 	"net"
 	"time"
 
-	"golang.org/x/time/rate"
-
-	"github.com/figstile/figstile/coordination/workload"
-)
-
-const (
-	// refusalShare is the part of the processor share that refusals for want of
-	// room may take. Beyond it connections are closed unread.
-	refusalShare = 0.25
-	// refusalBurst is the time whose refusals may come together.
-	refusalBurst = 200 * time.Millisecond
+	"golang.org/x/sys/unix"
 )
 
-// refusals bounds the processor time that a router spends on refusals.
-type refusals struct {
-	now  func() time.Time
-	work *workload.Estimate
-	// left is what may still be refused; nil if the processor share is not
-	// known.
-	left *rate.Limiter
-}
+// shedPause is how long connections gather before they are closed together. Their
+// callers notice no difference, and the router wakes up less often.
+const shedPause = 3 * time.Millisecond
 
-func newRefusals(work *workload.Estimate, now func() time.Time) *refusals {
-	r := &refusals{now: now, work: work}
-	if perSecond := work.RefusalRate(refusalShare); perSecond > 0 {
-		r.left = rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond*refusalBurst.Seconds()), 1))
+// sheds says whether a new connection is to be closed unread. To read a request
+// only to refuse it takes a good part of what relaying one does, and the streams
+// that were admitted would wait behind it.
+func (p *pressure) sheds() bool {
+	if !p.budget.Known() || !p.full() && p.budget.Accept(p.now()) {
+		return false
 	}
-	return r
+	p.shed()
+	return true
 }
 
-// count counts a request that is refused for want of room.
-func (r *refusals) count() {
-	r.work.Refusal()
-	if r.left != nil {
-		r.left.AllowN(r.now(), 1)
-	}
+// shed counts a connection that is closed unread.
+func (p *pressure) shed() {
+	p.work.Shed()
+	p.budget.Shed(p.now())
 }
 
-// spent says whether refusals have taken their part.
-func (r *refusals) spent() bool { return r.left != nil && r.left.TokensAt(r.now()) < 1 }
-
-// sheds says whether a new connection is to be closed unread: the router has no
-// room for its request, nor the time to say so.
-func (p *pressure) sheds() bool {
-	if p.arrivals.estimate() <= shedLag && (!p.refusals.spent() || !p.full()) {
-		return false
-	}
-	p.work.Shed()
-	return true
+// room says whether a new connection would be taken on.
+func (p *pressure) room() bool {
+	return !p.budget.Known() || !p.full() && p.budget.Room(p.now())
 }
 
-// shedder closes connections whose requests could not even be refused in time.
-// Their callers know at once that nothing was taken, and reach another router.
+// shedder closes connections whose requests the router has no room for. Their
+// callers know at once that nothing was taken, and reach another router.
 type shedder struct {
-	net.Listener
+	*net.TCPListener
 	pressure *pressure
 }
 
 // Accept implements net.Listener.
 func (s shedder) Accept() (net.Conn, error) {
 	for {
-		conn, err := s.Listener.Accept()
+		for !s.pressure.room() && s.turnAway() {
+			time.Sleep(shedPause)
+		}
+		conn, err := s.TCPListener.Accept()
 		if err != nil || !s.pressure.sheds() {
 			return conn, err
 		}
 		_ = conn.Close()
 	}
 }
+
+// turnAway closes the connections that wait, until there are none or there is room
+// for one, and says whether the listener is still open. It does without a net.Conn
+// for each, which would take three times as many system calls.
+func (s shedder) turnAway() (open bool) {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(listener uintptr) {
+		for !s.pressure.room() {
+			conn, _, err := unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			s.pressure.shed()
+			_ = unix.Close(conn)
+		}
+	})
+	return err == nil
+}
