Failing test: a share is used up by requests that never began

Beyond its share it gets idle engines only, and those that are down look idlest; requests that could not be connected, were rejected, or whose callers left before the first event stay counted as admitted.

--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -182,3 +182,42 @@
 	load(f.dispatcher.pressure, 0.9)
 	require.True(t, f.dispatcher.Full())
 }
+
+// Guards against a workspace that is refused for a share of engines that are down.
+func TestShareIsOfWhatBegan(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		begun   bool
+		outcome placement.Outcome
+		counts  bool
+	}{
+		{"no connection", false, placement.Unconnected, false},
+		{"rejected", false, placement.Rejected, false},
+		{"the caller left before it began", false, placement.Withdrawn, false},
+		{"answered", true, placement.Answered, true},
+		{"the caller left", true, placement.Withdrawn, true},
+		{"broke off", true, placement.Broken, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			f.dispatcher.setTable(routing.NewTable(routing.Config{
+				Limits:   routing.Limits{Throughput: 100},
+				Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}},
+			}))
+			f.dispatcher.setUpstream("u", directory.Upstream{ID: "u", Service: "s", Slots: 64}, true)
+			f.dispatcher.ledger.Asked(f.clock.now(), "other", 1000)
+			use := func() float64 { return f.dispatcher.ledger.Standing(f.clock.now(), "w", 100).Use }
+			verdict, ticket := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s"}, Workspace: "w", Cost: 200}, false)
+			require.True(t, verdict.Admit())
+			require.Positive(t, use(), "until it is known")
+			f.clock.advance(500 * time.Millisecond)
+			if c.begun {
+				f.dispatcher.Output(ticket, true)
+			}
+			f.dispatcher.End(ticket, c.outcome)
+			f.clock.advance(500 * time.Millisecond)
+			f.dispatcher.ledger.Asked(f.clock.now(), "other", 1000)
+			require.Equal(t, c.counts, use() > 0)
+		})
+	}
+}
