Take back what a workspace was charged for requests that did not begin

A workspace beyond its share was refused for seconds for engines' time that it never had: by the word of all routers it had 1.2 to 1.4 of its share, while it had been sent 0.4 to 0.6 of that. Charged was every request that was placed; one that could not be connected, was rejected, or whose caller left before its first event stayed charged, and one that was then placed elsewhere was not charged anew. Who is beyond its share gets idle engines only, and those that crashed or hang look idlest, so that the charge fell on it most.

Each attempt is now charged and the charge is taken back, in the round in which it was made, when the attempt ends before its answer has begun.

--- a/coordination/shares/shares.go
+++ b/coordination/shares/shares.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// Withdrawn takes back a request that was dispatched at a time and did not begin.
+func (l *Ledger) Withdrawn(at time.Time, ws state.Workspace, cost float64) {
+	m := l.own[ws]
+	if m == nil {
+		return
+	}
+	slot := at.UnixNano() / int64(step)
+	if b := &m[slot%buckets]; b.slot == slot {
+		b.usage.Admitted = max(b.usage.Admitted-cost, 0)
+	}
+}
+
 // Told returns the counts of this router that peers have to know.
 func (l *Ledger) Told(now time.Time) map[state.Workspace]Usage { return greatest(l.Own(now)) }
 
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -46,6 +46,8 @@
 	// course is that of the stop, once the router was told to.
 	course  drain.Drain
 	watched map[*placement.Ticket]func()
+	// charges are what workspaces were charged for attempts under way.
+	charges map[*placement.Ticket]charge
 	// urgent asks for this router's load to be told at once.
 	urgent chan struct{}
 	onLost func(f state.Fingerprint, run quarantine.Run)
@@ -64,6 +66,7 @@
 		blocked:  quarantine.New(quarantine.DefaultCapacity),
 		lostRuns: make(map[state.Upstream]quarantine.Run),
 		watched:  make(map[*placement.Ticket]func()),
+		charges:  make(map[*placement.Ticket]charge),
 		routers:  1,
 		urgent:   make(chan struct{}, 1),
 		onLost:   func(state.Fingerprint, quarantine.Run) {},
@@ -103,14 +106,15 @@
 		}
 		return verdict, nil
 	}
-	if !repeat {
-		d.ledger.Admitted(now, r.Workspace, r.Cost)
-	}
 	best := verdict.Estimate
 	if best.Unread >= longPrompt {
 		d.wakeUp()
 	}
 	ticket := d.picture.Place(now, r.Work, best)
+	if r.Cost > 0 && !r.Resumed {
+		d.ledger.Admitted(now, r.Workspace, r.Cost)
+		d.charges[ticket] = charge{at: now, workspace: r.Workspace, cost: r.Cost}
+	}
 	d.pressure.requested(ticket.Engine())
 	return verdict, ticket
 }
@@ -178,6 +182,7 @@
 	if t.Engine() {
 		d.pressure.streamEnded(t.Answering(), eventsOf(t, outcome))
 	}
+	d.settle(t, outcome)
 	d.picture.End(d.now(), t, outcome)
 	var news []lostRequest
 	if outcome == placement.Unconnected {
@@ -187,6 +192,24 @@
 	d.tellLost(news)
 }
 
+// charge is what a workspace was charged for an attempt.
+type charge struct {
+	at        time.Time
+	workspace state.Workspace
+	cost      float64
+}
+
+// settle takes back the charge of an attempt that did not begin. An upstream that
+// is down looks idle, and a workspace near its share would be refused for what it
+// was sent there.
+func (d *dispatcher) settle(t *placement.Ticket, outcome placement.Outcome) {
+	c, ok := d.charges[t]
+	delete(d.charges, t)
+	if ok && outcome != placement.Answered && !t.Answering() {
+		d.ledger.Withdrawn(c.at, c.workspace, c.cost)
+	}
+}
+
 // eventsOf returns how many parts the stream of a ticket had; zero unless it was
 // answered whole.
 func eventsOf(t *placement.Ticket, outcome placement.Outcome) int {
