Let a router that was full take on callers as soon as it has room

Two figures by which a router counted as full were made or renewed by its own turning away, so that it stayed full for its own sake:

What is turned away still counts for readiness; whether there is room goes by what is relayed and by the budget.

--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -59,9 +59,10 @@
 
 // rates are averages over some rounds.
 type rates struct {
-	// arrivals is the part of the share that requests, refusals and connections
-	// closed unread take, events that of the events.
-	arrivals, events float64
+	// requests is the part of the share that requests take which are sent on,
+	// turnedAway that of refusals and connections closed unread, events that of
+	// the events.
+	requests, turnedAway, events float64
 	// pace is the number of events a second of a stream that has begun.
 	pace float64
 }
@@ -118,8 +119,9 @@
 	}
 	next := *e.rates.Load()
 	share := e.processors * float64(round)
-	arrivals := float64(done.Requests)*float64(requestTime) + float64(done.Refusals)*float64(refusalTime) + float64(done.Shed)*float64(shedTime)
-	next.arrivals += learning * (arrivals/share - next.arrivals)
+	turnedAway := float64(done.Refusals)*float64(refusalTime) + float64(done.Shed)*float64(shedTime)
+	next.requests += learning * (float64(done.Requests)*float64(requestTime)/share - next.requests)
+	next.turnedAway += learning * (turnedAway/share - next.turnedAway)
 	next.events += learning * (float64(done.Events)*float64(eventTime)/share - next.events)
 	if emitting := e.emitting.Load(); emitting >= minEmitting {
 		next.pace += learning * (float64(done.Events)/round.Seconds()/float64(emitting) - next.pace)
@@ -127,14 +129,18 @@
 	e.rates.Store(&next)
 }
 
-// Expected returns the part of the share that relaying takes once all streams
-// under way have begun, at least what it took lately; 0 if the share is not
+// Expected returns the part of the share that callers will take once all streams
+// under way have begun, at least what they took lately; 0 if the share is not
 // known.
-func (e *Estimate) Expected() float64 {
+func (e *Estimate) Expected() float64 { return e.Relaying() + e.rates.Load().turnedAway }
+
+// Relaying is Expected without what turning callers away took. A router that
+// counted that as work would have no room for as long as it has none.
+func (e *Estimate) Relaying() float64 {
 	if e.processors <= 0 {
 		return 0
 	}
 	r := e.rates.Load()
 	streams := float64(e.active.Load()) * r.pace * eventTime.Seconds() / e.processors
-	return r.arrivals + max(r.events, streams)
+	return r.requests + max(r.events, streams)
 }
--- a/transport/edge/arrival.go
+++ b/transport/edge/arrival.go
@@ -16,6 +16,7 @@
 // arrival is when a connection was accepted, until its first request is read.
 type arrival struct {
 	at   time.Time
+	conn net.Conn
 	once sync.Once
 }
 
@@ -29,11 +30,27 @@
 
 	mu  sync.Mutex
 	lag workload.ReadLag
+	// unread are the connections without a first request.
+	unread map[net.Conn]struct{}
+}
+
+func newArrivals(now func() time.Time, onRead func()) *arrivals {
+	return &arrivals{now: now, onRead: onRead, unread: make(map[net.Conn]struct{})}
 }
 
 // withArrival notes when a connection was accepted.
 func (a *arrivals) withArrival(ctx context.Context, conn net.Conn) context.Context {
-	return withConn(context.WithValue(ctx, arrivalKey{}, &arrival{at: a.now()}), conn)
+	a.mu.Lock()
+	a.unread[conn] = struct{}{}
+	a.mu.Unlock()
+	return withConn(context.WithValue(ctx, arrivalKey{}, &arrival{at: a.now(), conn: conn}), conn)
+}
+
+// closed notes that a connection has ended.
+func (a *arrivals) closed(conn net.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.unread, conn)
 }
 
 // waited returns how long a request is taken to have waited unread.
@@ -43,7 +60,10 @@
 		return 0
 	}
 	own := time.Duration(0)
-	from.once.Do(func() { own = a.read(from.at) })
+	from.once.Do(func() {
+		a.closed(from.conn)
+		own = a.read(from.at)
+	})
 	return min(own, a.estimate())
 }
 
@@ -64,3 +84,15 @@
 	defer a.mu.Unlock()
 	return a.lag.Lag(a.now())
 }
+
+// late is the estimate as far as it tells of what waits now. It is renewed by what
+// is read alone: a router that turned callers away for it would go on for as long
+// as it remembers, with nothing left to read.
+func (a *arrivals) late() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.unread) == 0 {
+		return 0
+	}
+	return a.lag.Lag(a.now())
+}
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -84,7 +84,7 @@
 		work:   workload.New(processors),
 		budget: workload.NewBudget(processors),
 	}
-	p.arrivals = &arrivals{now: now, onRead: func() { p.budget.Read(now()) }}
+	p.arrivals = newArrivals(now, func() { p.budget.Read(now()) })
 	return p
 }
 
@@ -114,12 +114,13 @@
 }
 
 // changed is the callers' server's hook on the state of connections.
-func (p *pressure) changed(_ net.Conn, state http.ConnState) {
+func (p *pressure) changed(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		p.callers.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		p.callers.Add(-1)
+		p.arrivals.closed(conn)
 	}
 }
 
@@ -161,12 +162,12 @@
 
 // full says whether there is no room for another request.
 func (p *pressure) full() bool {
-	return p.budget.Left(p.now()) < 0 || p.work.Expected() > fullProcessor || p.exceeds(p.open(), fullShare) || p.arrivals.estimate() > fullLag
+	return p.budget.Left(p.now()) < 0 || p.work.Relaying() > fullProcessor || p.exceeds(p.open(), fullShare) || p.arrivals.late() > fullLag
 }
 
 // tight says whether there is little room left.
 func (p *pressure) tight() bool {
-	return p.work.Expected() > tightProcessor || p.budget.Left(p.now()) < tightBudget
+	return p.work.Relaying() > tightProcessor || p.budget.Left(p.now()) < tightBudget
 }
 
 // observe takes how late a periodic task ran and how long after the last time,
