Close the port of callers while a router has no room

A flooded VM of 0.192 cores was sent 3,000 to 7,700 connections a second. To accept and close each takes 13 to 30 microseconds, which at that rate is nearly all that the VM has: a router that no longer read what it could not serve still admitted 37 to 60 streams in such seconds, and its callers saw resets that do not tell whether a request was read.

The port is now closed while the budget has no room, and opened when a quarter of it has come back. The kernel refuses connections meanwhile, at once, at no cost to the process, and a caller that was never connected may try again whatever it asks for. A connection for which there is no room when it is accepted is still closed unread; it closes the port. What waits to be accepted then is reset, unread.

--- a/coordination/workload/budget.go
+++ b/coordination/workload/budget.go
@@ -84,14 +84,6 @@
 	return true
 }
 
-// Room says whether Accept would take on a connection.
-func (b *Budget) Room(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return b.rate <= 0 || b.left >= b.stream()
-}
-
 // Shed charges a connection that is closed unread.
 func (b *Budget) Shed(now time.Time) {
 	b.mu.Lock()
--- a/transport/edge/figures.go
+++ b/transport/edge/figures.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/figstile/figstile/transport/boottime"
 )
 
 // tendEvery is how often the state of the router is measured; scrapers ask every
@@ -44,11 +46,14 @@
 	done := work.Since(r.logged)
 	r.logged = work
 	r.metrics.Count("connections_shed", done.Shed)
-	if done.Shed == 0 && !r.pressure.busy.Load() {
+	paused := r.pressure.paused.sum(boottime.Now())
+	pausedFor := paused - r.pausedBefore
+	r.pausedBefore = paused
+	if pausedFor == 0 && !r.pressure.busy.Load() {
 		return
 	}
 	r.log.Warn().Int64("admitted", done.Requests).Int64("refused", done.Refusals).Int64("shed", done.Shed).
-		Int64("events", done.Events).Int64("streams", r.pressure.work.Streams()).
+		Int64("paused_ms", pausedFor.Milliseconds()).Int64("events", done.Events).Int64("streams", r.pressure.work.Streams()).
 		Float64("processor", r.pressure.work.Expected()).
 		Int64("unread_ms", r.pressure.arrivals.estimate().Milliseconds()).
 		Int64("spending_age_ms", r.dispatcher.viewAges().spending.Milliseconds()).Msg("under pressure")
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -70,9 +70,10 @@
 	// work estimates the processor's use, budget bounds what is taken on.
 	work   *workload.Estimate
 	budget *workload.Budget
-	// shedBefore is how many connections had been closed unread by the last round;
-	// only the periodic task uses it.
-	shedBefore int64
+	// paused is how long new connections were turned away, pausedBefore the same by
+	// the last round; only the periodic task uses the latter.
+	paused       pauses
+	pausedBefore time.Duration
 	// arrivals measures how late requests are read.
 	arrivals *arrivals
 }
@@ -183,10 +184,10 @@
 	if was {
 		files, lateness, processor = calmShare, busyLag/2, calmProcessor
 	}
-	shed := p.work.Totals().Shed
-	sheds := shed > p.shedBefore
-	p.shedBefore = shed
-	busy = sheds || p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
+	paused := p.paused.sum(p.now())
+	turnsAway := paused > p.pausedBefore
+	p.pausedBefore = paused
+	busy = turnsAway || p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
 	p.busy.Store(busy)
 	p.away.observe(busy, busy && !was, round)
 	return busy, busy != was
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -63,10 +63,12 @@
 	handler    *ingress.Handler
 	pressure   *pressure
 	conns      *conntrack.Tracker
-	// logged is the work that was told of; used by tend alone.
-	logged workload.Totals
+	// logged is the work that was told of, pausedBefore the time of pauses; used by
+	// tend alone.
+	logged       workload.Totals
+	pausedBefore time.Duration
 
-	callers *net.TCPListener
+	callers *callerListener
 	ready   net.Listener
 	figures net.Listener
 }
@@ -174,7 +176,7 @@
 		return fmt.Errorf("peer listener: %w", err)
 	}
 	r.fleet.mesh = r.mesh
-	if r.callers, err = listenCallers(r.settings.Addresses.Callers); err != nil {
+	if r.callers, err = listenCallers(r.settings.Addresses.Callers, r.pressure, r.log); err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
 	if r.ready, err = net.Listen("tcp", r.settings.Addresses.Ready); err != nil {
@@ -189,18 +191,6 @@
 	return nil
 }
 
-// listenCallers listens without probes of idle connections: unused ones are
-// closed after the configuration's limit, and to set the probes up took four
-// system calls for each connection.
-func listenCallers(address string) (*net.TCPListener, error) {
-	config := net.ListenConfig{KeepAlive: -1}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return listener.(*net.TCPListener), nil
-}
-
 func (r *Router) close() {
 	if r.callers != nil {
 		_ = r.callers.Close()
@@ -276,7 +266,7 @@
 		MaxHeaderBytes: headerBytes,
 	}
 	all := []server{
-		{r.conns.Listener(shedder{r.callers, r.pressure}), callers},
+		{r.conns.Listener(r.callers), callers},
 		{r.ready, &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout}},
 	}
 	if r.figures != nil {
--- a/transport/edge/shed.go
+++ b/transport/edge/shed.go
@@ -1,15 +1,16 @@
 package edge
 
 import (
+	"context"
 	"net"
+	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/rs/zerolog"
 )
 
-// shedPause is how long connections gather before they are closed together. Their
-// callers notice no difference, and the router wakes up less often.
-const shedPause = 3 * time.Millisecond
+// roomPoll is how often a router that does not listen looks whether it has room.
+const roomPoll = 5 * time.Millisecond
 
 // sheds says whether a new connection is to be closed unread. To read a request
 // only to refuse it takes a good part of what relaying one does, and the streams
@@ -18,59 +19,154 @@
 	if !p.budget.Known() || !p.full() && p.budget.Accept(p.now()) {
 		return false
 	}
-	p.shed()
-	return true
-}
-
-// shed counts a connection that is closed unread.
-func (p *pressure) shed() {
 	p.work.Shed()
 	p.budget.Shed(p.now())
+	return true
 }
 
-// room says whether a new connection would be taken on.
-func (p *pressure) room() bool {
-	return !p.budget.Known() || !p.full() && p.budget.Room(p.now())
+// hasRoom says whether a router that turned callers away takes them on again:
+// for more than one at a time, since each change takes system calls.
+func (p *pressure) hasRoom() bool {
+	return !p.budget.Known() || !p.full() && p.budget.Left(p.now()) >= tightBudget
 }
 
-// shedder closes connections whose requests the router has no room for. Their
-// callers know at once that nothing was taken, and reach another router.
-type shedder struct {
-	*net.TCPListener
+// callerListener listens for callers while the router has room for them. While it
+// has none the port is closed: the kernel refuses connections at once and without
+// the process, which a flood would take up by their acceptance alone. A caller
+// that was never connected may try again elsewhere, whatever it asks for.
+type callerListener struct {
+	config   net.ListenConfig
+	address  string
 	pressure *pressure
+	log      zerolog.Logger
+
+	mu sync.Mutex
+	// inner is nil while the port is closed.
+	inner  *net.TCPListener
+	closed bool
+}
+
+// listenCallers listens without probes of idle connections: unused ones are
+// closed after the configuration's limit, and to set the probes up took four
+// system calls for each connection.
+func listenCallers(address string, p *pressure, log zerolog.Logger) (*callerListener, error) {
+	l := &callerListener{config: net.ListenConfig{KeepAlive: -1}, address: address, pressure: p, log: log}
+	if err := l.listen(); err != nil {
+		return nil, err
+	}
+	l.address = l.inner.Addr().String()
+	return l, nil
+}
+
+// listen opens the port. The caller holds the lock, or nobody else knows of l.
+func (l *callerListener) listen() error {
+	inner, err := l.config.Listen(context.Background(), "tcp", l.address)
+	if err != nil {
+		return err
+	}
+	l.inner = inner.(*net.TCPListener)
+	return nil
 }
 
 // Accept implements net.Listener.
-func (s shedder) Accept() (net.Conn, error) {
+func (l *callerListener) Accept() (net.Conn, error) {
 	for {
-		for !s.pressure.room() && s.turnAway() {
-			time.Sleep(shedPause)
+		inner, err := l.open()
+		if err != nil {
+			return nil, err
 		}
-		conn, err := s.TCPListener.Accept()
-		if err != nil || !s.pressure.sheds() {
+		conn, err := inner.Accept()
+		if err != nil || !l.pressure.sheds() {
 			return conn, err
 		}
 		_ = conn.Close()
+		l.pause()
 	}
 }
 
-// turnAway closes the connections that wait, until there are none or there is room
-// for one, and says whether the listener is still open. It does without a net.Conn
-// for each, which would take three times as many system calls.
-func (s shedder) turnAway() (open bool) {
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
+// open waits for room and returns the open port.
+func (l *callerListener) open() (*net.TCPListener, error) {
+	for {
+		if inner, err := l.tryOpen(); inner != nil || err != nil {
+			return inner, err
+		}
+		time.Sleep(roomPoll)
+	}
+}
+
+func (l *callerListener) tryOpen() (*net.TCPListener, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, net.ErrClosed
 	}
-	err = raw.Control(func(listener uintptr) {
-		for !s.pressure.room() {
-			conn, _, err := unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			if err != nil {
-				return
-			}
-			s.pressure.shed()
-			_ = unix.Close(conn)
+	if l.inner == nil && l.pressure.hasRoom() {
+		if err := l.listen(); err != nil {
+			l.log.Warn().Err(err).Msg("port of callers not opened")
+			return nil, nil
 		}
-	})
-	return err == nil
+		l.pressure.paused.end(l.pressure.now())
+	}
+	return l.inner, nil
+}
+
+// pause closes the port until there is room.
+func (l *callerListener) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.inner == nil {
+		return
+	}
+	_ = l.inner.Close()
+	l.inner = nil
+	l.pressure.paused.begin(l.pressure.now())
+}
+
+// Close implements net.Listener.
+func (l *callerListener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.inner == nil {
+		return nil
+	}
+	return l.inner.Close()
+}
+
+// Addr implements net.Listener.
+func (l *callerListener) Addr() net.Addr {
+	address, _ := net.ResolveTCPAddr("tcp", l.address)
+	return address
+}
+
+// pauses measures how long a router turned away all new connections.
+type pauses struct {
+	mu    sync.Mutex
+	since time.Time
+	total time.Duration
+}
+
+func (p *pauses) begin(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.since = now
+}
+
+func (p *pauses) end(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.since.IsZero() {
+		p.total += now.Sub(p.since)
+	}
+	p.since = time.Time{}
+}
+
+// sum returns the time of all pauses, that under way included.
+func (p *pauses) sum(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.since.IsZero() {
+		return p.total
+	}
+	return p.total + now.Sub(p.since)
 }
