Serve short series before histograms

A collector takes the first 4,000 bytes of a router's figures. Families are served by their number of lines now. TestShortSeriesComeFirst failed before: the state came after 513,450 bytes.

--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -60,7 +60,7 @@
 // can live in one process. Close flushes and stops it.
 func New(router state.Router, dc state.DataCentre) *Metrics {
 	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: shortestFirst(registry)})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "figstile",
 		Tags:                   map[string]string{"router": string(router), "data_centre": string(dc)},
--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,3 +65,21 @@
 	require.LessOrEqual(t, len(m.attempts.subjects), maxCounters+1)
 	require.NoError(t, m.Close())
 }
+
+// Guards against collectors that take the beginning of a page and miss the router's state.
+func TestShortSeriesComeFirst(t *testing.T) {
+	m := New("r1", "dc")
+	for i := range 50 {
+		m.For(state.Workspace(fmt.Sprint(i)), "guide").Between(time.Millisecond)
+		m.Judged(state.Workspace(fmt.Sprint(i)), "admitted", 10)
+	}
+	m.Gauge("ready", 1)
+	require.NoError(t, m.Close())
+	page := httptest.NewRecorder()
+	m.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	body := page.Body.String()
+	ready, cost := strings.Index(body, "figstile_ready{"), strings.Index(body, "figstile_admission_cost{")
+	require.Positive(t, ready)
+	require.Less(t, ready, cost)
+	require.Less(t, cost, strings.Index(body, "figstile_between_tokens_seconds_bucket{"))
+}
