--- a/coordination/workload/budget.go
+++ b/coordination/workload/budget.go
@@ -85,17 +85,18 @@
 }
 
 // Shed charges a connection that is closed unread.
-func (b *Budget) Shed(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.spend(now, shedTime.Seconds())
-}
+func (b *Budget) Shed(now time.Time) { b.charge(now, shedTime) }
 
-// Read gives back what a connection held for its first request.
-func (b *Budget) Read(now time.Time) {
+// Request charges a request that is sent to an upstream and is no stream.
+func (b *Budget) Request(now time.Time) { b.charge(now, requestTime) }
+
+// Refusal charges a request that is refused.
+func (b *Budget) Refusal(now time.Time) { b.charge(now, refusalTime) }
+
+func (b *Budget) charge(now time.Time, cost time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spend(now, -b.stream())
+	b.spend(now, cost.Seconds())
 }
 
 // Stream charges a stream that is sent to an engine.
@@ -105,18 +106,11 @@
 	b.spend(now, b.stream())
 }
 
-// Request charges another request that is sent to an upstream.
-func (b *Budget) Request(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.spend(now, requestTime.Seconds())
-}
-
-// Refusal charges a request that is refused.
-func (b *Budget) Refusal(now time.Time) {
+// Read gives back what a connection held for its first request.
+func (b *Budget) Read(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spend(now, refusalTime.Seconds())
+	b.spend(now, -b.stream())
 }
 
 // Ended takes how many events a stream had that was answered whole.
--- a/transport/edge/shed.go
+++ b/transport/edge/listener.go
@@ -12,24 +12,6 @@
 // roomPoll is how often a router that does not listen looks whether it has room.
 const roomPoll = 5 * time.Millisecond
 
-// sheds says whether a new connection is to be closed unread. To read a request
-// only to refuse it takes a good part of what relaying one does, and the streams
-// that were admitted would wait behind it.
-func (p *pressure) sheds() bool {
-	if !p.budget.Known() || !p.full() && p.budget.Accept(p.now()) {
-		return false
-	}
-	p.work.Shed()
-	p.budget.Shed(p.now())
-	return true
-}
-
-// hasRoom says whether a router that turned callers away takes them on again:
-// for more than one at a time, since each change takes system calls.
-func (p *pressure) hasRoom() bool {
-	return !p.budget.Known() || !p.full() && p.budget.Left(p.now()) >= tightBudget
-}
-
 // callerListener listens for callers while the router has room for them. While it
 // has none the port is closed: the kernel refuses connections at once and without
 // the process, which a flood would take up by their acceptance alone. A caller
@@ -138,35 +120,3 @@
 	address, _ := net.ResolveTCPAddr("tcp", l.address)
 	return address
 }
-
-// pauses measures how long a router turned away all new connections.
-type pauses struct {
-	mu    sync.Mutex
-	since time.Time
-	total time.Duration
-}
-
-func (p *pauses) begin(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.since = now
-}
-
-func (p *pauses) end(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.since.IsZero() {
-		p.total += now.Sub(p.since)
-	}
-	p.since = time.Time{}
-}
-
-// sum returns the time of all pauses, that under way included.
-func (p *pauses) sum(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.since.IsZero() {
-		return p.total
-	}
-	return p.total + now.Sub(p.since)
-}
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -171,6 +171,24 @@
 	return p.work.Relaying() > tightProcessor || p.budget.Left(p.now()) < tightBudget
 }
 
+// sheds says whether a new connection is to be closed unread. To read a request
+// only to refuse it takes a good part of what relaying one does, and the streams
+// that were admitted would wait behind it.
+func (p *pressure) sheds() bool {
+	if !p.budget.Known() || !p.full() && p.budget.Accept(p.now()) {
+		return false
+	}
+	p.work.Shed()
+	p.budget.Shed(p.now())
+	return true
+}
+
+// hasRoom says whether a router that turned callers away takes them on again:
+// for more than one at a time, since each change takes system calls.
+func (p *pressure) hasRoom() bool {
+	return !p.budget.Known() || !p.full() && p.budget.Left(p.now()) >= tightBudget
+}
+
 // observe takes how late a periodic task ran and how long after the last time,
 // and says whether the router became busy or calm.
 func (p *pressure) observe(late, round time.Duration) (busy, changed bool) {
