--- a/coordination/workload/budget.go
+++ b/coordination/workload/budget.go
@@ -13,6 +13,10 @@
 	// who arrive together are taken on, and the longest time by which it may be
 	// overspent.
 	budgetBurst = 250 * time.Millisecond
+	// maxStream is the most of the burst that one stream is charged. A VM that had to
+	// save up for longer would never take one on, and never learn that they became
+	// shorter.
+	maxStream = 0.25
 	// initialEvents is the number of events of a stream until some have ended,
 	// eventLearning the weight of one that has.
 	initialEvents = 25.0
@@ -49,7 +53,11 @@
 
 // refill adds what has accrued since the last call. The caller holds the lock.
 func (b *Budget) refill(now time.Time) {
-	if since := now.Sub(b.at); since > 0 && !b.at.IsZero() {
+	since := now.Sub(b.at)
+	if !b.at.IsZero() && since <= 0 {
+		return
+	}
+	if !b.at.IsZero() {
 		b.left = min(b.left+b.rate*since.Seconds(), b.most())
 	}
 	b.at = now
@@ -64,7 +72,9 @@
 }
 
 // stream is what a stream takes, relayed to its end. The caller holds the lock.
-func (b *Budget) stream() float64 { return requestTime.Seconds() + b.events*eventTime.Seconds() }
+func (b *Budget) stream() float64 {
+	return min(requestTime.Seconds()+b.events*eventTime.Seconds(), maxStream*b.most())
+}
 
 // Known says whether the budget is bounded.
 func (b *Budget) Known() bool { return b.rate > 0 }
@@ -106,13 +116,20 @@
 	b.spend(now, b.stream())
 }
 
-// Read gives back what a connection held for its first request.
-func (b *Budget) Read(now time.Time) {
+// Release gives back what a connection held for its first request.
+func (b *Budget) Release(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.spend(now, -b.stream())
 }
 
+// Unbegun gives back what a stream was charged for its events, none of which came.
+func (b *Budget) Unbegun(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spend(now, -max(b.stream()-requestTime.Seconds(), 0))
+}
+
 // Ended takes how many events a stream had that was answered whole.
 func (b *Budget) Ended(events int) {
 	b.mu.Lock()
--- a/coordination/workload/budget_test.go
+++ b/coordination/workload/budget_test.go
@@ -33,7 +33,7 @@
 	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
 		now := start.Add(at)
 		for b.Accept(now) {
-			b.Read(now)
+			b.Release(now)
 			b.Stream(now)
 			taken++
 		}
@@ -44,13 +44,12 @@
 // Guards against accepted connections that are in nobody's count until they are read.
 func TestBudgetHoldsRoomForUnreadConnections(t *testing.T) {
 	b := NewBudget(smallVM)
-	taken := takenOn(t, b, start)
-	b.Read(start)
-	b.Refusal(start)
-	b.Read(start)
-	b.Refusal(start)
-	require.InDelta(t, 1.5, takenOn(t, b, start), 0.5, "two refusals take less than a stream")
-	require.Positive(t, taken)
+	require.Positive(t, takenOn(t, b, start))
+	for range 3 {
+		b.Release(start)
+		b.Refusal(start)
+	}
+	require.GreaterOrEqual(t, takenOn(t, b, start), 2, "three refusals take less than a stream")
 }
 
 // Guards against a flood that is over and has left the router in debt for seconds.
@@ -83,3 +82,30 @@
 	}
 	require.InDelta(t, 1, b.Left(start), 0)
 }
+
+// Guards against a VM that takes no stream on any more since they were long.
+func TestBudgetTakesOnStreamsOfAnyLength(t *testing.T) {
+	b := NewBudget(0.05)
+	for range 2000 {
+		b.Ended(5000)
+	}
+	require.True(t, b.Accept(start))
+}
+
+// Guards against time that accrues twice when readings of the clock overtake each other.
+func TestBudgetIgnoresOlderReadings(t *testing.T) {
+	b := NewBudget(smallVM)
+	_ = takenOn(t, b, start)
+	_ = b.Left(start.Add(100 * time.Millisecond))
+	left := b.Left(start)
+	require.InDelta(t, left, b.Left(start.Add(100*time.Millisecond)), 1e-9)
+}
+
+// Guards against upstreams that are down and use up a router's processor in its books.
+func TestBudgetGivesBackStreamsThatDidNotBegin(t *testing.T) {
+	b := NewBudget(smallVM)
+	before := b.Left(start)
+	b.Stream(start)
+	b.Unbegun(start)
+	require.InDelta(t, requestTime.Seconds()/b.most(), before-b.Left(start), 1e-9)
+}
--- a/transport/edge/arrival.go
+++ b/transport/edge/arrival.go
@@ -46,11 +46,14 @@
 	return withConn(context.WithValue(ctx, arrivalKey{}, &arrival{at: a.now(), conn: conn}), conn)
 }
 
-// closed notes that a connection has ended.
-func (a *arrivals) closed(conn net.Conn) {
+// closed notes that a connection has ended, and says whether nothing was read on
+// it.
+func (a *arrivals) closed(conn net.Conn) (unread bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	_, unread = a.unread[conn]
 	delete(a.unread, conn)
+	return unread
 }
 
 // waited returns how long a request is taken to have waited unread.
--- a/transport/edge/arrival_test.go
+++ b/transport/edge/arrival_test.go
@@ -34,12 +34,12 @@
 	require.Equal(t, 2*time.Second, p.arrivals.estimate())
 	_ = p.arrivals.withArrival(t.Context(), nil)
 	require.True(t, p.full(), "one more waits")
-	require.True(t, p.sheds())
+	require.False(t, p.take())
 	for range 8 {
 		p.arrivals.read(clock.now())
 	}
 	require.False(t, p.full())
-	require.False(t, p.sheds())
+	require.True(t, p.take())
 }
 
 // Guards against connections that are closed unread for a second after the last one
@@ -53,7 +53,7 @@
 	shed := 0
 	for range 9 {
 		clock.advance(100 * time.Millisecond)
-		if p.sheds() {
+		if !p.take() {
 			shed++
 			continue
 		}
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -100,7 +100,6 @@
 	}
 	verdict := d.judge(now, r)
 	if !verdict.Admit() {
-		d.pressure.refused()
 		if len(r.Prompt) > 0 {
 			d.returns.Refused(now, r.Fingerprint, r.Elapsed)
 		}
@@ -181,6 +180,9 @@
 	delete(d.watched, t)
 	if t.Engine() {
 		d.pressure.streamEnded(t.Answering(), eventsOf(t, outcome))
+		if outcome == placement.Unconnected || outcome == placement.Rejected {
+			d.pressure.unsent()
+		}
 	}
 	d.settle(t, outcome)
 	d.picture.End(d.now(), t, outcome)
@@ -322,21 +324,11 @@
 }
 
 // Full implements ingress.Dispatcher.
-func (d *dispatcher) Full() bool {
-	if !d.pressure.full() {
-		return false
-	}
-	d.pressure.refused()
-	return true
-}
+func (d *dispatcher) Full() bool { return d.pressure.full() }
 
 // FullFor implements ingress.Dispatcher.
 func (d *dispatcher) FullFor(ws state.Workspace) bool {
-	if !d.pressure.tight() || !d.served(ws) {
-		return false
-	}
-	d.pressure.refused()
-	return true
+	return d.pressure.tight() && d.served(ws)
 }
 
 // served says whether a workspace has had its fair share.
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -11,7 +11,10 @@
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
+	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
+	"github.com/figstile/figstile/transport/ingress"
+	"github.com/figstile/figstile/transport/metrics"
 )
 
 // Guards against a request that crashes worker after worker, sent again at any router.
@@ -221,3 +224,18 @@
 		})
 	}
 }
+
+// Guards against refusals that cost a router time which nothing counts.
+func TestRefusalsOfAllKindsAreCharged(t *testing.T) {
+	p := newPressure(0, smallVM, frozen)
+	o := observer{metrics: metrics.New("r", "dc"), pressure: p}
+	left := p.budget.Left(frozen())
+	for _, code := range []result.Code{result.NotReady, result.BadRequest, result.UnknownService, result.Draining, result.OverShare} {
+		o.Finished(ingress.Record{Result: result.New(code, "")})
+		now := p.budget.Left(frozen())
+		require.Less(t, now, left, code)
+		left = now
+	}
+	o.Finished(ingress.Record{Result: result.New(result.OK, ""), Attempts: 1})
+	require.InDelta(t, left, p.budget.Left(frozen()), 0)
+}
--- a/transport/edge/flood_test.go
+++ b/transport/edge/flood_test.go
@@ -108,7 +108,7 @@
 func (vm *floodedVM) accept() {
 	for ; vm.backlog > 0; vm.backlog-- {
 		vm.spend(floodAccept)
-		if vm.p.sheds() {
+		if !vm.p.take() {
 			vm.pause()
 			return
 		}
--- a/transport/edge/listener.go
+++ b/transport/edge/listener.go
@@ -26,6 +26,8 @@
 	// inner is nil while the port is closed.
 	inner  *net.TCPListener
 	closed bool
+	// failing is set while the port could not be opened again.
+	failing bool
 }
 
 // listenCallers listens without probes of idle connections: unused ones are
@@ -58,7 +60,7 @@
 			return nil, err
 		}
 		conn, err := inner.Accept()
-		if err != nil || !l.pressure.sheds() {
+		if err != nil || l.pressure.take() {
 			return conn, err
 		}
 		_ = conn.Close()
@@ -84,9 +86,13 @@
 	}
 	if l.inner == nil && l.pressure.hasRoom() {
 		if err := l.listen(); err != nil {
-			l.log.Warn().Err(err).Msg("port of callers not opened")
+			if !l.failing {
+				l.log.Warn().Err(err).Msg("port of callers not opened")
+			}
+			l.failing = true
 			return nil, nil
 		}
+		l.failing = false
 		l.pressure.paused.end(l.pressure.now())
 	}
 	return l.inner, nil
--- a/transport/edge/listener_test.go
+++ b/transport/edge/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -33,9 +34,9 @@
 		p.refused()
 	}
 	require.True(t, p.full())
-	require.True(t, p.sheds())
+	require.False(t, p.take())
 	now = now.Add(time.Second)
-	require.False(t, p.sheds())
+	require.True(t, p.take())
 }
 
 // Guards against connections that are read only to be refused.
@@ -43,7 +44,7 @@
 	p := newPressure(0, smallVM, frozen)
 	load(p, 1)
 	require.True(t, p.full())
-	require.True(t, p.sheds(), "nothing was refused yet")
+	require.False(t, p.take(), "nothing was refused yet")
 }
 
 func TestNothingIsShedWithRoom(t *testing.T) {
@@ -52,14 +53,14 @@
 		p.refused()
 		p.requested(true)
 	}
-	require.False(t, p.sheds())
+	require.True(t, p.take())
 }
 
 // Guards against more connections that wait to be read than there is room for.
 func TestUnreadConnectionsHoldRoom(t *testing.T) {
 	p := newPressure(0, smallVM, frozen)
 	taken := 0
-	for !p.sheds() {
+	for p.take() {
 		taken++
 		require.Less(t, taken, 1000)
 	}
@@ -67,7 +68,7 @@
 		p.arrivals.read(frozen())
 	}
 	again := 0
-	for !p.sheds() {
+	for p.take() {
 		again++
 	}
 	require.InDelta(t, taken/2, again, 2)
@@ -80,7 +81,7 @@
 		p.refused()
 	}
 	require.True(t, p.full())
-	require.False(t, p.sheds())
+	require.True(t, p.take())
 }
 
 // Guards against callers of a full router who wait until their deadlines.
@@ -150,3 +151,40 @@
 	p.end(now.Add(2 * time.Second))
 	require.Equal(t, 2*time.Second, p.sum(now.Add(time.Minute)))
 }
+
+// Guards against connections that end unread and leave the budget empty.
+func TestUnreadConnectionsGiveTheirRoomBack(t *testing.T) {
+	p := newPressure(0, smallVM, frozen)
+	for range 100 {
+		conn, other := net.Pipe()
+		defer other.Close()
+		require.True(t, p.take())
+		_ = p.arrivals.withArrival(t.Context(), conn)
+		p.changed(conn, http.StateNew)
+		p.changed(conn, http.StateClosed)
+	}
+}
+
+// Guards against a router that says it is ready while its port is closed for seconds.
+func TestClosedPortIsNotReady(t *testing.T) {
+	clock := newClock()
+	p := newPressure(0, smallVM, clock.now)
+	round := func() {
+		clock.advance(scanEvery)
+		p.observe(0, scanEvery)
+	}
+	p.paused.begin(clock.now())
+	clock.advance(roomPoll)
+	p.paused.end(clock.now())
+	round()
+	require.True(t, p.welcomes(), "a moment without room is no reason to go")
+	p.paused.begin(clock.now())
+	round()
+	round()
+	require.False(t, p.welcomes())
+	p.paused.end(clock.now())
+	for range 2 * int(minAway/scanEvery) {
+		round()
+	}
+	require.True(t, p.welcomes())
+}
--- a/transport/edge/observer.go
+++ b/transport/edge/observer.go
@@ -6,6 +6,7 @@
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
+	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/transport/ingress"
 	"github.com/figstile/figstile/transport/metrics"
 )
@@ -31,6 +32,9 @@
 
 // Finished implements ingress.Observer.
 func (o observer) Finished(rec ingress.Record) {
+	if rec.Attempts == 0 && rec.Result.Code != result.OK {
+		o.pressure.refused()
+	}
 	series := o.metrics.For(rec.Workspace, rec.Class)
 	for range rec.Attempts {
 		series.Dispatched(rec.Wait)
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -48,6 +48,14 @@
 	// tightBudget is the part of the burst of processor time from which what is
 	// left is kept for them as well.
 	tightBudget = 0.25
+	// reopenBudget is the part of it that has to be left before a router that turned
+	// callers away takes them on again.
+	reopenBudget = 0.25
+	// busyPaused is the part of the time, on average over some rounds, in which
+	// callers are turned away from which the router counts as busy, and calmPaused
+	// what it must fall to.
+	busyPaused = 0.1
+	calmPaused = 0.05
 	// fullLag is how late requests may be read before callers are turned away.
 	fullLag = 150 * time.Millisecond
 	// busyLag is the lateness of a periodic task, on average over some
@@ -74,6 +82,8 @@
 	// the last round; only the periodic task uses the latter.
 	paused       pauses
 	pausedBefore time.Duration
+	// pausedPart is the average part of the time; only the periodic task uses it.
+	pausedPart float64
 	// arrivals measures how late requests are read.
 	arrivals *arrivals
 }
@@ -85,7 +95,7 @@
 		work:   workload.New(processors),
 		budget: workload.NewBudget(processors),
 	}
-	p.arrivals = newArrivals(now, func() { p.budget.Read(now()) })
+	p.arrivals = newArrivals(now, func() { p.budget.Release(now()) })
 	return p
 }
 
@@ -114,6 +124,9 @@
 	}
 }
 
+// unsent notes that a stream's upstream did not take it.
+func (p *pressure) unsent() { p.budget.Unbegun(p.now()) }
+
 // changed is the callers' server's hook on the state of connections.
 func (p *pressure) changed(conn net.Conn, state http.ConnState) {
 	switch state {
@@ -121,7 +134,10 @@
 		p.callers.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		p.callers.Add(-1)
-		p.arrivals.closed(conn)
+		if p.arrivals.closed(conn) {
+			p.budget.Release(p.now())
+			p.budget.Shed(p.now())
+		}
 	}
 }
 
@@ -171,22 +187,28 @@
 	return p.work.Relaying() > tightProcessor || p.budget.Left(p.now()) < tightBudget
 }
 
-// sheds says whether a new connection is to be closed unread. To read a request
-// only to refuse it takes a good part of what relaying one does, and the streams
-// that were admitted would wait behind it.
-func (p *pressure) sheds() bool {
-	if !p.budget.Known() || !p.full() && p.budget.Accept(p.now()) {
-		return false
+// take says whether a new connection is taken on; else it is to be closed unread.
+// To read a request only to refuse it takes a good part of what relaying one does,
+// and the streams that were admitted would wait behind it.
+func (p *pressure) take() bool {
+	if !p.budget.Known() {
+		return true
+	}
+	if !p.full() && p.budget.Accept(p.now()) {
+		return true
 	}
 	p.work.Shed()
 	p.budget.Shed(p.now())
-	return true
+	return false
 }
 
 // hasRoom says whether a router that turned callers away takes them on again:
 // for more than one at a time, since each change takes system calls.
 func (p *pressure) hasRoom() bool {
-	return !p.budget.Known() || !p.full() && p.budget.Left(p.now()) >= tightBudget
+	if !p.budget.Known() {
+		return true
+	}
+	return !p.full() && p.budget.Left(p.now()) >= reopenBudget
 }
 
 // observe takes how late a periodic task ran and how long after the last time,
@@ -198,18 +220,26 @@
 	p.work.Observe(round)
 	expected := p.work.Expected()
 	was := p.busy.Load()
-	files, lateness, processor := busyShare, busyLag, busyProcessor
+	files, lateness, processor, pausedPart := busyShare, busyLag, busyProcessor, busyPaused
 	if was {
-		files, lateness, processor = calmShare, busyLag/2, calmProcessor
+		files, lateness, processor, pausedPart = calmShare, busyLag/2, calmProcessor, calmPaused
 	}
-	paused := p.paused.sum(p.now())
-	turnsAway := paused > p.pausedBefore
-	p.pausedBefore = paused
-	busy = turnsAway || p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
+	p.observePauses(round)
+	busy = p.pausedPart > pausedPart || p.exceeds(p.open(), files) || time.Duration(lag) > lateness || expected > processor
 	p.busy.Store(busy)
 	p.away.observe(busy, busy && !was, round)
 	return busy, busy != was
 }
 
+// observePauses takes for how much of a round callers were turned away.
+func (p *pressure) observePauses(round time.Duration) {
+	paused := p.paused.sum(p.now())
+	if round > 0 {
+		part := min((paused-p.pausedBefore).Seconds()/round.Seconds(), 1)
+		p.pausedPart += lagLearning * (part - p.pausedPart)
+	}
+	p.pausedBefore = paused
+}
+
 // welcomes says whether new callers may come.
 func (p *pressure) welcomes() bool { return !p.busy.Load() && !p.away.holds.Load() }
