--- a/coordination/admission/floods_test.go
+++ b/coordination/admission/floods_test.go
@@ -44,6 +44,11 @@
 	return float64(served) / (readRate * replayEngines * (to - from).Seconds())
 }
 
+// mixed are guides and twice as many notes.
+func mixed(draw *rand.Rand, from, to time.Duration, perSecond float64, workspace func() state.Workspace) []arrival {
+	return merge(guides(draw, from, to, perSecond, workspace), notes(draw, from, to, 2*perSecond, workspace))
+}
+
 // on gives a load subjects of its own.
 func on(load []arrival, first uint64) []arrival {
 	for i := range load {
@@ -62,12 +67,9 @@
 	)
 	draw := rand.New(rand.NewPCG(11, 1))
 	load := merge(
-		guides(draw, 0, replayTime, usual, even(draw)),
-		notes(draw, 0, replayTime, 2*usual, even(draw)),
-		on(guides(draw, 0, replayTime, usual*times, only("larger")), larger),
-		on(notes(draw, 0, replayTime, 2*usual*times, only("larger")), larger),
-		on(guides(draw, 0, replayTime, usual, only("smaller")), smaller),
-		on(notes(draw, 0, replayTime, 2*usual, only("smaller")), smaller),
+		mixed(draw, 0, replayTime, usual, even(draw)),
+		on(mixed(draw, 0, replayTime, usual*times, only("larger")), larger),
+		on(mixed(draw, 0, replayTime, usual, only("smaller")), smaller),
 	)
 	for i := range load {
 		load[i].router = draw.IntN(routers)
--- a/coordination/admission/onset_test.go
+++ b/coordination/admission/onset_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/figstile/figstile/state"
 )
 
 // onset returns a load of two workspaces beyond their shares, beside ten others: one
@@ -18,12 +20,9 @@
 	)
 	draw := rand.New(rand.NewPCG(11, 1))
 	load := merge(
-		guides(draw, 0, onsetTime, usual, even(draw)),
-		notes(draw, 0, onsetTime, 2*usual, even(draw)),
-		on(guides(draw, onsetAt, onsetTime, usual*times, only("larger")), larger),
-		on(notes(draw, onsetAt, onsetTime, 2*usual*times, only("larger")), larger),
-		on(guides(draw, 0, onsetTime, usual, only("smaller")), smaller),
-		on(notes(draw, 0, onsetTime, 2*usual, only("smaller")), smaller),
+		mixed(draw, 0, onsetTime, usual, even(draw)),
+		on(mixed(draw, onsetAt, onsetTime, usual*times, only("larger")), larger),
+		on(mixed(draw, 0, onsetTime, usual, only("smaller")), smaller),
 	)
 	for i := range load {
 		load[i].router = draw.IntN(routers)
@@ -69,3 +68,72 @@
 		})
 	}
 }
+
+// moving returns a load of a workspace that asks for times the usual, whose callers
+// meet one router at a time, beside ten others at all of them.
+func moving(times float64, routers int) []arrival {
+	const (
+		mover = 1 << 20
+		usual = 80
+		stay  = 2 * time.Second
+	)
+	draw := rand.New(rand.NewPCG(11, 1))
+	load := merge(
+		mixed(draw, 0, onsetTime, usual, even(draw)),
+		on(mixed(draw, 0, onsetTime, usual*times, only("mover")), mover),
+	)
+	for i := range load {
+		load[i].router = draw.IntN(routers)
+		if load[i].workspace == "mover" {
+			load[i].router = int(load[i].at/stay) % routers
+		}
+	}
+	return load
+}
+
+// Guards against a flood that is refused at each router it comes to because it is
+// new there.
+func TestFloodThatMovesIsNotLockedOut(t *testing.T) {
+	const (
+		routers    = 24
+		statedPart = 0.3
+		// share is the part of what ten workspaces ask for as usual that is one's
+		// share, about.
+		share = 0.1
+	)
+	for _, c := range []struct {
+		name  string
+		times float64
+	}{
+		{"four times its share", 4 * share},
+		{"eight times its share", 8 * share},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSimulation(routers, replayEngines, 11)
+			s.spendingDelay = 250 * time.Millisecond
+			s.throughput = statedPart * readRate * replayEngines
+			results := s.run(moving(c.times, routers))
+			part := partOfBestServed(results, "mover", 4*time.Second)
+			t.Logf("%.2f of what the best served other one got", part)
+			require.Greater(t, part, 0.5)
+		})
+	}
+}
+
+// partOfBestServed returns what a workspace got after a time, over what the best
+// served other one did.
+func partOfBestServed(results []outcome, of state.Workspace, from time.Duration) float64 {
+	got := make(map[state.Workspace]int)
+	for _, o := range results {
+		if o.at >= from && o.verdict.Admit() {
+			got[o.workspace] += o.own
+		}
+	}
+	best := 1
+	for ws, n := range got {
+		if ws != of {
+			best = max(best, n)
+		}
+	}
+	return float64(got[of]) / float64(best)
+}
