Routers: evacuated data centres, cold upstreams and home regions

Three rules were unknown to the routers. Regions of routes and workspaces were not read.

- coordination/evacuation holds the newest known entry of each data centre; routers follow the kind in the store, exchange it like any object, compare it in their summaries, and serve callers only once they know all evacuations.
Nothing is sent to an evacuated data centre, no request, repeat, resumed stream or probe.
- coordination/coldstart chooses one sender for each cold upstream among the live routers of its data centre, by rendezvous hash.
It sends at an even pace, such that two senders together keep the bound, and only while it reaches most routers of the data centre.
An upstream is cold as long as its entry says, and after an evacuation for the time of a cold start.
- A request goes only to upstreams whose region is in the lists of its route and its workspace; if there is none it is refused, with a time to come back.

A deployment whose settings name no such bound is not affected. An invalid field refuses the configuration as a whole; an invalid cold time keeps the former one.

--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -75,7 +75,7 @@
 type StateSummary struct {
 	// ConfigRevision is the revision of the configuration; 0 if there is none.
 	ConfigRevision uint64
-	// UpstreamsDigest is a digest of all upstream entries.
+	// UpstreamsDigest is a digest of all upstream entries and evacuations.
 	UpstreamsDigest uint64
 }
 
--- a/coordination/placement/host.go
+++ b/coordination/placement/host.go
@@ -57,6 +57,14 @@
 	// unreachable is set when a connection fails or the upstream goes silent,
 	// and cleared when the upstream sends something again.
 	unreachable bool
+	// coldUntil is when the upstream becomes warm, and nextColdRequest the
+	// earliest time of this router's next request while it is cold.
+	coldUntil       time.Time
+	nextColdRequest time.Time
+	// isSender is set if this router may send requests to the upstream while it
+	// is cold, as of senderCheckedAt.
+	isSender        bool
+	senderCheckedAt time.Time
 	// active holds the requests that were sent and have not ended, oldest
 	// first.
 	active []*Ticket
--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -50,6 +50,8 @@
 	// must not be sent to.
 	resumed  bool
 	excluded []state.Upstream
+	// regions are the lists of regions that the request is restricted to.
+	regions [][]state.Region
 }
 
 // Upstream returns the upstream that the request was sent to.
@@ -69,7 +71,7 @@
 	t := &Ticket{
 		upstream: e.Upstream, born: e.Born, service: w.Service, placedAt: now, lastOutputAt: now,
 		uncachedTokens: e.UncachedTokens, promptTokens: countTokens(w.Prompt), prefillWork: e.prefillWork, expectedOutputTokens: w.ExpectedOutputTokens,
-		awaitingFirstOutput: true, repeatable: w.Repeatable, resumed: w.Resumed, excluded: w.Excluded,
+		awaitingFirstOutput: true, repeatable: w.Repeatable, resumed: w.Resumed, excluded: w.Excluded, regions: w.Regions,
 	}
 	h := v.hosts[e.Upstream]
 	if h == nil {
@@ -81,6 +83,7 @@
 	_, pendingPrefill := h.totalLoad()
 	t.foundIdle = pendingPrefill == 0
 	h.addTicket(t)
+	v.coldHosts.recordSent(now, h)
 	if e.Interferes {
 		h.recordInterference(now)
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -57,6 +57,9 @@
 	Resumed bool
 	// Excluded lists the upstreams that failed or rejected this request.
 	Excluded []state.Upstream
+	// Regions holds lists of regions. The request may only be sent to upstreams
+	// whose region is in every list.
+	Regions [][]state.Region
 }
 
 // affinityKey returns the ID of the most specific prompt part that requests
@@ -155,6 +158,11 @@
 	scatterCounter uint64
 	// lastReceivedAt is when each peer last sent its loads.
 	lastReceivedAt map[state.Router]time.Time
+	// regions holds the region of each data centre, and evacuated the data
+	// centres to whose upstreams nothing may be sent.
+	regions   map[state.DataCentre]state.Region
+	evacuated map[state.DataCentre]bool
+	coldHosts coldHosts
 }
 
 // New returns an empty view for a router in a data centre.
@@ -174,6 +182,7 @@
 // SetServices applies the services of a configuration.
 func (v *View) SetServices(services []routing.Service) {
 	for _, service := range services {
+		v.coldHosts.setService(service)
 		if service.Engine != nil {
 			v.engines[service.Name] = *service.Engine
 			if v.prefillModels[service.Name] == nil {
@@ -214,7 +223,7 @@
 func (v *View) CountUsable(service state.Service) int {
 	n := 0
 	for _, h := range v.services[service] {
-		if !h.Leaving {
+		if !h.Leaving && !v.evacuated[h.DataCentre] {
 			n++
 		}
 	}
@@ -271,14 +280,14 @@
 	return home
 }
 
-// eligible returns the upstreams that may receive a request. Leaving and
-// excluded upstreams are never included. Upstreams that are unreachable or have
-// just rejected a request are included only if there are no others.
+// eligible returns the upstreams that may receive a request. Upstreams that are
+// unreachable or have just rejected a request are included only if there are no
+// others.
 func (v *View) eligible(now time.Time, w Work) []*host {
 	var preferred, fallback []*host
 	for _, h := range v.services[w.Service] {
 		switch {
-		case h.Leaving || slices.Contains(w.Excluded, h.ID):
+		case !v.mayReceive(now, h, w.Regions, w.Excluded):
 		case h.unreachable || now.Before(h.avoidUntil):
 			fallback = append(fallback, h)
 		default:
@@ -390,7 +399,7 @@
 func (v *View) slotUtilisation(service state.Service) float64 {
 	running, slots := 0, 0
 	for _, h := range v.services[service] {
-		if h.Leaving {
+		if h.Leaving || v.evacuated[h.DataCentre] {
 			continue
 		}
 		total, _ := h.totalLoad()
--- a/coordination/placement/stall.go
+++ b/coordination/placement/stall.go
@@ -49,7 +49,7 @@
 	var stalled []*Ticket
 	for _, h := range v.hosts {
 		for _, t := range h.active {
-			if !t.repeatable || t.givenUp || !v.isStalled(now, t) || !v.hasAlternative(t) {
+			if !t.repeatable || t.givenUp || !v.isStalled(now, t) || !v.hasAlternative(now, t) {
 				continue
 			}
 			if t.partlyDelivered() && !mayRetry(t.service) {
@@ -64,9 +64,9 @@
 
 // hasAlternative reports whether a request can be sent to an upstream other
 // than its own.
-func (v *View) hasAlternative(t *Ticket) bool {
+func (v *View) hasAlternative(now time.Time, t *Ticket) bool {
 	return slices.ContainsFunc(v.services[t.service], func(h *host) bool {
-		return h != t.host && !h.Leaving && !h.unreachable && !slices.Contains(t.excluded, h.ID)
+		return h != t.host && !h.unreachable && v.mayReceive(now, h, t.regions, t.excluded)
 	})
 }
 
@@ -122,11 +122,11 @@
 }
 
 // UnreachableUpstreams returns the upstreams that cannot be reached, to be
-// probed.
+// probed. Upstreams of evacuated data centres are not probed.
 func (v *View) UnreachableUpstreams() []directory.Upstream {
 	var list []directory.Upstream
 	for _, h := range v.hosts {
-		if h.unreachable && !h.Leaving {
+		if h.unreachable && !h.Leaving && !v.evacuated[h.DataCentre] {
 			list = append(list, h.Upstream)
 		}
 	}
--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -160,7 +160,8 @@
 		"ListenAddrs": map[string]string{"Frontend": r.callerAddress, "Ready": r.readyAddress, "ControlPlane": r.peerAddress},
 		"SeedNodes":   seeds,
 		"Limits":      map[string]any{"CpuQuota": 1, "MemoryMb": 284, "MaxFds": 4100},
-		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56},
+		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56, "EvacuationMs": 5000},
+		"Zones":       map[string]string{"z1": "north", "z2": "north"},
 		"Platform":    map[string]string{"Address": store},
 	}
 	text, err := json.Marshal(settings)
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// An operator evacuates the data centre of the only upstream, and then the store
+// fails. No router may send anything there, not even one that starts meanwhile.
+// After the evacuation all of them serve again.
+func TestEdgeSendsNothingToAnEvacuatedDataCentre(t *testing.T) {
+	s, _, routers := startEdgeFleet(t)
+	s.put(edge.KindEvacuation, "z1", map[string]any{})
+	for _, r := range routers {
+		await(t, func() bool { return r.postStatus(t, "/pages/now", "k1") == http.StatusServiceUnavailable })
+	}
+	s.SetUnavailable(true)
+	routers = append(routers, startEdgeRouter(t, s, 2, routers[0].peerAddress))
+	routers[2].awaitReady(t)
+	for _, r := range routers {
+		response, err := r.post(t, "/pages/now", "k1")
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+	}
+	s.SetUnavailable(false)
+	s.Remove(edge.KindEvacuation, "z1")
+	for _, r := range routers {
+		await(t, func() bool { return r.postStatus(t, "/pages/now", "k1") == http.StatusOK })
+	}
+}
+
 // A router is stopped while a caller reads a stream. The stream must end
 // complete, the router must report that it is not ready meanwhile, and the
 // process must exit with code 0.
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/figstile/figstile/state"
 )
@@ -20,6 +21,10 @@
 	// Leaving is set if the upstream finishes its current requests and accepts
 	// no new ones.
 	Leaving bool
+	// ColdFor is how much longer the upstream stays cold, counted from when it
+	// wrote this entry; 0 if it is warm. A cold upstream tolerates few requests
+	// per second.
+	ColdFor time.Duration
 	// Born is the start time in Unix milliseconds, which distinguishes
 	// processes with the same ID; zero if the upstream does not report it.
 	Born int64
--- a/state/names.go
+++ b/state/names.go
@@ -29,6 +29,10 @@
 // others.
 type DataCentre string
 
+// Region is the name of a group of data centres. Operators may restrict
+// requests to the upstreams of some regions.
+type Region string
+
 // Incarnation distinguishes the processes that run under one router name, one
 // after another. A later process has a greater number.
 type Incarnation uint64
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -67,6 +67,9 @@
 	MaxAttempts int
 	// Public is set if requests of the route need no key.
 	Public bool
+	// Regions are the only regions whose upstreams may serve the route; empty
+	// means all.
+	Regions []state.Region
 }
 
 // Repeatable reports whether a request may be sent again after it may have run.
@@ -93,8 +96,17 @@
 	MaxConnections int
 	// Engine is nil for services of application workers.
 	Engine *Engine
+	// ColdStart is how long an upstream stays cold after its start, and
+	// ColdRate the number of requests per second that it tolerates meanwhile.
+	// The service has no cold starts if either is zero.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
+// HasColdStarts reports whether the upstreams of the service tolerate fewer
+// requests after their start.
+func (s Service) HasColdStarts() bool { return s.ColdStart > 0 && s.ColdRate > 0 }
+
 // Limits bounds the requests that a caller may send.
 type Limits struct {
 	HeaderBytes   int
@@ -111,6 +123,9 @@
 type Workspace struct {
 	Name state.Workspace
 	Keys []string
+	// Regions are the only regions whose upstreams may serve the workspace;
+	// empty means all.
+	Regions []state.Region
 }
 
 // Config is one version of the operators' configuration.
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -13,6 +13,8 @@
 	hosts    map[string]map[string]*Route
 	services map[state.Service]*Service
 	keys     map[string]state.Workspace
+	// regions holds the regions of the workspaces that are restricted to some.
+	regions map[state.Workspace][]state.Region
 }
 
 // NewTable indexes a configuration. The caller must not modify the
@@ -23,6 +25,7 @@
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[state.Service]*Service),
 		keys:     make(map[string]state.Workspace),
+		regions:  make(map[state.Workspace][]state.Region),
 	}
 	for i := range config.Routes {
 		t.addRoute(&config.Routes[i])
@@ -31,6 +34,9 @@
 		t.services[config.Services[i].Name] = &config.Services[i]
 	}
 	for _, workspace := range config.Workspaces {
+		if len(workspace.Regions) > 0 {
+			t.regions[workspace.Name] = workspace.Regions
+		}
 		for _, key := range workspace.Keys {
 			t.keys[key] = workspace.Name
 		}
@@ -90,6 +96,10 @@
 	return service, ok
 }
 
+// WorkspaceRegions returns the regions that a workspace is restricted to, or
+// nil if it is not restricted.
+func (t *Table) WorkspaceRegions(ws state.Workspace) []state.Region { return t.regions[ws] }
+
 // Workspace returns the workspace to which a key belongs.
 func (t *Table) Workspace(key string) (state.Workspace, bool) {
 	workspace, ok := t.keys[key]
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -78,8 +79,11 @@
 // applyObject applies an object and reports whether it has to be sent to peers.
 // The source only appears in the log.
 func (c *catalogue) applyObject(kind Kind, o Object, source string) bool {
-	if kind == KindConfig {
+	switch kind {
+	case KindConfig:
 		return c.applyConfig(o, source)
+	case KindEvacuation:
+		return c.applyEvacuation(o, source)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,6 +138,11 @@
 		return entry
 	}
 	decoded, err := c.platform.DecodeUpstream(o.Name, o.Spec)
+	if errors.Is(err, ErrInvalidColdTime) {
+		c.log.Error().Err(err).Uint64("revision", o.Revision).Msg("cold time ignored")
+		before, _ := c.directory.Entry(state.Upstream(o.Name))
+		decoded.ColdFor, err = before.Upstream.ColdFor, nil
+	}
 	if err != nil {
 		c.log.Debug().Err(err).Str("upstream", o.Name).Msg("entry names no upstream")
 	}
@@ -157,12 +166,15 @@
 }
 
 // entryDigest returns a digest of an entry's content, or 0 if the entry does
-// not name an upstream.
+// not name an upstream. It does not depend on how long the upstream stays cold,
+// which decreases with each entry.
 func entryDigest(entry directory.Entry) uint64 {
 	if !entry.Present {
 		return 0
 	}
-	return xxhash.Sum64String(fmt.Sprintf("%+v", entry.Upstream))
+	u := entry.Upstream
+	u.ColdFor = 0
+	return xxhash.Sum64String(fmt.Sprintf("%+v", u))
 }
 
 // contentSummary identifies the configuration and the upstreams that this
@@ -171,7 +183,7 @@
 func (c *catalogue) contentSummary() exchange.StateSummary {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return exchange.StateSummary{ConfigRevision: c.config.Revision, UpstreamsDigest: c.upstreamDigest}
+	return exchange.StateSummary{ConfigRevision: c.config.Revision, UpstreamsDigest: c.upstreamDigest ^ c.dispatcher.evacuationDigest()}
 }
 
 // sameContent reports whether two entries are equal in all that decisions
@@ -186,8 +198,12 @@
 		return
 	}
 	c.dispatcher.setUpstream(id, entry.Upstream, entry.Present)
+	if entryDigest(before) == entryDigest(entry) && (before.Upstream.ColdFor > 0) == (entry.Upstream.ColdFor > 0) {
+		return
+	}
 	c.log.Info().Str("upstream", string(id)).Str("service", string(entry.Upstream.Service)).
 		Str("address", entry.Upstream.Address).Bool("present", entry.Present).Bool("leaving", entry.Upstream.Leaving).
+		Dur("cold", entry.Upstream.ColdFor).
 		Uint64("revision", entry.Revision).Str("source", source).Msg("upstream changed")
 }
 
@@ -327,6 +343,12 @@
 	}
 }
 
+// isIncomplete reports whether this router lacks the configuration or does not
+// know which data centres are evacuated.
+func (c *catalogue) isIncomplete() bool {
+	return c.hasNoConfig() || !c.dispatcher.evacuationsKnown()
+}
+
 // hasNoConfig reports whether no configuration was received yet.
 func (c *catalogue) hasNoConfig() bool {
 	c.mu.Lock()
--- a/transport/edge/catalogue_test.go
+++ b/transport/edge/catalogue_test.go
@@ -134,3 +134,26 @@
 	a.catalogue.applyObject(KindConfig, configObject(9, 2), sourceStore)
 	require.NotEqual(t, a.catalogue.contentSummary(), b.catalogue.contentSummary())
 }
+
+// Each entry of a cold upstream states a shorter time. An entry with an invalid
+// one must neither remove the upstream nor make it warm.
+func TestInvalidColdTimeKeepsTheFormerOne(t *testing.T) {
+	f := newFixture()
+	f.catalogue.applyObject(KindUpstream, coldUpstream("u", 1, `3000000000`), sourceStore)
+	entry, _ := f.catalogue.directory.Entry("u")
+	require.Equal(t, 3*time.Second, entry.Upstream.ColdFor)
+	f.catalogue.applyObject(KindUpstream, coldUpstream("u", 2, `"soon"`), sourceStore)
+	require.Equal(t, 1, f.usableUpstreams())
+	entry, _ = f.catalogue.directory.Entry("u")
+	require.Equal(t, 3*time.Second, entry.Upstream.ColdFor)
+}
+
+// Entries of a cold upstream must not look like a difference between two
+// routers, one of which has received a later entry.
+func TestColdTimeIsNotPartOfTheSummary(t *testing.T) {
+	f := newFixture()
+	f.catalogue.applyObject(KindUpstream, coldUpstream("u", 1, `3000000000`), sourceStore)
+	before := f.catalogue.contentSummary()
+	require.True(t, f.catalogue.applyObject(KindUpstream, coldUpstream("u", 2, `0`), sourceStore), "peers are told")
+	require.Equal(t, before, f.catalogue.contentSummary())
+}
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -9,7 +9,9 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/budget"
+	"github.com/figstile/figstile/coordination/coldstart"
 	"github.com/figstile/figstile/coordination/drain"
+	"github.com/figstile/figstile/coordination/evacuation"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/shares"
@@ -31,9 +33,12 @@
 	now      func() time.Time
 	pressure *pressure
 
-	mu           sync.Mutex
-	table        *routing.Table
-	loadView     *placement.View
+	mu       sync.Mutex
+	table    *routing.Table
+	loadView *placement.View
+	// coldSenders determines to which cold upstreams this router may send.
+	coldSenders  *coldstart.Senders
+	evacuations  *evacuation.Set
 	ledger       *shares.Ledger
 	retryBudgets map[state.Service]*budget.Budget
 	quarantined  *quarantine.List
@@ -60,11 +65,16 @@
 func newDispatcher(settings Settings, now func() time.Time) *dispatcher {
 	loadView := placement.New(settings.DataCentre)
 	loadView.SeedScatter(xxhash.Sum64String(string(settings.Router)))
+	loadView.SetRegions(settings.Regions)
+	coldSenders := coldstart.NewSenders(now(), settings.Router)
+	loadView.LimitColdStarts(settings.ColdLimit, coldSenders)
 	return &dispatcher{
 		settings:       settings,
 		now:            now,
 		pressure:       newPressure(settings.MaxFiles, settings.CPUCores, now),
 		loadView:       loadView,
+		coldSenders:    coldSenders,
+		evacuations:    evacuation.New(),
 		ledger:         shares.New(),
 		retryBudgets:   make(map[state.Service]*budget.Budget),
 		quarantined:    quarantine.New(quarantine.DefaultCapacity),
@@ -79,10 +89,14 @@
 
 var _ ingress.Dispatcher = (*dispatcher)(nil)
 
-// Table implements ingress.Dispatcher.
+// Table implements ingress.Dispatcher. It returns nil while this router does not
+// know which data centres are evacuated.
 func (d *dispatcher) Table() *routing.Table {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.knowsEvacuations() {
+		return nil
+	}
 	return d.table
 }
 
@@ -379,6 +393,7 @@
 	}
 	if present {
 		d.loadView.SetUpstream(u)
+		d.loadView.MarkCold(id, d.now().Add(u.ColdFor))
 	} else {
 		d.loadView.RemoveUpstream(id)
 	}
@@ -396,5 +411,5 @@
 func (d *dispatcher) ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table != nil && !d.drain.Begun() && d.pressure.acceptsNewCallers()
+	return d.table != nil && d.knowsEvacuations() && !d.drain.Begun() && d.pressure.acceptsNewCallers()
 }
--- a/transport/edge/dispatcher_peers.go
+++ b/transport/edge/dispatcher_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/shares"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
@@ -98,9 +99,10 @@
 
 // setLiveRouters sets the number of live routers and discards the loads and the
 // workspace usage received from the removed ones.
-func (d *dispatcher) setLiveRouters(count int, removed []state.Router) {
+func (d *dispatcher) setLiveRouters(live []scheduler.Peer, removed []state.Router) {
 	d.mu.Lock()
-	d.routerCount = count
+	d.routerCount = len(live)
+	d.coldSenders.SetLive(d.now(), live)
 	d.mu.Unlock()
 	for _, router := range removed {
 		d.forgetPeer(router)
--- a/transport/edge/fakes_test.go
+++ b/transport/edge/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -54,8 +55,11 @@
 
 func (*fakePlatform) DecodeUpstream(name string, spec []byte) (directory.Upstream, error) {
 	var u directory.Upstream
-	if err := json.Unmarshal(spec, &u); err != nil {
+	if err := json.Unmarshal(spec, &u); err != nil && u.Address == "" {
 		return directory.Upstream{}, err
+	} else if err != nil {
+		u.ID = state.Upstream(name)
+		return u, fmt.Errorf("%w: %w", ErrInvalidColdTime, err)
 	}
 	if u.Address == "" {
 		return directory.Upstream{}, errors.New("no address")
@@ -84,6 +88,13 @@
 	return Object{Name: name, Revision: revision, Spec: spec}
 }
 
+// coldUpstream returns an upstream's entry with the given cold time, in
+// nanoseconds.
+func coldUpstream(name string, revision uint64, coldFor string) Object {
+	spec := `{"Service":"s","Address":"10.0.0.1:80","DataCentre":"dc","Slots":2,"ColdFor":` + coldFor + `}`
+	return Object{Name: name, Revision: revision, Spec: []byte(spec)}
+}
+
 func removal(name string, revision uint64) Object {
 	return Object{Name: name, Revision: revision, Removed: true}
 }
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// watchWait limits one watch call. An open connection may stop receiving
+	// watchWait limits one watch call, except for evacuations. An open connection may stop receiving
 	// data without an error. A new call on a new connection then detects it,
 	// well within the few seconds in which a configuration must be in force.
 	watchWait = 1500 * time.Millisecond
@@ -23,9 +23,9 @@
 	// would make a call for each of these changes. A leaving upstream is still
 	// noticed well within the two seconds that it is given.
 	upstreamWatchInterval = 500 * time.Millisecond
-	// configWatchInterval limits the calls for the configuration to ten per
-	// second if it changes many times in a row.
-	configWatchInterval = 100 * time.Millisecond
+	// operatorWatchInterval limits the calls for each kind of object that
+	// operators write to ten per second if it changes many times in a row.
+	operatorWatchInterval = 100 * time.Millisecond
 	// readerCheckInterval is the interval at which a router that does not read
 	// the store checks whether it should.
 	readerCheckInterval = 100 * time.Millisecond
@@ -41,7 +41,9 @@
 
 // follower keeps a catalogue up to date with one kind of the store's objects.
 type follower struct {
-	kind      Kind
+	kind Kind
+	// watchWait limits one watch call.
+	watchWait time.Duration
 	store     ObjectStore
 	catalogue *catalogue
 	log       zerolog.Logger
@@ -93,19 +95,19 @@
 }
 
 func (f *follower) watchInterval() time.Duration {
-	if f.kind == KindConfig {
-		return configWatchInterval
+	if f.kind == KindUpstream {
+		return upstreamWatchInterval/2 + rand.N(upstreamWatchInterval)
 	}
-	return upstreamWatchInterval/2 + rand.N(upstreamWatchInterval)
+	return operatorWatchInterval
 }
 
 func (f *follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.watchWait+callTimeout)
 	defer cancel()
-	objects, at, err := f.store.Watch(ctx, f.kind, f.revision, watchWait)
+	objects, at, err := f.store.Watch(ctx, f.kind, f.revision, f.watchWait)
 	if err != nil {
 		return err
 	}
@@ -133,9 +135,13 @@
 	}
 	f.recordAnswer()
 	f.listed, f.revision = true, at
-	if f.kind == KindUpstream {
+	switch f.kind {
+	case KindUpstream:
 		f.notify(f.catalogue.replaceUpstreams(objects, at, sourceStore))
 		return nil
+	case KindEvacuation:
+		f.notify(f.catalogue.replaceEvacuations(objects, at, sourceStore))
+		return nil
 	}
 	for _, o := range objects {
 		if f.catalogue.applyObject(f.kind, o, sourceStore) {
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -107,7 +107,7 @@
 		removed = removedRouters(f.livePeers, live)
 	}
 	f.livePeers = live
-	f.dispatcher.setLiveRouters(len(live), removed)
+	f.dispatcher.setLiveRouters(live, removed)
 }
 
 // removedRouters returns the routers in before that are missing from live.
--- a/transport/edge/metrics.go
+++ b/transport/edge/metrics.go
@@ -33,6 +33,9 @@
 	r.metrics.SetViewAge("configuration", ages.configuration)
 	r.metrics.SetViewAge("loads", ages.loads)
 	r.metrics.SetViewAge("spending", ages.spending)
+	for dc, age := range r.dispatcher.evacuationAges() {
+		r.metrics.SetEvacuationAge(dc, age)
+	}
 	r.metrics.SetGauge("routers_live", float64(r.dispatcher.liveRouters()))
 	r.metrics.SetGauge("ready", boolGauge(r.dispatcher.ready()))
 	r.metrics.SetGauge("caller_connections", float64(r.pressure.callerConns.Load()))
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -147,13 +147,19 @@
 		o.Answer = true
 		f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: o}})
 	}
-	for _, o := range f.catalogue.upstreamObjects() {
-		env := objectEnvelope(KindUpstream, o)
+	// Evacuations come before the upstreams that they affect.
+	f.answerObjects(to, KindEvacuation, f.catalogue.evacuationObjects())
+	f.answerObjects(to, KindUpstream, f.catalogue.upstreamObjects())
+	end := &peerpb.CatalogueEnd{Holds: !f.catalogue.isIncomplete(), ReadsStore: f.mayClaimReading()}
+	f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}})
+}
+
+func (f *fleet) answerObjects(to state.Router, kind Kind, objects []Object) {
+	for _, o := range objects {
+		env := objectEnvelope(kind, o)
 		env.GetConfigObject().Answer = true
 		f.send(to, env)
 	}
-	end := &peerpb.CatalogueEnd{Holds: !f.catalogue.hasNoConfig(), ReadsStore: f.mayClaimReading()}
-	f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}})
 }
 
 // keySeparator separates the kind and the name in the key of an object.
@@ -168,10 +174,12 @@
 	if !ok || len(key) > wire.MaxNameBytes {
 		return KindUpstream, "", false
 	}
-	if kindName == KindConfig.String() {
-		return KindConfig, name, true
+	for k, known := range kindNames {
+		if kindName == known {
+			return Kind(k), name, true
+		}
 	}
-	return KindUpstream, name, true
+	return KindUpstream, "", false
 }
 
 func objectEnvelope(kind Kind, o Object) *peerpb.Envelope {
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/figstile/figstile/coordination/coldstart"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
 	"github.com/figstile/figstile/state/routing"
@@ -19,6 +20,9 @@
 	// ErrUnavailable reports that the store did not perform a call or that its
 	// answer was lost.
 	ErrUnavailable = errors.New("edge: the store is unavailable")
+	// ErrInvalidColdTime reports that an upstream's entry is usable but for the
+	// time for which the upstream stays cold.
+	ErrInvalidColdTime = errors.New("edge: the entry's cold time is invalid")
 )
 
 // Kind is the kind of an object in the store.
@@ -31,14 +35,21 @@
 	// KindUpstream is the kind of the upstreams' entries, one object per
 	// upstream.
 	KindUpstream
+	// KindEvacuation is the kind of the operators' evacuations, one object per
+	// evacuated data centre, which is its name.
+	KindEvacuation
 )
 
+// kindNames are the names of the kinds in log lines and in messages between
+// routers.
+var kindNames = [...]string{KindConfig: "config", KindUpstream: "upstream", KindEvacuation: "evacuation"}
+
 // String returns the kind's name in log lines and in messages between routers.
 func (k Kind) String() string {
-	if k == KindConfig {
-		return "config"
+	if int(k) >= len(kindNames) {
+		return "invalid"
 	}
-	return "upstream"
+	return kindNames[k]
 }
 
 // Object is one object of the store.
@@ -70,7 +81,9 @@
 	// a large one. It is not called concurrently.
 	DecodeConfig(spec []byte, yield func()) (routing.Config, error)
 	// DecodeUpstream decodes an upstream's entry. It returns an error if the
-	// entry does not describe a usable upstream.
+	// entry does not describe a usable upstream. If only the cold time is
+	// invalid, it returns the upstream with an error that wraps
+	// ErrInvalidColdTime.
 	DecodeUpstream(name string, spec []byte) (directory.Upstream, error)
 }
 
@@ -108,4 +121,12 @@
 	// fleet.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// EvacuationLimit is the time within which an evacuation of a data centre
+	// must be in force; 0 if data centres are never evacuated. Otherwise the
+	// router serves callers only once it knows which ones are.
+	EvacuationLimit time.Duration
+	// ColdLimit bounds the requests of the whole fleet to a cold upstream.
+	ColdLimit coldstart.Limit
+	// Regions holds the region of each data centre.
+	Regions map[state.DataCentre]state.Region
 }
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -103,7 +103,7 @@
 }
 
 // isEagerReader reports whether this router is one of the first live routers by
-// name, or holds no configuration. If every router called an unavailable store
+// name, or lacks what it needs to serve callers. If every router called an unavailable store
 // again and again, 73 routers would make two thousand calls in six seconds, and
 // each call is billed.
 func (f *fleet) isEagerReader() bool {
@@ -113,7 +113,7 @@
 			earlier++
 		}
 	}
-	return earlier < eagerReaders || f.catalogue.hasNoConfig()
+	return earlier < eagerReaders || f.catalogue.isIncomplete()
 }
 
 // retryDelay lengthens the pause after a failed call for routers that are not
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -165,6 +165,9 @@
 	f.catchUp.Answered(f.now(), from, m.GetHolds())
 	f.caughtUp = f.caughtUp || m.GetHolds()
 	f.mu.Unlock()
+	if m.GetHolds() {
+		f.catalogue.markEvacuationsKnown()
+	}
 	if m.GetHolds() && m.GetReadsStore() {
 		f.dispatcher.confirmConfig()
 	}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -96,9 +96,13 @@
 		Capacity: cpuHundredths(settings),
 	})
 	r.newHandler(platform)
-	for _, kind := range []Kind{KindConfig, KindUpstream} {
+	waits := map[Kind]time.Duration{KindConfig: watchWait, KindUpstream: watchWait}
+	if settings.EvacuationLimit > 0 {
+		waits[KindEvacuation] = max(watchWait, settings.EvacuationLimit/2)
+	}
+	for kind, wait := range waits {
 		r.followers = append(r.followers, &follower{
-			kind: kind, store: platform, catalogue: r.catalogue, log: log,
+			kind: kind, watchWait: wait, store: platform, catalogue: r.catalogue, log: log,
 			shouldRead: r.fleet.shouldReadStore, onAnswer: r.fleet.onStoreAnswer, onFailure: r.fleet.onStoreFailure, onChanged: r.fleet.publishObjects,
 			retryDelay: r.fleet.retryDelay,
 		})
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -179,6 +179,7 @@
 			ExpectedOutputTokens: x.expectedOutputTokens(),
 			TargetLatency:        x.route.TargetLatency,
 			MaxEventGap:          x.route.MaxEventGap,
+			Regions:              x.allowedRegions(),
 		},
 		Fingerprint:     x.fingerprint,
 		Workspace:       x.workspace,
@@ -196,6 +197,19 @@
 	return result.Result{}, true
 }
 
+// allowedRegions returns the lists of regions that the route and the workspace
+// are restricted to.
+func (x *exchange) allowedRegions() [][]state.Region {
+	var lists [][]state.Region
+	if len(x.route.Regions) > 0 {
+		lists = append(lists, x.route.Regions)
+	}
+	if regions := x.table.WorkspaceRegions(x.workspace); len(regions) > 0 {
+		lists = append(lists, regions)
+	}
+	return lists
+}
+
 func (x *exchange) expectedOutputTokens() int {
 	if x.inbound.OutputHint > 0 {
 		return min(x.inbound.OutputHint, max(x.inbound.MaxOutput, 1))
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -141,6 +141,12 @@
 	m.scope.Tagged(map[string]string{"view": view}).Gauge("view_age_seconds").Update(age.Seconds())
 }
 
+// SetEvacuationAge sets for how long a data centre has been evacuated; 0 if it
+// is not.
+func (m *Metrics) SetEvacuationAge(dc state.DataCentre, age time.Duration) {
+	m.scope.Tagged(map[string]string{"evacuated": string(dc)}).Gauge("evacuation_age_seconds").Update(age.Seconds())
+}
+
 // SeriesFor returns the histograms of a workspace and class.
 func (m *Metrics) SeriesFor(ws state.Workspace, class string) *Series {
 	m.mu.Lock()
