Placement, overlay: take link sums and live routers only when they change

In a large fleet every router took the sums for each of its links by looking at all upstreams, up to fifty times a second, and sorted the live routers ten times a second.

--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -1,7 +1,6 @@
 package overlay
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -127,8 +126,10 @@
 	viewStale     bool
 	changesUnsent bool
 	view          map[state.Router]membership.Member
-	selection     SelectPeers
-	actions       []Action
+	// liveRouters lists the routers of view, ordered by name.
+	liveRouters []scheduler.Peer
+	selection   SelectPeers
+	actions     []Action
 }
 
 // New returns the overlay of a router that knows no other router.
@@ -163,17 +164,13 @@
 func (o *Overlay) Links() []state.Router { return slices.Sorted(maps.Keys(o.links)) }
 
 // LiveRouters returns the live routers, including this one, ordered by name.
+// The caller must not modify them.
 func (o *Overlay) LiveRouters() []scheduler.Peer {
 	if !o.treeMode {
-		return slices.Clone(o.neighbours)
+		return o.neighbours
 	}
 	o.refreshView()
-	live := make([]scheduler.Peer, 0, len(o.view))
-	for _, m := range o.view {
-		live = append(live, scheduler.Peer{Router: m.Router, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
-	}
-	slices.SortFunc(live, func(a, b scheduler.Peer) int { return cmp.Compare(a.Router, b.Router) })
-	return live
+	return o.liveRouters
 }
 
 // Sessions returns the peers with an open session, ordered by name.
--- a/coordination/overlay/view.go
+++ b/coordination/overlay/view.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/state"
 )
 
@@ -13,10 +14,20 @@
 func (o *Overlay) refreshView() {
 	if o.viewStale || o.view == nil {
 		o.view = o.membersOnThisSide("")
+		o.liveRouters = sortedPeers(o.view)
 		o.viewStale = false
 	}
 }
 
+func sortedPeers(members map[state.Router]membership.Member) []scheduler.Peer {
+	peers := make([]scheduler.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, scheduler.Peer{Router: m.Router, DataCentre: m.DataCentre, Incarnation: m.Incarnation})
+	}
+	slices.SortFunc(peers, func(a, b scheduler.Peer) int { return cmp.Compare(a.Router, b.Router) })
+	return peers
+}
+
 // membersOnThisSide returns the routers on this side of the link with a peer,
 // including this one. For an empty peer it returns all live routers.
 func (o *Overlay) membersOnThisSide(peer state.Router) map[state.Router]membership.Member {
--- a/coordination/placement/announce.go
+++ b/coordination/placement/announce.go
@@ -72,7 +72,12 @@
 // the last call.
 func (v *View) TakeLinkSums(peer state.Router, all bool) map[state.Upstream]Load {
 	loads := make(map[state.Upstream]Load)
+	taken := v.sumsTaken[peer]
+	v.sumsTaken[peer] = v.loadChanges
 	for id, h := range v.hosts {
+		if !all && h.changedAt <= taken {
+			continue
+		}
 		load := h.loadExcluding(peer)
 		if all && load != (Load{}) || !all && load != h.reportedSums[peer] {
 			loads[id] = load
@@ -90,7 +95,7 @@
 	v.lastReceivedAt[from] = now
 	for id, load := range loads {
 		if h := v.hosts[id]; h != nil {
-			h.setPeerLoad(from, load)
+			v.setPeerLoad(h, from, load)
 		}
 	}
 	if !full {
@@ -98,7 +103,7 @@
 	}
 	for id, h := range v.hosts {
 		if _, ok := loads[id]; !ok {
-			h.setPeerLoad(from, Load{})
+			v.setPeerLoad(h, from, Load{})
 		}
 	}
 }
@@ -106,8 +111,9 @@
 // RemovePeer removes a peer's loads and the record of the loads sent to it.
 func (v *View) RemovePeer(from state.Router) {
 	delete(v.lastReceivedAt, from)
+	delete(v.sumsTaken, from)
 	for _, h := range v.hosts {
-		h.setPeerLoad(from, Load{})
+		v.setPeerLoad(h, from, Load{})
 		delete(h.reportedSums, from)
 	}
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -158,6 +158,10 @@
 	scatterCounter uint64
 	// lastReceivedAt is when each peer last sent its loads.
 	lastReceivedAt map[state.Router]time.Time
+	// loadChanges counts the changes of loads, and sumsTaken holds its value at
+	// the time when the sums for each link were last taken.
+	loadChanges uint64
+	sumsTaken   map[state.Router]uint64
 	// regions holds the region of each data centre, and evacuated the data
 	// centres to whose upstreams nothing may be sent.
 	regions   map[state.DataCentre]state.Region
@@ -176,6 +180,7 @@
 		prefillModels:  make(map[state.Service]*prefillModel),
 		tokenTimes:     make(map[state.Service]float64),
 		lastReceivedAt: make(map[state.Router]time.Time),
+		sumsTaken:      make(map[state.Router]uint64),
 	}
 }
 
@@ -202,6 +207,7 @@
 	}
 	if h == nil {
 		h = newHost(u, v.engines[u.Service])
+		v.markLoadChanged(h)
 		v.hosts[u.ID] = h
 		v.services[u.Service] = append(v.services[u.Service], h)
 	}
