--- a/coordination/workload/budget.go
+++ b/coordination/workload/budget.go
@@ -14,11 +14,6 @@
 	// callers who arrive together are accepted. The budget may be overspent by
 	// at most the same amount.
 	budgetBurst = 250 * time.Millisecond
-	// turnAwayFraction is the fraction of the budget that may be used to turn
-	// requests away without deciding on them. It is small, because a router
-	// that is flooded by thousands of callers a second would otherwise do
-	// nothing else.
-	turnAwayFraction = 0.25
 	// maxStreamFraction is the maximum charge for one stream, as a fraction of
 	// the burst. If the charge could exceed the burst, a VM would never accept
 	// a stream again, and would never learn that streams have become shorter.
@@ -46,11 +41,8 @@
 	mu sync.Mutex
 	// remaining is the budget in seconds of a whole core at the time
 	// refilledAt.
-	remaining  float64
-	refilledAt time.Time
-	// turnAway is the part of the budget that may be used to turn requests
-	// away, in the same unit and at the same time.
-	turnAway         float64
+	remaining        float64
+	refilledAt       time.Time
 	meanStreamEvents float64
 }
 
@@ -58,14 +50,12 @@
 // cores; 0 means that the share is not known.
 func NewCPUBudget(cores float64) *CPUBudget {
 	b := &CPUBudget{rate: callerCPUFraction * cores, meanStreamEvents: initialStreamEvents}
-	b.remaining, b.turnAway = b.capacity(), b.turnAwayCapacity()
+	b.remaining = b.capacity()
 	return b
 }
 
 func (b *CPUBudget) capacity() float64 { return b.rate * budgetBurst.Seconds() }
 
-func (b *CPUBudget) turnAwayCapacity() float64 { return turnAwayFraction * b.capacity() }
-
 // refill adds the budget accrued since the last call. The caller holds the
 // lock.
 func (b *CPUBudget) refill(now time.Time) {
@@ -74,9 +64,7 @@
 		return
 	}
 	if !b.refilledAt.IsZero() {
-		accrued := b.rate * since.Seconds()
-		b.remaining = min(b.remaining+accrued, b.capacity())
-		b.turnAway = min(b.turnAway+turnAwayFraction*accrued, b.turnAwayCapacity())
+		b.remaining = min(b.remaining+b.rate*since.Seconds(), b.capacity())
 	}
 	b.refilledAt = now
 }
@@ -115,29 +103,6 @@
 	return true
 }
 
-// TryTurnAway charges a request that is refused without a decision, if the part
-// of the budget that is meant for that suffices. It reports whether it did.
-func (b *CPUBudget) TryTurnAway(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	if b.turnAway < turnAwayCPUTime.Seconds() {
-		return false
-	}
-	b.turnAway -= turnAwayCPUTime.Seconds()
-	b.spend(now, turnAwayCPUTime.Seconds())
-	return true
-}
-
-// CanTurnAway reports whether at least half of the part of the budget that is
-// meant for turning requests away is available.
-func (b *CPUBudget) CanTurnAway(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return b.turnAway >= b.turnAwayCapacity()/2
-}
-
 // ChargeShed charges a connection that is closed without being read.
 func (b *CPUBudget) ChargeShed(now time.Time) { b.charge(now, shedCPUTime) }
 
--- a/coordination/workload/workload.go
+++ b/coordination/workload/workload.go
@@ -17,9 +17,6 @@
 	// read: it needs no goroutine, reads no request head and writes no log
 	// line.
 	shedCPUTime = 13 * time.Microsecond
-	// turnAwayCPUTime is the CPU time of a connection whose request is read and
-	// refused without being decided on.
-	turnAwayCPUTime = 45 * time.Microsecond
 	// rateWeight is the weight of one interval of a tenth of a second. With it
 	// the rates follow a change within half a second, the time in which new
 	// traffic can saturate a small VM.
@@ -43,9 +40,7 @@
 	requests atomic.Int64
 	refusals atomic.Int64
 	shed     atomic.Int64
-	// turnedAway is the counterpart of Totals.TurnedAway.
-	turnedAway atomic.Int64
-	events     atomic.Int64
+	events   atomic.Int64
 	// activeStreams is the number of streams that have not ended,
 	// emittingStreams the number of those whose answer has begun.
 	activeStreams   atomic.Int64
@@ -58,21 +53,14 @@
 // Totals holds the counts of a router's work since its start.
 type Totals struct {
 	// Requests counts the requests sent to upstreams, Refusals those that the
-	// router refused, TurnedAway those that it refused without a decision, Shed
-	// the connections closed without being read, and Events the events of
-	// streams.
-	Requests, Refusals, TurnedAway, Shed, Events int64
+	// router refused, Shed the connections closed without being read, and
+	// Events the events of streams.
+	Requests, Refusals, Shed, Events int64
 }
 
 // Since returns the counts since earlier totals.
 func (t Totals) Since(earlier Totals) Totals {
-	return Totals{
-		Requests:   t.Requests - earlier.Requests,
-		Refusals:   t.Refusals - earlier.Refusals,
-		TurnedAway: t.TurnedAway - earlier.TurnedAway,
-		Shed:       t.Shed - earlier.Shed,
-		Events:     t.Events - earlier.Events,
-	}
+	return Totals{t.Requests - earlier.Requests, t.Refusals - earlier.Refusals, t.Shed - earlier.Shed, t.Events - earlier.Events}
 }
 
 // rates holds exponentially weighted means over the last intervals.
@@ -104,18 +92,9 @@
 // AddShed counts a connection that is closed without being read.
 func (e *Estimator) AddShed() { e.shed.Add(1) }
 
-// AddTurnedAway counts a request that is refused without a decision.
-func (e *Estimator) AddTurnedAway() { e.turnedAway.Add(1) }
-
 // Totals returns the current counts.
 func (e *Estimator) Totals() Totals {
-	return Totals{
-		Requests:   e.requests.Load(),
-		Refusals:   e.refusals.Load(),
-		TurnedAway: e.turnedAway.Load(),
-		Shed:       e.shed.Load(),
-		Events:     e.events.Load(),
-	}
+	return Totals{e.requests.Load(), e.refusals.Load(), e.shed.Load(), e.events.Load()}
 }
 
 // ActiveStreams returns the number of streams that have not ended.
@@ -150,8 +129,7 @@
 	}
 	next := *e.rates.Load()
 	share := e.cores * float64(interval)
-	turnedAway := float64(done.Refusals)*float64(refusalCPUTime) +
-		float64(done.TurnedAway)*float64(turnAwayCPUTime) + float64(done.Shed)*float64(shedCPUTime)
+	turnedAway := float64(done.Refusals)*float64(refusalCPUTime) + float64(done.Shed)*float64(shedCPUTime)
 	next.requestLoad += rateWeight * (float64(done.Requests)*float64(requestCPUTime)/share - next.requestLoad)
 	next.turnedAwayLoad += rateWeight * (turnedAway/share - next.turnedAwayLoad)
 	next.eventLoad += rateWeight * (float64(done.Events)*float64(eventCPUTime)/share - next.eventLoad)
--- a/transport/edge/listener.go
+++ b/transport/edge/listener.go
@@ -14,18 +14,14 @@
 const capacityPollInterval = 5 * time.Millisecond
 
 // callerListener accepts connections of callers while the router has capacity
-// for them. Beyond that it refuses their requests without a decision, because a
-// refused caller retries at another router, while many callers give up if they
-// cannot connect. In a flood that would use up the CPU time, so the port is
-// closed while the budget for it is used up, and the kernel refuses connections
-// without involving the process.
+// for them. Otherwise its port is closed, and the kernel refuses connections at
+// once without involving the process, which under overload would use up its CPU
+// time just by accepting them. A caller that was never connected may retry at
+// another router, whatever its request is.
 type callerListener struct {
 	config   net.ListenConfig
 	address  string
 	pressure *pressure
-	// turnAway refuses the requests of connections for which the router has no
-	// capacity. If it is nil, the connections are closed.
-	turnAway *turnAway
 	log      zerolog.Logger
 
 	mu sync.Mutex
@@ -39,8 +35,8 @@
 // listenCallers opens the port without TCP keep-alive probes. Idle connections
 // are closed after the configured limit anyway, and enabling the probes took
 // four system calls for each connection.
-func listenCallers(address string, p *pressure, refuser *turnAway, log zerolog.Logger) (*callerListener, error) {
-	l := &callerListener{config: net.ListenConfig{KeepAlive: -1}, address: address, pressure: p, turnAway: refuser, log: log}
+func listenCallers(address string, p *pressure, log zerolog.Logger) (*callerListener, error) {
+	l := &callerListener{config: net.ListenConfig{KeepAlive: -1}, address: address, pressure: p, log: log}
 	if err := l.listen(); err != nil {
 		return nil, err
 	}
@@ -69,21 +65,11 @@
 		if err != nil || l.pressure.admitConn() {
 			return conn, err
 		}
-		if l.turnAway != nil && l.pressure.tryTurnAway() {
-			l.turnAway.start(conn)
-			continue
-		}
 		_ = conn.Close()
-		l.pressure.countShed()
 		l.closePort()
 	}
 }
 
-// canReopen reports whether a closed port may be opened.
-func (l *callerListener) canReopen() bool {
-	return l.pressure.canReopen() || l.turnAway != nil && l.pressure.canTurnAway()
-}
-
 // waitForPort waits until the router has capacity and returns the open port.
 func (l *callerListener) waitForPort() (*net.TCPListener, error) {
 	for {
@@ -100,7 +86,7 @@
 	if l.closed {
 		return nil, net.ErrClosed
 	}
-	if l.inner == nil && l.canReopen() {
+	if l.inner == nil && l.pressure.canReopen() {
 		if err := l.listen(); err != nil {
 			if !l.listenFailing {
 				l.log.Warn().Err(err).Msg("port of callers not opened")
--- a/transport/edge/listener_test.go
+++ b/transport/edge/listener_test.go
@@ -89,7 +89,7 @@
 func TestShedConnectionIsClosedAtOnce(t *testing.T) {
 	p := newPressure(0, smallVMCores, frozen)
 	applyLoad(p, 1)
-	listener, err := listenCallers("127.0.0.1:0", p, nil, zerolog.Nop())
+	listener, err := listenCallers("127.0.0.1:0", p, zerolog.Nop())
 	require.NoError(t, err)
 	defer listener.Close()
 	accepted := make(chan net.Conn, 1)
@@ -128,7 +128,7 @@
 func TestClosedListenerStaysClosed(t *testing.T) {
 	p := newPressure(0, smallVMCores, frozen)
 	applyLoad(p, 1)
-	listener, err := listenCallers("127.0.0.1:0", p, nil, zerolog.Nop())
+	listener, err := listenCallers("127.0.0.1:0", p, zerolog.Nop())
 	require.NoError(t, err)
 	listener.closePort()
 	done := make(chan error)
--- a/transport/edge/metrics.go
+++ b/transport/edge/metrics.go
@@ -49,14 +49,13 @@
 	delta := totals.Since(r.loggedTotals)
 	r.loggedTotals = totals
 	r.metrics.AddCount("connections_shed", delta.Shed)
-	r.metrics.AddCount("requests_turned_away", delta.TurnedAway)
 	closedTotal := r.pressure.portClosed.sum(boottime.Now())
 	closedTime := closedTotal - r.loggedClosedTime
 	r.loggedClosedTime = closedTotal
 	if closedTime == 0 && !r.pressure.overloaded.Load() {
 		return
 	}
-	r.log.Warn().Int64("admitted", delta.Requests).Int64("refused", delta.Refusals).Int64("turned_away", delta.TurnedAway).Int64("shed", delta.Shed).
+	r.log.Warn().Int64("admitted", delta.Requests).Int64("refused", delta.Refusals).Int64("shed", delta.Shed).
 		Int64("paused_ms", closedTime.Milliseconds()).Int64("events", delta.Events).Int64("streams", r.pressure.cpuEstimate.ActiveStreams()).
 		Float64("processor", r.pressure.cpuEstimate.ExpectedLoad()).
 		Int64("unread_ms", r.pressure.readDelay.estimate().Milliseconds()).
--- a/transport/edge/pressure.go
+++ b/transport/edge/pressure.go
@@ -204,36 +204,20 @@
 	return p.cpuEstimate.ExpectedRelayLoad() > nearCapacityCPUShare || p.cpuBudget.RemainingFraction(p.now()) < nearCapacityBudget
 }
 
-// admitConn reports whether a new connection is accepted. Reading a request only to refuse it takes a
+// admitConn reports whether a new connection is accepted. If not, it must be
+// closed without reading from it. Reading a request only to refuse it takes a
 // large part of the CPU time that relaying it would take, and delays the
 // streams that were admitted.
 func (p *pressure) admitConn() bool {
 	if !p.cpuBudget.Bounded() {
 		return true
 	}
-	return !p.atCapacity() && p.cpuBudget.TryAccept(p.now())
-}
-
-// tryTurnAway reports whether the request of a new connection that was not
-// admitted is read and refused. Otherwise the connection is closed.
-func (p *pressure) tryTurnAway() bool {
-	if p.hasFilesToTurnAway() && p.cpuBudget.TryTurnAway(p.now()) {
-		p.cpuEstimate.AddTurnedAway()
+	if !p.atCapacity() && p.cpuBudget.TryAccept(p.now()) {
 		return true
 	}
-	return false
-}
-
-// hasFilesToTurnAway reports whether there are descriptors and time left to
-// read requests that will be refused.
-func (p *pressure) hasFilesToTurnAway() bool {
-	return !p.exceedsFileShare(p.openConns(), refuseFileShare) && p.readDelay.backlogDelay() <= refuseReadDelay
-}
-
-// countShed counts a connection that is closed without being read.
-func (p *pressure) countShed() {
 	p.cpuEstimate.AddShed()
 	p.cpuBudget.ChargeShed(p.now())
+	return false
 }
 
 // canReopen reports whether a router with a closed port has capacity again. It
@@ -246,12 +230,6 @@
 	return !p.atCapacity() && p.cpuBudget.RemainingFraction(p.now()) >= reopenBudget
 }
 
-// canTurnAway reports whether a router with a closed port may open it to refuse
-// requests.
-func (p *pressure) canTurnAway() bool {
-	return p.hasFilesToTurnAway() && p.cpuBudget.CanTurnAway(p.now())
-}
-
 // observe runs on each tick. lateness is the tick's delay and interval the time
 // since the last tick. It reports whether the router is overloaded, and whether
 // that changed.
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -69,7 +69,6 @@
 	loggedTotals     workload.Totals
 	loggedClosedTime time.Duration
 
-	turnAway        *turnAway
 	callerListener  *callerListener
 	readyListener   net.Listener
 	metricsListener net.Listener
@@ -97,7 +96,6 @@
 		Capacity: cpuHundredths(settings),
 	})
 	r.newHandler(platform)
-	r.turnAway = newTurnAway(platform)
 	waits := map[Kind]time.Duration{KindConfig: watchWait, KindUpstream: watchWait}
 	if settings.EvacuationLimit > 0 {
 		waits[KindEvacuation] = max(watchWait, settings.EvacuationLimit/2)
@@ -183,7 +181,7 @@
 		return fmt.Errorf("peer listener: %w", err)
 	}
 	r.fleet.mesh = r.mesh
-	if r.callerListener, err = listenCallers(r.settings.Addresses.Callers, r.pressure, r.turnAway, r.log); err != nil {
+	if r.callerListener, err = listenCallers(r.settings.Addresses.Callers, r.pressure, r.log); err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
 	if r.readyListener, err = net.Listen("tcp", r.settings.Addresses.Ready); err != nil {
