Routers: send the list of upstreams in packs

Each object of a catalogue, and of a list read from the store, was a message of its own. Objects now travel in compressed packs, which a router encodes once for all its peers. The protocol between routers gets version 3.

--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,7 +53,9 @@
 	encodedConfigs map[uint64][]byte
 	configVersion  uint64
 	objects        map[string]Object
-	directory      *directory.Directory
+	// objectChanges counts the changes of objects.
+	objectChanges uint64
+	directory     *directory.Directory
 	// upstreamDigest is a digest of the content of all upstream entries,
 	// without their revisions.
 	upstreamDigest uint64
@@ -160,6 +163,7 @@
 	}
 	delete(c.pendingRemovals, id)
 	c.objects[o.Name] = o
+	c.objectChanges++
 	c.upstreamDigest ^= entryDigest(before) ^ entryDigest(entry)
 	c.updateDispatcher(id, before, entry, source)
 	return !sameContent(before, entry)
@@ -173,8 +177,10 @@
 		return 0
 	}
 	u := entry.Upstream
-	u.ColdFor = 0
-	return xxhash.Sum64String(fmt.Sprintf("%+v", u))
+	text := fmt.Appendf(nil, "%q %q %q %q", u.ID, u.Service, u.Address, u.DataCentre)
+	text = strconv.AppendInt(append(text, ' '), int64(u.Slots), 10)
+	text = strconv.AppendInt(append(text, ' '), u.Born, 10)
+	return xxhash.Sum64(strconv.AppendBool(append(text, ' '), u.Leaving))
 }
 
 // contentSummary identifies the configuration and the upstreams that this
@@ -349,6 +355,14 @@
 	return c.hasNoConfig() || !c.dispatcher.evacuationsKnown()
 }
 
+// objectsVersion returns a number that changes whenever an upstream's object or
+// an evacuation changes.
+func (c *catalogue) objectsVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.objectChanges
+}
+
 // hasNoConfig reports whether no configuration was received yet.
 func (c *catalogue) hasNoConfig() bool {
 	c.mu.Lock()
--- a/transport/edge/evacuations.go
+++ b/transport/edge/evacuations.go
@@ -15,6 +15,9 @@
 	if !c.dispatcher.setEvacuation(state.DataCentre(o.Name), entry) {
 		return false
 	}
+	c.mu.Lock()
+	c.objectChanges++
+	c.mu.Unlock()
 	if !c.dispatcher.isKnownDataCentre(state.DataCentre(o.Name)) {
 		c.log.Error().Str("data_centre", o.Name).Msg("evacuation names an unknown data centre")
 	}
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -108,6 +108,10 @@
 	noReaderSince time.Time
 	catchUp       exchange.CatchUp
 	fetch         exchange.Fetch
+	// cataloguePacks are the messages with all upstreams and evacuations, as of
+	// cataloguePacksVersion.
+	cataloguePacks        []*peerpb.Envelope
+	cataloguePacksVersion uint64
 	// caughtUp is set once a peer has sent all its objects. From then on, new
 	// objects in further answers are forwarded over the other links.
 	caughtUp bool
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -18,8 +18,8 @@
 // publishObjects sends objects that changed at this router to its peers.
 func (f *fleet) publishObjects(kind Kind, objects []Object) {
 	peers, _ := f.receivers()
-	for _, o := range objects {
-		f.mesh.SendEach(peers, f.changeEnvelope(kind, o))
+	for _, message := range f.changeEnvelopes(kind, objects) {
+		f.mesh.SendEach(peers, message)
 	}
 }
 
@@ -91,6 +91,10 @@
 
 // onObject handles an object received from a peer.
 func (f *fleet) onObject(from state.Router, m *peerpb.ConfigObject) {
+	if m.GetKey() == packedKey {
+		f.onPack(from, m)
+		return
+	}
 	kind, name, ok := parseKey(m.GetKey())
 	if !ok {
 		f.log.Warn().Str("peer", string(from)).Str("key", m.GetKey()).Msg("object refused")
@@ -147,21 +151,13 @@
 		o.Answer = true
 		f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: o}})
 	}
-	// Evacuations come before the upstreams that they affect.
-	f.answerObjects(to, KindEvacuation, f.catalogue.evacuationObjects())
-	f.answerObjects(to, KindUpstream, f.catalogue.upstreamObjects())
+	for _, message := range f.catalogueEnvelopes() {
+		f.send(to, message)
+	}
 	end := &peerpb.CatalogueEnd{Holds: !f.catalogue.isIncomplete(), ReadsStore: f.mayClaimReading()}
 	f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}})
 }
 
-func (f *fleet) answerObjects(to state.Router, kind Kind, objects []Object) {
-	for _, o := range objects {
-		env := objectEnvelope(kind, o)
-		env.GetConfigObject().Answer = true
-		f.send(to, env)
-	}
-}
-
 // keySeparator separates the kind and the name in the key of an object.
 const keySeparator = "/"
 
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -19,7 +19,7 @@
 // ProtocolVersion is the version of the peer protocol. Routers ignore unknown
 // fields and bodies, so the version is raised only when routers could otherwise
 // misunderstand each other.
-const ProtocolVersion = 2
+const ProtocolVersion = 3
 
 // Peer identifies the sender of a message.
 type Peer struct {
