--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -56,6 +56,8 @@
 	// objectChanges counts the changes of objects.
 	objectChanges uint64
 	directory     *directory.Directory
+	// upstreamsKnown is set once all upstreams were received.
+	upstreamsKnown bool
 	// upstreamDigest is a digest of the content of all upstream entries,
 	// without their revisions.
 	upstreamDigest uint64
@@ -314,6 +316,9 @@
 			changed = append(changed, removed)
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstreamsKnown = true
 	return changed
 }
 
@@ -349,12 +354,29 @@
 	}
 }
 
-// isIncomplete reports whether this router lacks the configuration or does not
-// know which data centres are evacuated.
-func (c *catalogue) isIncomplete() bool {
+// lacksOperatorObjects reports whether this router lacks the configuration or
+// does not know which data centres are evacuated.
+func (c *catalogue) lacksOperatorObjects() bool {
 	return c.hasNoConfig() || !c.dispatcher.evacuationsKnown()
 }
 
+// isIncomplete reports whether this router lacks objects that a peer may have.
+func (c *catalogue) isIncomplete() bool {
+	c.mu.Lock()
+	known := c.upstreamsKnown
+	c.mu.Unlock()
+	return !known || c.lacksOperatorObjects()
+}
+
+// markComplete records that this router has received all objects of a peer that
+// is not incomplete.
+func (c *catalogue) markComplete() {
+	c.markEvacuationsKnown()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstreamsKnown = true
+}
+
 // objectsVersion returns a number that changes whenever an upstream's object or
 // an evacuation changes.
 func (c *catalogue) objectsVersion() uint64 {
--- a/transport/edge/evacuations_test.go
+++ b/transport/edge/evacuations_test.go
@@ -36,11 +36,11 @@
 	f := evacuationFixture()
 	require.Nil(t, f.dispatcher.Table())
 	require.False(t, f.dispatcher.ready())
-	require.True(t, f.catalogue.isIncomplete())
+	require.True(t, f.catalogue.lacksOperatorObjects())
 	changed := f.catalogue.replaceEvacuations([]Object{evacuationObject("dc", 5)}, 6, sourceStore)
 	require.Len(t, changed, 1)
 	require.NotNil(t, f.dispatcher.Table())
-	require.False(t, f.catalogue.isIncomplete())
+	require.False(t, f.catalogue.lacksOperatorObjects())
 	require.Zero(t, f.usableUpstreams())
 }
 
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -67,6 +67,8 @@
 		f := &fixture{clock: n.clock, platform: &fakePlatform{}}
 		f.dispatcher = newDispatcher(Settings{Router: router, DataCentre: dc}, n.clock.now)
 		f.catalogue = newCatalogue(f.platform, f.dispatcher, zerolog.Nop(), n.clock.now)
+		// The routers have listed the upstreams, of which there is no entry.
+		f.catalogue.replaceUpstreams(nil, 0, sourceStore)
 		for e := range 4 {
 			f.dispatcher.setUpstream(engineName(e), directory.Upstream{ID: engineName(e), Service: "s", Slots: 64}, true)
 		}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -166,7 +166,7 @@
 	f.caughtUp = f.caughtUp || m.GetHolds()
 	f.mu.Unlock()
 	if m.GetHolds() {
-		f.catalogue.markEvacuationsKnown()
+		f.catalogue.markComplete()
 	}
 	if m.GetHolds() && m.GetReadsStore() {
 		f.dispatcher.confirmConfig()
