Admission: repeat no prefill of long parts while short of capacity

Hypothesis: while the fleet is short of capacity, prefilling a long shared part again at another engine because those that have it are busy costs more callers than it serves.

A workspace that has had half of its share is refused in that case, with a time to come back.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -259,6 +259,11 @@
 		v.RetryAfter = retryAfter(r, best.WaitTime, jitter)
 		return v
 	}
+	if repeatsWhileShort(r, best, standing) {
+		v.Reason = Overload
+		v.RetryAfter = retryAfter(r, best.RepeatedPrefill, jitter)
+		return v
+	}
 	if best.DelayedStreams <= maxDelayedStreams && (best.UnderHalfFull || best.WaitTime <= v.WaitLimit) && !exceedsShare(standing) {
 		if r.mayOutlastRouter(best) {
 			v.Reason = Stopping
@@ -274,6 +279,14 @@
 	return v
 }
 
+// repeatsWhileShort reports whether a request would repeat the prefill of long
+// shared parts although the fleet is short of capacity and its workspace has had
+// half of its share. The engines that have cached the parts are busy then, and
+// the time of the repeated prefill serves other requests on time.
+func repeatsWhileShort(r Request, e placement.Estimate, standing shares.Standing) bool {
+	return standing.ShareUse > throttleStartUse && e.RepeatedPrefill > fractionOf(r.TargetLatency, maxRepeatedPrefillFraction)
+}
+
 // exceedsShare reports whether a workspace is so far beyond its share that it
 // may not even use idle engines. The usage at this router counts as well: if
 // only the reports of peers counted, all routers would admit a flood at the
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -110,6 +110,9 @@
 	// those streams.
 	Interferes     bool
 	DelayedStreams int
+	// RepeatedPrefill is the time of the prefill of shared parts that another
+	// engine has cached, 0 if none has.
+	RepeatedPrefill time.Duration
 	// prefillWork is the prefill of the prompt, expressed as the number of
 	// short-prompt tokens that take the same time.
 	prefillWork int
@@ -260,11 +263,14 @@
 			soonest = e
 		}
 	}
+	if home != nil {
+		best.RepeatedPrefill, soonest.RepeatedPrefill = 0, 0
+	}
 	return best, soonest, true
 }
 
 // homeEngine returns the engine that a shared part is sent to while this router
-// knows of no engine that has cached it: the first in a rendezvous hash. A
+// knows of no engine that has cached it, and nil if one has: the first in a rendezvous hash. A
 // router that restarts has no record of cached parts, but the parts that it and
 // its peers sent before are at that engine. Without the hash it would spread
 // parts over all engines, which would all prefill them again.
@@ -357,7 +363,8 @@
 	e.StreamTime = v.streamTime(w)
 	if !home {
 		repeated := max(e.UncachedTokens-w.ownTokens(), 0)
-		e.score = seconds(repeatedPrefillWeight * float64(repeated) / rate)
+		e.RepeatedPrefill = seconds(float64(repeated) / rate)
+		e.score = repeatedPrefillWeight * e.RepeatedPrefill
 	}
 	v.estimateInterference(now, e, h, w, promptTokens)
 }
@@ -418,7 +425,7 @@
 // repeatedPrefillWeight is the weight of repeated prefill of shared parts, as a
 // multiple of its duration. Repeated prefill also delays the requests behind it
 // and evicts the cached parts of others.
-const repeatedPrefillWeight = 8.0
+const repeatedPrefillWeight = 8
 
 // fullBatchPenalty is added to the score of an upstream with all slots in use.
 // A step of a full batch takes about three times as long as a step of an empty
