--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -175,6 +175,7 @@
 		d.loadView.RecordFirstOutput(d.now(), t)
 		return
 	}
+	d.loadView.SetCollectsEvents(d.pressure.overloaded.Load() && d.settings.DeliveryLimit > 0)
 	d.loadView.RecordOutput(d.now(), t)
 }
 
