--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -112,13 +112,9 @@
 	v.learnPrefillRate(now, t)
 }
 
-// SetCollectsEvents sets whether this router collects events before it reads
-// them. The times between two reads then say nothing about the engine.
-func (v *View) SetCollectsEvents(collects bool) { v.collectsEvents = collects }
-
 // RecordOutput records that an upstream sent a part of an answer.
 func (v *View) RecordOutput(now time.Time, t *Ticket) {
-	if t.Answering() && !t.ended && !v.collectsEvents {
+	if t.Answering() && !t.ended {
 		v.learnEventGap(now, t)
 	}
 	t.lastOutputAt = now
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -165,9 +165,6 @@
 	// the number of changes when the sums for each link were last taken.
 	loadChanges changeLog
 	sumsTaken   map[state.Router]uint64
-	// collectsEvents is set while this router collects events before it reads
-	// them.
-	collectsEvents bool
 	// regions holds the region of each data centre, and evacuated the data
 	// centres to whose upstreams nothing may be sent.
 	regions   map[state.DataCentre]state.Region
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -175,7 +175,6 @@
 		d.loadView.RecordFirstOutput(d.now(), t)
 		return
 	}
-	d.loadView.SetCollectsEvents(d.pressure.overloaded.Load() && d.settings.DeliveryLimit > 0)
 	d.loadView.RecordOutput(d.now(), t)
 }
 
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -121,9 +121,6 @@
 	// fleet.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// DeliveryLimit is the time within which an event of a stream must reach its
-	// caller; 0 if there is no limit.
-	DeliveryLimit time.Duration
 	// EvacuationLimit is the time within which an evacuation of a data centre
 	// must be in force; 0 if data centres are never evacuated. Otherwise the
 	// router serves callers only once it knows which ones are.
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -147,21 +147,10 @@
 		Now:          boottime.Now,
 		ShouldClose:  r.pressure.shouldCloseCallers,
 		CallerClosed: callerClosed,
-		EventDelay:   r.eventDelay,
 		ReadDelay:    r.pressure.readDelay.requestDelay,
 	})
 }
 
-// eventDelay returns for how long events of streams are collected before they
-// are relayed: half of the time within which an event must be delivered, if the
-// router is short of CPU time.
-func (r *Router) eventDelay() time.Duration {
-	if !r.pressure.overloaded.Load() {
-		return 0
-	}
-	return r.settings.DeliveryLimit / 2
-}
-
 // cpuHundredths returns the VM's CPU share in hundredths of a core.
 func cpuHundredths(settings Settings) uint32 { return uint32(math.Round(settings.CPUCores * 100)) }
 
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -49,10 +49,6 @@
 	// connection, even if the request's context was not cancelled yet. If nil,
 	// only the context is checked.
 	CallerClosed func(r *http.Request) bool
-	// EventDelay returns for how long events of streams are collected before
-	// they are relayed together; 0 while the router has CPU time to relay each
-	// at once. If nil, it is always 0.
-	EventDelay func() time.Duration
 	// ReadDelay returns how long a request waited before it was read. If nil,
 	// the delay is 0.
 	ReadDelay func(r *http.Request) time.Duration
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -5,11 +5,9 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state/result"
-	"github.com/figstile/figstile/transport/pause"
 	"github.com/figstile/figstile/transport/upstream"
 )
 
@@ -43,7 +41,6 @@
 			}
 		}
 		if err == nil {
-			x.collectEvents(started)
 			continue
 		}
 		if err == io.EOF && splitter.hasPartial() {
@@ -53,25 +50,6 @@
 	}
 }
 
-// maxEventDelayFraction limits the time for which events are collected, as a
-// fraction of the longest gap between two events that the route allows.
-const maxEventDelayFraction = 0.25
-
-// collectEvents waits, after the first event, while the router is short of CPU
-// time: the events that arrive meanwhile cost one read and one write.
-func (x *exchange) collectEvents(started bool) {
-	if x.h.EventDelay == nil || !started {
-		return
-	}
-	delay := x.h.EventDelay()
-	if limit := time.Duration(maxEventDelayFraction * float64(x.route.MaxEventGap)); limit > 0 {
-		delay = min(delay, limit)
-	}
-	if delay > 0 {
-		_ = pause.For(x.r.Context(), delay)
-	}
-}
-
 // writeEvents writes complete events and flushes them at once.
 func (x *exchange) writeEvents(answer *upstream.Answer, events []byte, lastID string) error {
 	if !x.headSent {
