Evacuations, cold upstreams: upstreams that are added later, tests with real routers

An upstream that a router hears of only after an evacuation has ended was taken for warm; a data centre whose evacuation has ended now counts as cold for the time of a cold start for these too, also at a router that learns of the end when it starts. The state of evacuations is set for each data centre by itself. The messages of a catalogue are built under a lock of their own, since compressing thousands of objects would hold up every message of peers.

--- a/coordination/placement/cold.go
+++ b/coordination/placement/cold.go
@@ -34,13 +34,6 @@
 	v.coldHosts = coldHosts{limit: limit, senders: senders, services: make(map[state.Service]coldService)}
 }
 
-// MarkCold records that an upstream is cold until a given time.
-func (v *View) MarkCold(id state.Upstream, until time.Time) {
-	if h := v.hosts[id]; h != nil {
-		v.coldHosts.markCold(h, until)
-	}
-}
-
 func (c *coldHosts) setService(service routing.Service) {
 	if !c.limit.Enabled() {
 		return
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -165,11 +165,13 @@
 	// the number of changes when the sums for each link were last taken.
 	loadChanges changeLog
 	sumsTaken   map[state.Router]uint64
-	// regions holds the region of each data centre, and evacuated the data
-	// centres to whose upstreams nothing may be sent.
-	regions   map[state.DataCentre]state.Region
-	evacuated map[state.DataCentre]bool
-	coldHosts coldHosts
+	// regions holds the region of each data centre, evacuated the data centres
+	// to whose upstreams nothing may be sent, and evacuationEnds when the last
+	// evacuation of a data centre ended.
+	regions        map[state.DataCentre]state.Region
+	evacuated      map[state.DataCentre]bool
+	evacuationEnds map[state.DataCentre]time.Time
+	coldHosts      coldHosts
 }
 
 // New returns an empty view for a router in a data centre.
@@ -184,6 +186,8 @@
 		tokenTimes:     make(map[state.Service]float64),
 		lastReceivedAt: make(map[state.Router]time.Time),
 		sumsTaken:      make(map[state.Router]uint64),
+		evacuated:      make(map[state.DataCentre]bool),
+		evacuationEnds: make(map[state.DataCentre]time.Time),
 	}
 }
 
@@ -270,10 +274,11 @@
 }
 
 // homeEngine returns the engine that a shared part is sent to while this router
-// knows of no engine that has cached it, and nil if one has: the first in a rendezvous hash. A
-// router that restarts has no record of cached parts, but the parts that it and
-// its peers sent before are at that engine. Without the hash it would spread
-// parts over all engines, which would all prefill them again.
+// knows of no engine that has cached it: the first in a rendezvous hash. It
+// returns nil if an engine has cached the part. A router that restarts has no
+// record of cached parts, but the parts that it and its peers sent before are at
+// that engine. Without the hash it would spread parts over all engines, which
+// would all prefill them again.
 func homeEngine(pool []*host, w Work) *host {
 	key, shared := w.affinityKey()
 	if !shared {
--- a/coordination/placement/restriction.go
+++ b/coordination/placement/restriction.go
@@ -10,16 +10,35 @@
 // SetRegions sets the region of each data centre.
 func (v *View) SetRegions(regions map[state.DataCentre]state.Region) { v.regions = regions }
 
-// SetEvacuated sets the data centres to whose upstreams nothing may be sent.
-// Once an evacuation ends, the upstreams of the data centre count as cold: they
-// may have restarted while no router used them.
-func (v *View) SetEvacuated(now time.Time, evacuated map[state.DataCentre]bool) {
+// SetEvacuated sets whether a data centre is evacuated, so that nothing may be
+// sent to its upstreams. Once its evacuation ends they count as cold, also those
+// that are added later: they may have restarted while no router used them.
+func (v *View) SetEvacuated(now time.Time, dc state.DataCentre, evacuated bool) {
+	if evacuated {
+		v.evacuated[dc] = true
+		return
+	}
+	delete(v.evacuated, dc)
+	v.evacuationEnds[dc] = now
 	for _, h := range v.hosts {
-		if v.evacuated[h.DataCentre] && !evacuated[h.DataCentre] {
-			v.coldHosts.markCold(h, now.Add(v.coldHosts.startTime(h.Service)))
+		if h.DataCentre == dc {
+			v.markColdAfterEvacuation(h)
 		}
 	}
-	v.evacuated = evacuated
+}
+
+// SetColdTime records that an upstream stated how much longer it stays cold.
+func (v *View) SetColdTime(now time.Time, id state.Upstream, remaining time.Duration) {
+	if h := v.hosts[id]; h != nil {
+		v.coldHosts.markCold(h, now.Add(remaining))
+		v.markColdAfterEvacuation(h)
+	}
+}
+
+func (v *View) markColdAfterEvacuation(h *host) {
+	if end, ok := v.evacuationEnds[h.DataCentre]; ok {
+		v.coldHosts.markCold(h, end.Add(v.coldHosts.startTime(h.Service)))
+	}
 }
 
 // mayReceive reports whether a request that is restricted to some regions may
--- a/coordination/placement/restriction_test.go
+++ b/coordination/placement/restriction_test.go
@@ -15,19 +15,11 @@
 	"github.com/figstile/figstile/state/routing"
 )
 
-func evacuated(dcs ...state.DataCentre) map[state.DataCentre]bool {
-	set := make(map[state.DataCentre]bool)
-	for _, dc := range dcs {
-		set[dc] = true
-	}
-	return set
-}
-
 // A data centre is evacuated. No request, resumed stream or probe may reach its
 // upstreams, even if those of the others are excluded.
 func TestNothingGoesToAnEvacuatedDataCentre(t *testing.T) {
 	v := testView()
-	v.SetEvacuated(start, evacuated("here"))
+	v.SetEvacuated(start, "here", true)
 	for i := range 20 {
 		w := promptRequest(uint64(i), 100)
 		w.Resumed = i%2 == 0
@@ -38,12 +30,12 @@
 	_, ok := v.Choose(at(30), w)
 	require.False(t, ok)
 	unreachable := v.send(t, at(40), promptRequest(2, 100))
-	v.SetEvacuated(at(50), evacuated("here", "there"))
+	v.SetEvacuated(at(50), "there", true)
 	v.RecordEnd(at(60), unreachable, Unconnected)
 	require.Empty(t, v.UnreachableUpstreams())
 	_, ok = v.Choose(at(70), promptRequest(3, 100))
 	require.False(t, ok)
-	v.SetEvacuated(at(80), nil)
+	v.SetEvacuated(at(80), "here", false)
 	_, ok = v.Choose(at(90), promptRequest(3, 100))
 	require.True(t, ok)
 }
@@ -58,10 +50,10 @@
 	require.EqualValues(t, "e3", stream.Upstream())
 	stream.excluded = nil
 	v.RecordFirstOutput(at(100), stream)
-	v.SetEvacuated(at(200), evacuated("here"))
+	v.SetEvacuated(at(200), "here", true)
 	grant := func(state.Service) bool { return true }
 	require.Empty(t, v.TakeStalled(at(5000), grant))
-	v.SetEvacuated(at(6000), nil)
+	v.SetEvacuated(at(6000), "here", false)
 	require.Len(t, v.TakeStalled(at(6000), grant), 1)
 }
 
@@ -123,7 +115,7 @@
 			v.SetServices(coldServices())
 			v.SetUpstream(directory.Upstream{ID: "old", Service: "llm", DataCentre: "dc", Slots: 48})
 			v.SetUpstream(directory.Upstream{ID: "new", Service: "llm", DataCentre: "dc", Slots: 48})
-			v.MarkCold("new", begin.Add(time.Duration(rapid.IntRange(2500, 3500).Draw(t, "cold ms"))*time.Millisecond))
+			v.SetColdTime(begin, "new", time.Duration(rapid.IntRange(2500, 3500).Draw(t, "cold ms"))*time.Millisecond)
 			views = append(views, v)
 		}
 		var sent []time.Time
@@ -162,10 +154,14 @@
 	v.SetUpstream(directory.Upstream{ID: "u", Service: "llm", DataCentre: "dc", Slots: 48})
 	_, ok := v.Choose(at(0), promptRequest(1, 100))
 	require.True(t, ok)
-	v.SetEvacuated(at(0), evacuated("dc"))
-	v.SetEvacuated(at(1000), nil)
+	v.SetEvacuated(at(0), "dc", true)
+	v.SetEvacuated(at(1000), "dc", false)
 	_, ok = v.Choose(at(3999), promptRequest(1, 100))
 	require.False(t, ok)
+	v.SetUpstream(directory.Upstream{ID: "added", Service: "llm", DataCentre: "dc", Slots: 48})
+	v.SetColdTime(at(3999), "added", 0)
+	_, ok = v.Choose(at(3999), promptRequest(1, 100))
+	require.False(t, ok, "also for one that is added after the end")
 	_, ok = v.Choose(at(4000), promptRequest(1, 100))
 	require.True(t, ok)
 }
@@ -176,7 +172,7 @@
 	v.LimitColdStarts(coldLimit, coldstart.NewSenders(start, "r"))
 	v.SetServices([]routing.Service{{Name: "web"}})
 	v.SetUpstream(directory.Upstream{ID: "p", Service: "web", DataCentre: "here"})
-	v.MarkCold("p", at(5000))
+	v.SetColdTime(start, "p", 5*time.Second)
 	_, ok := v.Choose(start, Work{Service: "web"})
 	require.True(t, ok)
 }
--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 			{"Name": "guides", "Hostname": "h.example", "PathPrefix": "/guides/", "Type": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 1000, "Service": "engines", "MaxAttempts": 2, "Resumable": true},
 			{"Name": "pages", "Hostname": "h.example", "PathPrefix": "/pages/", "Type": "non_idempotent", "TimeoutMs": 15000, "TargetLatencyMs": 1000, "Service": "engines", "MaxAttempts": 1},
 		},
-		"Services": []map[string]any{{"Name": "engines", "HealthPath": "/healthz", "MaxConnections": 100, "Runtime": map[string]any{"BatchSlots": 8, "KvCapacity": 100000, "TokenStride": 4}}},
+		"Services": []map[string]any{{"Name": "engines", "HealthPath": "/healthz", "MaxConnections": 100, "ColdStartS": 2, "ColdPerS": 4, "Runtime": map[string]any{"BatchSlots": 8, "KvCapacity": 100000, "TokenStride": 4}}},
 		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "ThroughputPerS": 100000},
 		"Tenants":  []map[string]any{{"Name": "turismo", "ApiKeys": keys}},
 	}
@@ -73,9 +74,18 @@
 	// started receives a value for each stream that has sent its first event
 	// and for each request of heldPage.
 	started chan struct{}
+	// received counts the requests that were addressed to this engine.
+	received atomic.Int64
 }
 
 func startEdgeEngine(t *testing.T, s *objectStore, id string) *edgeEngine {
+	t.Helper()
+	return startColdEdgeEngine(t, s, id, 0)
+}
+
+// startColdEdgeEngine starts an engine whose entry says that it is cold for a
+// while.
+func startColdEdgeEngine(t *testing.T, s *objectStore, id string, coldFor time.Duration) *edgeEngine {
 	t.Helper()
 	e := &edgeEngine{release: make(chan struct{}, 16), started: make(chan struct{}, 16)}
 	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -84,6 +94,7 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		e.received.Add(1)
 		w.Header().Set("Server-Signature", "sig-"+id)
 		if r.Header.Get("Tenant") != "turismo" || r.Header.Get("Authorization") != "" {
 			w.WriteHeader(http.StatusInternalServerError)
@@ -110,6 +121,7 @@
 	t.Cleanup(func() { close(e.release) })
 	s.put(edge.KindUpstream, id, map[string]any{
 		"Service": "engines", "Address": e.server.Listener.Addr().String(), "Zone": "z1", "BatchSlots": 8, "State": "ready", "born": 1,
+		"ColdRemainingMs": coldFor.Milliseconds(),
 	})
 	return e
 }
@@ -160,7 +172,7 @@
 		"ListenAddrs": map[string]string{"Frontend": r.callerAddress, "Ready": r.readyAddress, "ControlPlane": r.peerAddress},
 		"SeedNodes":   seeds,
 		"Limits":      map[string]any{"CpuQuota": 1, "MemoryMb": 284, "MaxFds": 4100},
-		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56, "EvacuationMs": 5000},
+		"Bounds":      map[string]any{"GracePeriodS": 8, "DrainTimeoutMs": 2000, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "BudgetSlack": 56, "EvacuationMs": 5000, "ColdOverage": 1.5, "ColdTolerance": 5},
 		"Zones":       map[string]string{"z1": "north", "z2": "north"},
 		"Platform":    map[string]string{"Address": store},
 	}
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -95,6 +96,27 @@
 	}
 }
 
+// An engine starts beside a busy one, and both routers see it idle. While it is
+// cold they must not send it more than it bears, and once it is warm it gets its
+// part.
+func TestEdgeSendsNoRushToAColdEngine(t *testing.T) {
+	const maxPerSecond = 4*1.5 + 5
+	s, _, routers := startEdgeFleet(t)
+	cold := startColdEdgeEngine(t, s, "i-2", 2*time.Second)
+	begin := time.Now()
+	await(t, func() bool {
+		before := cold.received.Load()
+		for _, r := range routers {
+			require.Equal(t, http.StatusOK, r.postStatus(t, "/pages/now", "k1"))
+		}
+		received := cold.received.Load()
+		if time.Since(begin) < time.Second {
+			require.LessOrEqual(t, received, int64(maxPerSecond))
+		}
+		return received > before && received > maxPerSecond
+	})
+}
+
 // A router is stopped while a caller reads a stream. The stream must end
 // complete, the router must report that it is not ready meanwhile, and the
 // process must exit with code 0.
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -53,7 +52,7 @@
 	encodedConfigs map[uint64][]byte
 	configVersion  uint64
 	objects        map[string]Object
-	// objectChanges counts the changes of objects.
+	// objectChanges counts the changes of objects and of evacuations.
 	objectChanges uint64
 	directory     *directory.Directory
 	// upstreamsKnown is set once all upstreams were received.
@@ -179,10 +178,8 @@
 		return 0
 	}
 	u := entry.Upstream
-	text := fmt.Appendf(nil, "%q %q %q %q", u.ID, u.Service, u.Address, u.DataCentre)
-	text = strconv.AppendInt(append(text, ' '), int64(u.Slots), 10)
-	text = strconv.AppendInt(append(text, ' '), u.Born, 10)
-	return xxhash.Sum64(strconv.AppendBool(append(text, ' '), u.Leaving))
+	u.ColdFor = 0
+	return xxhash.Sum64String(fmt.Sprintf("%+v", u))
 }
 
 // contentSummary identifies the configuration and the upstreams that this
@@ -200,13 +197,19 @@
 	return a.Present == b.Present && a.Upstream == b.Upstream
 }
 
+// onlyColdTimeDiffers reports whether two entries describe an upstream that is
+// cold for different times. A cold upstream writes such an entry every second.
+func onlyColdTimeDiffers(a, b directory.Entry) bool {
+	return a.Upstream.ColdFor > 0 && b.Upstream.ColdFor > 0 && entryDigest(a) == entryDigest(b)
+}
+
 // updateDispatcher passes a changed entry to the dispatcher.
 func (c *catalogue) updateDispatcher(id state.Upstream, before, entry directory.Entry, source string) {
 	if sameContent(before, entry) {
 		return
 	}
 	c.dispatcher.setUpstream(id, entry.Upstream, entry.Present)
-	if entryDigest(before) == entryDigest(entry) && (before.Upstream.ColdFor > 0) == (entry.Upstream.ColdFor > 0) {
+	if onlyColdTimeDiffers(before, entry) {
 		return
 	}
 	c.log.Info().Str("upstream", string(id)).Str("service", string(entry.Upstream.Service)).
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -393,7 +393,7 @@
 	}
 	if present {
 		d.loadView.SetUpstream(u)
-		d.loadView.MarkCold(id, d.now().Add(u.ColdFor))
+		d.loadView.SetColdTime(d.now(), id, u.ColdFor)
 	} else {
 		d.loadView.RemoveUpstream(id)
 	}
--- a/transport/edge/dispatcher_peers.go
+++ b/transport/edge/dispatcher_peers.go
@@ -97,7 +97,7 @@
 	return d.ledger.ReportedUsageExcluding(d.now(), peer)
 }
 
-// setLiveRouters sets the number of live routers and discards the loads and the
+// setLiveRouters sets the live routers and discards the loads and the
 // workspace usage received from the removed ones.
 func (d *dispatcher) setLiveRouters(live []scheduler.Peer, removed []state.Router) {
 	d.mu.Lock()
--- a/transport/edge/evacuations.go
+++ b/transport/edge/evacuations.go
@@ -69,11 +69,7 @@
 	if !d.evacuations.Apply(now, dc, entry) {
 		return false
 	}
-	evacuated := make(map[state.DataCentre]bool)
-	for dc := range d.evacuations.Since() {
-		evacuated[dc] = true
-	}
-	d.loadView.SetEvacuated(now, evacuated)
+	d.loadView.SetEvacuated(now, dc, entry.Evacuated)
 	return true
 }
 
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -108,13 +108,14 @@
 	noReaderSince time.Time
 	catchUp       exchange.CatchUp
 	fetch         exchange.Fetch
-	// cataloguePacks are the messages with all upstreams and evacuations, as of
-	// cataloguePacksVersion.
-	cataloguePacks        []*peerpb.Envelope
-	cataloguePacksVersion uint64
 	// caughtUp is set once a peer has sent all its objects. From then on, new
 	// objects in further answers are forwarded over the other links.
 	caughtUp bool
+	// packsMu protects cataloguePacks, the messages with all upstreams and
+	// evacuations as of cataloguePacksVersion.
+	packsMu               sync.Mutex
+	cataloguePacks        []*peerpb.Envelope
+	cataloguePacksVersion uint64
 	// lastTick is the time of the last search for stalled requests. resumedAt
 	// is the time of the last tick that was late. Only run uses them.
 	lastTick  time.Time
--- a/transport/edge/packed.go
+++ b/transport/edge/packed.go
@@ -48,8 +48,8 @@
 // since all peers of a starting fleet ask at the same time.
 func (f *fleet) catalogueEnvelopes() []*peerpb.Envelope {
 	version := f.catalogue.objectsVersion()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.packsMu.Lock()
+	defer f.packsMu.Unlock()
 	if f.cataloguePacks == nil || f.cataloguePacksVersion != version {
 		// Evacuations come before the upstreams that they affect.
 		objects := append(configObjects(KindEvacuation, f.catalogue.evacuationObjects()),
