--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// watchWait limits one watch call, except for evacuations. An open connection may stop receiving
-	// data without an error. A new call on a new connection then detects it,
-	// well within the few seconds in which a configuration must be in force.
+	// watchWait limits one watch call, except for evacuations. An open
+	// connection may stop receiving data without an error. A new call on a new
+	// connection then detects it, well within the few seconds in which a
+	// configuration must be in force.
 	watchWait = 1500 * time.Millisecond
 	// upstreamWatchInterval is the mean pause between two watch calls for
 	// upstreams, so that one call returns several changes. Each upstream
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -115,9 +115,9 @@
 }
 
 // isEagerReader reports whether this router is one of the first live routers by
-// name, or lacks what it needs to serve callers. If every router called an unavailable store
-// again and again, 73 routers would make two thousand calls in six seconds, and
-// each call is billed.
+// name, or lacks objects of operators without which it serves no callers. If
+// every router called an unavailable store again and again, 73 routers would
+// make two thousand calls in six seconds, and each call is billed.
 func (f *fleet) isEagerReader() bool {
 	earlier := 0
 	for _, p := range f.livePeers {
