Upstream connections: one rule for the idle time that is assumed

The shortest time that any upstream stated, or the default once one stated nothing, whichever is less; before, the last answer without a statement reset it.

--- a/transport/upstream/kept.go
+++ b/transport/upstream/kept.go
@@ -29,11 +29,10 @@
 
 	mu sync.Mutex
 	// keepIdle is how long connections to an upstream are kept, by base URL, for
-	// the upstreams that stated it.
+	// the upstreams that have answered.
 	keepIdle map[string]time.Duration
-	// shortest is the shortest of these times, which is assumed for upstreams
-	// that have not answered yet; 0 before the first statement. It is the
-	// default once any upstream has answered without one.
+	// shortest is assumed for the others: the shortest of these times, or 0
+	// before the first answer.
 	shortest time.Duration
 	// transports holds the connections by how long they are kept. Times are in
 	// whole seconds up to maxKeepIdle, so there are few.
@@ -81,15 +80,14 @@
 	stated, ok := statedIdleTime(header.Get("Keep-Alive"))
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !ok {
-		k.keepIdle[baseURL], k.shortest = k.opts.KeepIdle, k.opts.KeepIdle
-		return
-	}
 	if len(k.keepIdle) >= maxStatedUpstreams {
 		clear(k.keepIdle)
 	}
-	idle := time.Duration(statedIdleFraction * float64(stated)).Truncate(time.Second)
-	idle = min(max(idle, time.Second), maxKeepIdle)
+	idle := k.opts.KeepIdle
+	if ok {
+		idle = time.Duration(statedIdleFraction * float64(stated)).Truncate(time.Second)
+		idle = min(max(idle, time.Second), maxKeepIdle)
+	}
 	k.keepIdle[baseURL] = idle
 	if k.shortest == 0 || idle < k.shortest {
 		k.shortest = idle
