Packs: an entry too large for a pack gets a message of its own

Cause, found by reading the change: a pack was closed only after it had passed 128 KB, so that one entry of nearly a megabyte made it larger than a receiver decompresses. The receiver refused the whole pack, and the sender still said that the list was complete: a router that started knew 6 of 104 upstreams (the new test, which fails before and passes now). Entries may come from any writer with any content.

Objects of more than 64 KB are now sent by themselves, as all were before packs. One loop gives way to slices.Contains.

--- a/coordination/coldstart/sender.go
+++ b/coordination/coldstart/sender.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -112,12 +113,7 @@
 }
 
 func (v view) contains(router state.Router, dc state.DataCentre) bool {
-	for _, r := range v.routers[dc] {
-		if r == router {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(v.routers[dc], router)
 }
 
 // chooses reports whether a router is the first of a data centre in the
--- a/protocol/wire/pack.go
+++ b/protocol/wire/pack.go
@@ -11,9 +11,14 @@
 	"github.com/figstile/figstile/protocol/peerpb"
 )
 
-// maxPackBytes is the size from which a pack is closed, before compression. It
-// leaves room for one more object of the largest size.
-const maxPackBytes = 128 << 10
+const (
+	// MaxPackedObjectBytes is the size up to which an encoded object may be part
+	// of a pack. Larger ones have to be sent in messages of their own.
+	MaxPackedObjectBytes = 64 << 10
+	// maxPackBytes is the size from which a pack is closed, before compression.
+	// With one more object it is well below the limit for decompression.
+	maxPackBytes = 128 << 10
+)
 
 // PackObjects encodes objects as few compressed packs. Thousands of objects as
 // one message each would fill the send queue of a session.
--- a/transport/edge/packed.go
+++ b/transport/edge/packed.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/protocol/wire"
 	"github.com/figstile/figstile/state"
@@ -15,14 +17,24 @@
 )
 
 // packs returns the messages with upstreams and evacuations for a peer, many
-// objects in each. answer is set if the peer asked for them.
+// objects in each. Entries may have any content, and one that is too large for a
+// pack gets a message of its own. answer is set if the peer asked for them.
 func (f *fleet) packs(objects []*peerpb.ConfigObject, answer bool) []*peerpb.Envelope {
-	packs, err := wire.PackObjects(objects)
+	var messages []*peerpb.Envelope
+	var packable []*peerpb.ConfigObject
+	for _, o := range objects {
+		if proto.Size(o) <= wire.MaxPackedObjectBytes {
+			packable = append(packable, o)
+			continue
+		}
+		o.Answer = answer
+		messages = append(messages, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: o}})
+	}
+	packs, err := wire.PackObjects(packable)
 	if err != nil {
 		f.log.Error().Err(err).Msg("objects not sent")
-		return nil
+		return messages
 	}
-	var messages []*peerpb.Envelope
 	for _, pack := range packs {
 		messages = append(messages, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigObject{ConfigObject: &peerpb.ConfigObject{
 			Key: packedKey, Value: pack, Answer: answer,
--- a/transport/edge/packed_test.go
+++ b/transport/edge/packed_test.go
@@ -83,3 +83,27 @@
 	f.catalogue.replaceUpstreams(nil, 6, sourceStore)
 	require.False(t, f.catalogue.isIncomplete())
 }
+
+// Guards against one large entry of any content that makes its whole pack
+// unreadable, so that a starting router lacks the upstreams beside it.
+func TestLargeEntryDoesNotHideTheUpstreamsBesideIt(t *testing.T) {
+	n := newNetwork(40, 4)
+	objects := manyUpstreams(100)
+	large := make([]byte, 1<<20-1)
+	for i := range large {
+		large[i] = byte(i*i>>7 ^ i)
+	}
+	objects = append(objects, Object{Name: "u0050a", Revision: 6, Spec: large})
+	restarted := n.nodes["r039"]
+	n.kill(restarted)
+	for _, one := range n.nodes {
+		if !one.stopped {
+			one.fixture.catalogue.applyObject(KindConfig, configObject(5, 2), sourceStore)
+			one.fixture.catalogue.replaceUpstreams(objects, 6, sourceStore)
+		}
+	}
+	n.advance(2 * time.Second)
+	restarted.restart()
+	n.advance(time.Second)
+	require.Equal(t, 104, restarted.fixture.usableUpstreams())
+}
