--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -148,6 +149,7 @@
 	}
 	ended, process := make(chan struct{}), r.process
 	r.ended = ended
+	started.add(process.Process)
 	go func() {
 		_ = process.Wait()
 		close(ended)
@@ -155,6 +157,29 @@
 	return nil
 }
 
+// processes are the processes that were started.
+type processes struct {
+	mu   sync.Mutex
+	list []*os.Process
+}
+
+var started processes
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, process)
+}
+
+// killAll kills the processes that still run.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.list {
+		_ = process.Kill()
+	}
+}
+
 // errNotReady means that the fleet did not start in time.
 var errNotReady = errors.New("the routers did not become ready")
 
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -28,6 +30,13 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitNotRun)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		started.killAll()
+		os.Exit(exitNotRun)
+	}()
 	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -20,8 +20,6 @@
 	events int
 	gap    time.Duration
 	record *record
-	// onRun is called when a request begins to run; it may be nil.
-	onRun func(r *http.Request)
 
 	server  *http.Server
 	running atomic.Int64
@@ -107,9 +105,6 @@
 	header.Set("Server-Load", fmt.Sprintf("%d,0,%d", running, w.slots))
 	header.Set("Server-Signature", "s."+w.id+"."+attempt)
 	w.record.ran(attempt, w, r.URL.Path)
-	if w.onRun != nil {
-		w.onRun(r)
-	}
 	if !strings.HasPrefix(r.URL.Path, "/guide/") {
 		_, _ = io.WriteString(out, "whole answer of "+w.id+"\n")
 		return
