Show the stale routers of case 2 with the real programs too

A script cuts the three seeds, which read the store, off from it and lets engines leave 0.1 s later.

--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -91,7 +91,7 @@
 		tokens, _, _ := strings.Cut(r.generation, ",")
 		request.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:%s", r.prompt, tokens))
 	}
-	c.record.note("sent %s to %s %s %s", res.attempt, to.name, r.method, r.path)
+	c.record.sent(res.attempt, to, r.method, r.path)
 	response, err := c.client.Do(request)
 	if err == nil {
 		res.status, res.signed = response.StatusCode, response.Header.Get("Server-Signature") != ""
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -38,6 +38,7 @@
 type router struct {
 	name, zone, ip string
 	ports          ports
+	link           *link
 	settingsPath   string
 	process        *exec.Cmd
 	ended          chan struct{}
@@ -47,15 +48,13 @@
 
 // fleet is the deployment of a case.
 type fleet struct {
-	dir   string
-	store *store
-	// storeServer serves the store.
-	storeServer *http.Server
-	record      *record
-	routers     []*router
-	network     byte
-	zones       []string
-	nextIP      int
+	dir     string
+	store   *store
+	record  *record
+	routers []*router
+	network byte
+	zones   []string
+	nextIP  int
 }
 
 // newFleet prepares routers: perZone of them in each zone. Their order is that
@@ -68,12 +67,6 @@
 	f := &fleet{dir: dir, store: newStore(), record: rec, zones: zones, network: byte(rand.IntN(200) + 20)}
 	base := 10_000 + 10*rand.IntN(2_000)
 	p := ports{frontend: base, ready: base + 1, control: base + 2, metrics: base + 3}
-	storeListener, err := net.Listen("tcp", fmt.Sprintf("127.%d.250.1:0", f.network))
-	if err != nil {
-		return nil, err
-	}
-	f.storeServer = &http.Server{Handler: f.store}
-	go func() { _ = f.storeServer.Serve(storeListener) }()
 	for i, zone := range zones {
 		for n := range perZone {
 			r := &router{name: fmt.Sprintf("edge-%s-%d", zone, n+1), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", f.network, i+1, n+10), ports: p}
@@ -89,6 +82,11 @@
 		regions[zone] = "region"
 	}
 	for _, r := range f.routers {
+		listener, err := net.Listen("tcp", r.ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		r.link = newLink(f.store, listener)
 		settings := map[string]any{
 			"NodeName": r.name, "Role": "router", "MachineClass": "edge", "Planes": []string{"edge", "control_plane"},
 			"Ip": r.ip, "Zone": r.zone, "Region": "region", "Zones": regions,
@@ -101,7 +99,7 @@
 			"Limits":    map[string]any{"CpuQuota": processors, "CpuCores": 1, "MemoryMb": 284, "MaxFds": 4100, "BandwidthMbps": 1000.0, "DiskMb": 0},
 			"Discovery": "platform", "EntryMode": "anycast", "HeartbeatMs": heartbeat.Milliseconds(), "Bounds": bounds,
 			"Platform": map[string]any{
-				"Address": storeListener.Addr().String(), "form": "objects", "WritesPerS": 400, "ReadsPerS": 2000,
+				"Address": listener.Addr().String(), "form": "objects", "WritesPerS": 400, "ReadsPerS": 2000,
 				"RetentionS": 20, "MaxValueBytes": 1 << 20, "MinTtlMs": 1000,
 			},
 		}
@@ -123,7 +121,9 @@
 
 // clean removes the settings and the logs of the routers, unless KEEP is set.
 func (f *fleet) clean() {
-	_ = f.storeServer.Close()
+	for _, r := range f.routers {
+		_ = r.link.server.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 		return
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,7 @@
 	}
 	play, ok := map[string]func(rec *record, trouble bool) (int, error){
 		"hang":  playHang,
+		"stale": playStale,
 		"block": playBlock,
 	}[os.Args[1]]
 	if !ok {
--- a/review/standins/record.go
+++ b/review/standins/record.go
@@ -16,6 +16,8 @@
 	file  *os.File
 	out   *bufio.Writer
 	runs  map[string][]run
+	// routers holds the router that each attempt was sent to.
+	routers map[string]string
 }
 
 // run is one run of a request at a worker.
@@ -30,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{start: time.Now(), file: file, out: bufio.NewWriter(file), runs: make(map[string][]run)}, nil
+	return &record{start: time.Now(), file: file, out: bufio.NewWriter(file), runs: make(map[string][]run), routers: make(map[string]string)}, nil
 }
 
 func (r *record) note(format string, args ...any) {
@@ -52,6 +54,13 @@
 	fmt.Printf("%7.2f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+func (r *record) sent(attempt string, to *router, method, path string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers[attempt] = to.name
+	r.write(time.Now(), "sent %s to %s %s %s", attempt, to.name, method, path)
+}
+
 func (r *record) ran(attempt string, w *worker, path string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -108,6 +111,53 @@
 // storeAnswerTime is the time that the store takes for an answer.
 const storeAnswerTime = 4 * time.Millisecond
 
+// link is one machine's path to the store.
+type link struct {
+	store  *store
+	server *http.Server
+	// cut is set while the machine is partitioned from the store: nothing is
+	// answered then, neither new calls nor waiting ones.
+	cut atomic.Bool
+}
+
+func newLink(s *store, listener net.Listener) *link {
+	l := &link{store: s}
+	l.server = &http.Server{Handler: l}
+	go func() { _ = l.server.Serve(listener) }()
+	return l
+}
+
+// ServeHTTP implements http.Handler.
+func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	held := &heldAnswer{header: make(http.Header), status: http.StatusOK}
+	l.store.ServeHTTP(held, r)
+	if l.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
+	for name, values := range held.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(held.status)
+	_, _ = w.Write(held.body.Bytes())
+}
+
+// heldAnswer is an answer of the store that has not left it.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (h *heldAnswer) Header() http.Header { return h.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (h *heldAnswer) WriteHeader(status int) { h.status = status }
+
+// Write implements http.ResponseWriter.
+func (h *heldAnswer) Write(p []byte) (int, error) { return h.body.Write(p) }
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, found := strings.CutPrefix(r.URL.Path, "/objects/")
