Log which configuration decided that a route or key is unknown

A router refused requests for routes that were in force, and its log line named neither the request nor the revision in use, since when and from whom it was held, which newer one was known, nor what let the router regard its own as the newest. So three explanations could not be told apart.

The line of such a refusal now has all of that. Two gauges hold the revision in use and the newest one known. No decision changes.

--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -119,7 +119,8 @@
 	}
 	c.configVersion = config.Version
 	c.dispatcher.setTable(table)
-	c.log.Info().Uint64("version", config.Version).Uint64("revision", o.Revision).Str("source", source).
+	lag := c.dispatcher.configHeld(o.Revision, source)
+	c.log.Info().Uint64("version", config.Version).Uint64("revision", o.Revision).Str("source", source).Int64("known_ms", lag.Milliseconds()).
 		Int("routes", len(config.Routes)).Int("workspaces", len(config.Workspaces)).Msg("configuration taken")
 	return true
 }
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/figstile/figstile/coordination/coldstart"
 	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/evacuation"
+	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/shares"
@@ -49,7 +50,7 @@
 	lostRuns        map[state.Upstream]quarantine.Run
 	refusedRequests admission.RetryTracker
 	routerCount     int
-	confirmedAt     time.Time
+	freshness       freshness.Tracker
 	// drain is the state of the router's stop. It is the zero value until the
 	// router is told to stop.
 	drain          drain.Drain
@@ -100,11 +101,11 @@
 	return d.table
 }
 
-// ConfigCurrent implements ingress.Dispatcher.
-func (d *dispatcher) ConfigCurrent() bool {
+// ConfigStatus implements ingress.Dispatcher.
+func (d *dispatcher) ConfigStatus() freshness.Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.confirmedAt.IsZero() && d.now().Sub(d.confirmedAt) <= configCurrentFor
+	return d.freshness.Status(d.now(), configCurrentFor)
 }
 
 // Admit implements ingress.Dispatcher.
@@ -401,11 +402,36 @@
 	d.reportLost(lost)
 }
 
-// confirmConfig records that the configuration is the newest one at this time.
-func (d *dispatcher) confirmConfig() {
+// confirmConfig records that a source, which holds the given revision, has
+// confirmed the configuration as the newest one.
+func (d *dispatcher) confirmConfig(revision uint64, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.confirmedAt = d.now()
+	d.freshness.Confirm(freshness.Sighting{Revision: revision, Source: source, At: d.now()})
+}
+
+// configHeld records that a configuration was taken. It returns for how long
+// this router had known of it.
+func (d *dispatcher) configHeld(revision uint64, source string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.freshness.Held(freshness.Sighting{Revision: revision, Source: source, At: d.now()})
+}
+
+// configSeen records that a source holds a revision of the configuration.
+func (d *dispatcher) configSeen(revision uint64, source string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.freshness.Seen(freshness.Sighting{Revision: revision, Source: source, At: d.now()})
+}
+
+// configLagging reports, once for each revision, that this router lacks a
+// configuration that it has known of for a while.
+func (d *dispatcher) configLagging() (freshness.Status, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	return d.freshness.Status(now, configCurrentFor), d.freshness.Lagging(now)
 }
 
 func (d *dispatcher) ready() bool {
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -144,7 +144,7 @@
 	f.mu.Lock()
 	f.lastAnswer = f.now()
 	f.mu.Unlock()
-	f.dispatcher.confirmConfig()
+	f.dispatcher.confirmConfig(f.catalogue.contentSummary().ConfigRevision, sourceStore)
 }
 
 func (f *fleet) onStoreFailure() {
--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -157,15 +157,15 @@
 	fleet.onEnvelope(from, objectEnvelope(KindUpstream, upstreamObject("u", 6, false)))
 	require.EqualValues(t, 2, f.dispatcher.Table().Version())
 	require.Equal(t, 1, f.usableUpstreams())
-	require.True(t, f.dispatcher.ConfigCurrent(), "a new configuration from a peer is the newest")
+	require.True(t, f.dispatcher.ConfigStatus().Current, "a new configuration from a peer is the newest")
 	f.clock.advance(configCurrentFor + time.Second)
-	require.False(t, f.dispatcher.ConfigCurrent())
+	require.False(t, f.dispatcher.ConfigStatus().Current)
 	fleet.onEnvelope(from, fleet.readingEnvelope(true))
-	require.True(t, f.dispatcher.ConfigCurrent())
+	require.True(t, f.dispatcher.ConfigStatus().Current)
 	fleet.onEnvelope(from, objectEnvelope(KindUpstream, removal("u", 7)))
 	require.Zero(t, f.usableUpstreams())
 	f.clock.advance(configCurrentFor + time.Second)
-	require.False(t, f.dispatcher.ConfigCurrent())
+	require.False(t, f.dispatcher.ConfigStatus().Current)
 }
 
 // A router starts and receives the configuration from a peer. If that peer
@@ -180,11 +180,11 @@
 		answer.GetConfigObject().Answer = true
 		from := peer.Peer{Router: "r01"}
 		fleet.onEnvelope(from, answer)
-		require.False(t, f.dispatcher.ConfigCurrent())
+		require.False(t, f.dispatcher.ConfigStatus().Current)
 		fleet.onEnvelope(from, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{
 			CatalogueEnd: &peerpb.CatalogueEnd{Holds: true, ReadsStore: reads},
 		}})
-		require.Equal(t, reads, f.dispatcher.ConfigCurrent())
+		require.Equal(t, reads, f.dispatcher.ConfigStatus().Current)
 	}
 }
 
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -81,6 +81,7 @@
 			f.openLink(a.Router)
 		case overlay.LinkEnded:
 			delete(f.linkOutboxes, a.Router)
+			f.log.Info().Str("router", string(a.Router)).Msg("link ended")
 			f.dispatcher.forgetPeer(a.Router)
 		}
 	}
--- a/transport/edge/metrics.go
+++ b/transport/edge/metrics.go
@@ -33,6 +33,8 @@
 	r.metrics.SetViewAge("configuration", ages.configuration)
 	r.metrics.SetViewAge("loads", ages.loads)
 	r.metrics.SetViewAge("spending", ages.spending)
+	r.metrics.SetGauge("configuration_revision", float64(ages.heldRevision))
+	r.metrics.SetGauge("configuration_revision_known", float64(ages.newestRevision))
 	for dc, age := range r.dispatcher.evacuationAges() {
 		r.metrics.SetEvacuationAge(dc, age)
 	}
@@ -77,6 +79,9 @@
 	// loads is the age of the oldest peer loads in use. spending is the age of
 	// the oldest workspace usage in use.
 	loads, spending time.Duration
+	// heldRevision is the revision of the configuration in use, and
+	// newestRevision the newest one that this router has heard of.
+	heldRevision, newestRevision uint64
 }
 
 func (d *dispatcher) viewAges() viewAges {
@@ -84,9 +89,11 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	ages := viewAges{loads: d.loadView.OldestLoadsAge(now), spending: d.ledger.OldestPeerAge(now)}
-	if !d.confirmedAt.IsZero() {
-		ages.configuration = now.Sub(d.confirmedAt)
+	status := d.freshness.Status(now, configCurrentFor)
+	if !status.Confirmation.At.IsZero() {
+		ages.configuration = now.Sub(status.Confirmation.At)
 	}
+	ages.heldRevision, ages.newestRevision = status.Held.Revision, status.Newest.Revision
 	return ages
 }
 
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -50,6 +50,7 @@
 
 // onConfigOffered records that a peer holds a revision of the configuration.
 func (f *fleet) onConfigOffered(from state.Router, revision uint64) {
+	f.dispatcher.configSeen(revision, string(from))
 	currentRevision := f.catalogue.contentSummary().ConfigRevision
 	f.mu.Lock()
 	f.fetch.Announced(from, revision, currentRevision)
@@ -125,7 +126,7 @@
 		f.mesh.SendEach(peers, f.readingEnvelope(f.mayClaimReading()))
 	}
 	if kind == KindConfig && !m.GetAnswer() {
-		f.dispatcher.confirmConfig()
+		f.dispatcher.confirmConfig(o.Revision, string(from))
 	}
 	if _, tree := f.receivers(); tree && (!m.GetAnswer() || f.isCaughtUp()) {
 		f.forward(from, f.changeEnvelope(kind, o))
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -40,6 +40,7 @@
 			f.tickOverlay()
 			f.fetchCatalogue()
 			f.fetchAnnouncedConfig()
+			f.reportLaggingConfig()
 			f.publishDue(&last)
 		}
 	}
@@ -157,3 +158,17 @@
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Spending{Spending: message}}
 }
+
+// reportLaggingConfig logs that this router has lacked a newer configuration
+// for a while.
+func (f *fleet) reportLaggingConfig() {
+	status, lagging := f.dispatcher.configLagging()
+	if !lagging {
+		return
+	}
+	f.log.Warn().Uint64("held", status.Held.Revision).Str("source", status.Held.Source).
+		Uint64("known", status.Newest.Revision).Str("known_from", status.Newest.Source).
+		Int64("known_ms", status.Now.Sub(status.Newest.At).Milliseconds()).
+		Bool("current", status.Current).Uint64("confirmed", status.Confirmation.Revision).
+		Str("confirmed_by", status.Confirmation.Source).Msg("configuration behind")
+}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -124,9 +124,10 @@
 		delete(f.readerClaims, reader)
 	}
 	f.mu.Unlock()
+	f.dispatcher.configSeen(m.GetConfigRevision(), string(reader))
 	f.fetchCatalogue()
 	if m.GetStore() {
-		f.dispatcher.confirmConfig()
+		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader))
 	}
 }
 
@@ -169,6 +170,6 @@
 		f.catalogue.markComplete()
 	}
 	if m.GetHolds() && m.GetReadsStore() {
-		f.dispatcher.confirmConfig()
+		f.dispatcher.confirmConfig(f.catalogue.contentSummary().ConfigRevision, string(from))
 	}
 }
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -100,7 +100,9 @@
 // must not claim that something does not exist: the caller would give up for
 // good.
 func (x *exchange) unknownResult(code result.Code) result.Result {
-	if x.h.Dispatcher.ConfigCurrent() {
+	status := x.h.Dispatcher.ConfigStatus()
+	x.configStatus = &status
+	if status.Current {
 		return result.New(code, "")
 	}
 	return result.New(result.NotReady, "The router may not hold the newest configuration.")
--- a/transport/ingress/dispatcher.go
+++ b/transport/ingress/dispatcher.go
@@ -5,6 +5,7 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/drain"
+	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/routing"
@@ -15,9 +16,9 @@
 type Dispatcher interface {
 	// Table returns the current routes, or nil if none were received yet.
 	Table() *routing.Table
-	// ConfigCurrent reports whether the routes are confirmed to be the newest.
-	// Then a route or key that they do not contain does not exist.
-	ConfigCurrent() bool
+	// ConfigStatus describes the configuration in use. While it is current, a
+	// route or key that it does not contain does not exist.
+	ConfigStatus() freshness.Status
 	// Admit decides on a request. retry is set for a request that was sent
 	// before, since a request counts only once. The ticket is nil unless the
 	// verdict admits the request, and must be ended with End.
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/drain"
+	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
@@ -184,7 +185,9 @@
 }
 
 func (d *scriptedDispatcher) Table() *routing.Table { return d.table }
-func (d *scriptedDispatcher) ConfigCurrent() bool   { return !d.configStale }
+func (d *scriptedDispatcher) ConfigStatus() freshness.Status {
+	return freshness.Status{Current: !d.configStale}
+}
 
 func (d *scriptedDispatcher) Admit(r admission.Request, _ bool) (admission.Verdict, *placement.Ticket) {
 	d.mu.Lock()
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figstile/figstile/coordination/admission"
+	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
@@ -135,6 +136,9 @@
 	fallback *bufferedAnswer
 	verdict  admission.Verdict
 	record   Record
+	// configStatus is set if the request named a route or key that the
+	// configuration does not contain.
+	configStatus *freshness.Status
 	// stopAge is the time from the order to stop the router to the arrival of
 	// the request, or 0 without a stop.
 	stopAge time.Duration
@@ -228,7 +232,7 @@
 	if res.Code != result.OK {
 		event = x.h.Log.Warn()
 	}
-	event.Str("id", x.inbound.Attempt).
+	event.Str("id", x.attemptID()).
 		Int("code", int(res.Code)).
 		Stringer("ran", res.Ran).
 		Int("attempts", x.attempts).
@@ -253,6 +257,9 @@
 			Int64("first_ms", x.record.FirstOutput.Milliseconds()).
 			Int64("pause_ms", x.longestGap.Milliseconds())
 	}
+	if x.configStatus != nil {
+		logConfigStatus(event, *x.configStatus)
+	}
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
 	}
@@ -270,3 +277,32 @@
 	}
 	event.Msg("request")
 }
+
+// attemptID returns the caller's id of the request. The headers are not parsed
+// yet if the request was refused before its route was found.
+func (x *exchange) attemptID() string {
+	if x.inbound.Attempt != "" {
+		return x.inbound.Attempt
+	}
+	return x.r.Header.Get(x.h.Dialect.AttemptHeader())
+}
+
+// logConfigStatus adds what decided that a route or key is unknown.
+func logConfigStatus(event *zerolog.Event, s freshness.Status) {
+	age := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return s.Now.Sub(at).Milliseconds()
+	}
+	event.Bool("config_current", s.Current).
+		Uint64("config_held", s.Held.Revision).
+		Str("config_from", s.Held.Source).
+		Int64("config_held_ms", age(s.Held.At)).
+		Uint64("config_known", s.Newest.Revision).
+		Str("config_known_from", s.Newest.Source).
+		Int64("config_known_ms", age(s.Newest.At)).
+		Uint64("config_confirmed", s.Confirmation.Revision).
+		Str("config_confirmed_by", s.Confirmation.Source).
+		Int64("config_confirmed_ms", age(s.Confirmation.At))
+}
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -1,14 +1,18 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/figstile/figstile/coordination/admission"
@@ -336,3 +340,22 @@
 	close(gate)
 	require.Equal(t, http.StatusBadGateway, d.post(t).StatusCode)
 }
+
+// A refusal of an unknown route could not be explained afterwards. Its log line
+// must name the request and the configuration that decided.
+func TestLogLineOfAnUnknownRouteTellsWhatDecided(t *testing.T) {
+	for _, stale := range []bool{false, true} {
+		d := newHandlerFixture(t, idempotentRoute)
+		d.dispatcher.configStale = stale
+		var log bytes.Buffer
+		handler := NewHandler(Options{Dialect: plainDialect{}, Dispatcher: d.dispatcher, Log: zerolog.New(&log), Now: time.Now})
+		request := d.request(t, context.Background(), "hello")
+		request.Host = "other"
+		handler.ServeHTTP(httptest.NewRecorder(), request)
+		var line map[string]any
+		require.NoError(t, json.Unmarshal(log.Bytes(), &line))
+		require.Equal(t, "x", line["id"])
+		require.Equal(t, !stale, line["config_current"])
+		require.EqualValues(t, -1, line["config_confirmed_ms"])
+	}
+}
