--- a/capacity/measure_sessions.go
+++ b/capacity/measure_sessions.go
@@ -114,7 +114,7 @@
 
 // decode decodes a message as a daemon does before it passes the message to the
 // scheduler.
-func (m *meshGroup) decode(from peer.Peer, env *peerpb.Envelope) {
+func (m *meshGroup) decode(from peer.Peer, env *peerpb.Envelope, _ time.Time) {
 	if _, err := wire.ToEvent(from.Router, from.Incarnation, env); err == nil {
 		m.received <- struct{}{}
 	}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/queue"
 	"github.com/figstile/figstile/coordination/scheduler"
+	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/config"
 	"github.com/figstile/figstile/transport/caller"
@@ -166,7 +167,7 @@
 		Seeds:     d.options.Peers,
 		TLS:       peerTLS,
 		Dial:      d.options.DialPeer,
-		Handler:   d.onEnvelope,
+		Handler:   func(from peer.Peer, env *peerpb.Envelope, _ time.Time) { d.onEnvelope(from, env) },
 		OnPeers:   d.onPeers,
 		OnSession: d.onSession,
 		Log:       d.log,
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -107,16 +107,18 @@
 	config, err := c.platform.DecodeConfig(o.Spec, func() { time.Sleep(decodeYieldTime) })
 	if err != nil {
 		c.log.Error().Err(err).Uint64("revision", o.Revision).Str("source", source).Msg("configuration refused")
+		c.dispatcher.configRefused(o.Revision)
 		return false
 	}
 	table := routing.NewTable(config)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replaceConfig(o)
 	if config.Version < c.configVersion {
 		c.log.Warn().Uint64("version", config.Version).Uint64("held", c.configVersion).Msg("configuration older than the one in force")
+		c.dispatcher.configRefused(o.Revision)
 		return false
 	}
+	c.replaceConfig(o)
 	c.configVersion = config.Version
 	c.dispatcher.setTable(table)
 	lag := c.dispatcher.configHeld(o.Revision, source)
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -22,10 +22,9 @@
 	"github.com/figstile/figstile/transport/ingress"
 )
 
-// configCurrentFor is how long this router regards its configuration as the
-// newest after an answer of the store, or after a message of a peer that reads
-// the store.
-const configCurrentFor = 3 * time.Second
+// defaultConfigLimit is the time within which a change of the configuration
+// must be in force if the settings do not set one.
+const defaultConfigLimit = 2 * time.Second
 
 // dispatcher makes all decisions under one lock: each takes microseconds, and
 // all need a consistent view.
@@ -105,7 +104,7 @@
 func (d *dispatcher) ConfigStatus() freshness.Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.freshness.Status(d.now(), configCurrentFor)
+	return d.freshness.Status(d.now(), d.configLimit())
 }
 
 // Admit implements ingress.Dispatcher.
@@ -402,12 +401,32 @@
 	d.reportLost(lost)
 }
 
-// confirmConfig records that a source, which holds the given revision, has
-// confirmed the configuration as the newest one.
-func (d *dispatcher) confirmConfig(revision uint64, source string) {
+// configLimit is the age up to which a confirmation of the configuration counts.
+// A change that was acknowledged longer ago must be in force.
+func (d *dispatcher) configLimit() time.Duration { return configLimit(d.settings) }
+
+func configLimit(s Settings) time.Duration {
+	if s.ConfigLimit > 0 {
+		return s.ConfigLimit
+	}
+	return defaultConfigLimit
+}
+
+// confirmConfig records that the store held no newer configuration than the
+// given revision at a time.
+func (d *dispatcher) confirmConfig(revision uint64, source string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.freshness.Confirm(freshness.Sighting{Revision: revision, Source: source, At: at})
+}
+
+// configConfirmation returns the configuration held and the age of its latest
+// confirmation by the store. ok is false if there is none.
+func (d *dispatcher) configConfirmation() (revision uint64, age time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.Confirm(freshness.Sighting{Revision: revision, Source: source, At: d.now()})
+	revision, at, ok := d.freshness.Confirmation()
+	return revision, d.now().Sub(at), ok
 }
 
 // configHeld records that a configuration was taken. It returns for how long
@@ -418,6 +437,13 @@
 	return d.freshness.Held(freshness.Sighting{Revision: revision, Source: source, At: d.now()})
 }
 
+// configRefused records that a received configuration was not taken.
+func (d *dispatcher) configRefused(revision uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.freshness.Refused(revision)
+}
+
 // configSeen records that a source holds a revision of the configuration.
 func (d *dispatcher) configSeen(revision uint64, source string) {
 	d.mu.Lock()
@@ -431,7 +457,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	return d.freshness.Status(now, configCurrentFor), d.freshness.Lagging(now)
+	return d.freshness.Status(now, d.configLimit()), d.freshness.Lagging(now)
 }
 
 func (d *dispatcher) ready() bool {
--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -29,7 +29,7 @@
 	clock             *fakeClock
 	nodes             map[state.Router]*node
 	order             []state.Router
-	pendingDeliveries []func()
+	pendingDeliveries []delivery
 	// partitioned is a data centre without connections to the others, or empty
 	// if there is none.
 	partitioned state.DataCentre
@@ -40,6 +40,13 @@
 	objects int
 }
 
+// delivery is something that happens at a router. It waits while the router is
+// frozen.
+type delivery struct {
+	to  *node
+	run func()
+}
+
 // node is one router without sockets.
 type node struct {
 	network   *network
@@ -47,6 +54,8 @@
 	fleet     *fleet
 	published publishTimes
 	stopped   bool
+	// frozen suspends the process. Its sessions stay open, and messages wait.
+	frozen bool
 	// incarnation counts the starts of the process.
 	incarnation state.Incarnation
 	// sessions are the peers that this router has a session with. selected are
@@ -92,6 +101,7 @@
 	o.sessions, o.selected, o.published = make(map[state.Router]bool), membership.SelectionChanged{DialSeeds: true}, publishTimes{}
 	o.fleet = newFleet(scheduler.Peer{Router: router, DataCentre: dc}, o.fixture.dispatcher, o.fixture.catalogue, zerolog.Nop(), o.network.clock.now)
 	o.fleet.mesh = o
+	o.fleet.watchWaits = testWatchWaits
 	o.fleet.join(membership.Member{Router: router, DataCentre: dc, Incarnation: o.incarnation, Address: string(router) + ":1"})
 }
 
@@ -175,7 +185,7 @@
 	}
 	for _, router := range wanted {
 		other := o.network.nodes[router]
-		if other == o || o.sessions[router] || !o.canReach(other) {
+		if other == o || o.sessions[router] || other.sessions[o.fleet.self.Router] || !o.canReach(other) || other.frozen {
 			continue
 		}
 		other.open(o, false)
@@ -202,14 +212,15 @@
 // DropSession implements sender.
 func (o *node) DropSession(router state.Router) {
 	other := o.network.nodes[router]
-	o.network.pendingDeliveries = append(o.network.pendingDeliveries, func() {
-		if o.sessions[router] {
-			o.close(other)
-		}
-		if other.sessions[o.fleet.self.Router] {
-			other.close(o)
-		}
-	})
+	closeAt := func(one, peer *node) {
+		o.network.pendingDeliveries = append(o.network.pendingDeliveries, delivery{one, func() {
+			if one.sessions[peer.fleet.self.Router] {
+				one.close(peer)
+			}
+		}})
+	}
+	closeAt(o, other)
+	closeAt(other, o)
 }
 
 // messageDelay is the time from sending a message to its delivery.
@@ -219,15 +230,11 @@
 func (n *network) advance(d time.Duration) {
 	for range d / messageDelay {
 		n.clock.advance(messageDelay)
-		queued := n.pendingDeliveries
-		n.pendingDeliveries = nil
-		for _, deliver := range queued {
-			deliver()
-		}
+		n.deliver()
 		due := n.clock.now().UnixNano()%int64(tickInterval) == 0
 		for _, router := range n.order {
 			one := n.nodes[router]
-			if one.stopped {
+			if one.stopped || one.frozen {
 				continue
 			}
 			one.dial()
@@ -242,8 +249,28 @@
 	}
 }
 
+// deliver delivers what was sent before, except to frozen routers.
+func (n *network) deliver() {
+	queued := n.pendingDeliveries
+	n.pendingDeliveries = nil
+	for _, d := range queued {
+		if d.to.frozen {
+			n.pendingDeliveries = append(n.pendingDeliveries, d)
+			continue
+		}
+		d.run()
+	}
+}
+
 // Send implements sender.
-func (o *node) Send(to state.Router, env *peerpb.Envelope) bool {
+func (o *node) Send(to state.Router, env *peerpb.Envelope) bool { return o.send(to, env, time.Time{}) }
+
+// SendTimed implements sender.
+func (o *node) SendTimed(to state.Router, env *peerpb.Envelope) bool {
+	return o.send(to, env, o.network.clock.now())
+}
+
+func (o *node) send(to state.Router, env *peerpb.Envelope, sentAfter time.Time) bool {
 	if !o.sessions[to] {
 		return false
 	}
@@ -260,11 +287,11 @@
 		o.network.remoteBytes += proto.Size(env)
 	}
 	from := peer.Peer{Router: o.fleet.self.Router, DataCentre: o.fleet.self.DataCentre, Incarnation: o.incarnation}
-	o.network.pendingDeliveries = append(o.network.pendingDeliveries, func() {
+	o.network.pendingDeliveries = append(o.network.pendingDeliveries, delivery{other, func() {
 		if o.canReach(other) && other.sessions[from.Router] && o.incarnation == run {
-			other.fleet.onEnvelope(from, env)
+			other.fleet.onMessage(from, env, sentAfter)
 		}
-	})
+	}})
 	return true
 }
 
@@ -405,11 +432,11 @@
 	links := one.fleet.overlay.Links()
 	for router := range n.nodes {
 		if !slices.Contains(links, router) {
-			one.fleet.onEnvelope(peer.Peer{Router: router}, loads)
+			one.fleet.onMessage(peer.Peer{Router: router}, loads, time.Time{})
 		}
 	}
 	require.Zero(t, one.runningSeen(0))
-	one.fleet.onEnvelope(peer.Peer{Router: links[0]}, loads)
+	one.fleet.onMessage(peer.Peer{Router: links[0]}, loads, time.Time{})
 	require.Equal(t, 9, one.runningSeen(0))
 }
 
@@ -427,9 +454,9 @@
 
 // readFromStore simulates that a router reads an object from the store.
 func (o *node) readFromStore(object Object) {
-	o.fleet.onStoreAnswer()
 	o.fixture.catalogue.applyObject(KindConfig, object, sourceStore)
 	o.fleet.publishObjects(KindConfig, []Object{object})
+	o.fleet.storeAnswers()
 }
 
 func (n *network) requireVersion(t *testing.T, version uint64) {
@@ -454,7 +481,7 @@
 	lost.stopped = true
 	reader.readFromStore(configObject(6, 3))
 	for range 4 {
-		reader.fleet.onStoreAnswer()
+		reader.fleet.storeAnswers()
 		n.advance(500 * time.Millisecond)
 	}
 	n.requireVersion(t, 3)
@@ -575,7 +602,7 @@
 		require.EqualValues(t, 2, n.nodes["r007"].fixture.dispatcher.Table().Version())
 		n.partitioned = ""
 		for range 6 {
-			reader.fleet.onStoreAnswer()
+			reader.fleet.storeAnswers()
 			n.closePartitioned()
 			n.advance(500 * time.Millisecond)
 		}
--- a/transport/edge/expiry_test.go
+++ b/transport/edge/expiry_test.go
@@ -29,7 +29,7 @@
 	for _, router := range routers {
 		one := n.nodes[router]
 		one.fleet.readingStore = true
-		one.fleet.onStoreAnswer()
+		one.fleet.storeAnswers()
 		if one.fixture.catalogue.applyObject(KindUpstream, o, sourceStore) {
 			one.fleet.publishObjects(KindUpstream, []Object{o})
 		}
@@ -39,7 +39,7 @@
 // disconnectStore makes the store unavailable to routers.
 func (n *network) disconnectStore(routers ...state.Router) {
 	for _, router := range routers {
-		n.nodes[router].fleet.onStoreFailure()
+		n.nodes[router].fleet.storeFails()
 		n.nodes[router].fixture.catalogue.markStoreUnavailable(errStoreSilent)
 	}
 }
@@ -50,7 +50,7 @@
 	one := n.nodes[router]
 	one.fixture.catalogue.markStoreAvailable()
 	one.fleet.readingStore = true
-	one.fleet.onStoreAnswer()
+	one.fleet.storeAnswers()
 	if changed := one.fixture.catalogue.replaceUpstreams(listed, at, sourceStore); len(changed) > 0 {
 		one.fleet.publishObjects(KindUpstream, changed)
 	}
@@ -60,7 +60,7 @@
 func (n *network) advanceReading(d time.Duration, routers ...state.Router) {
 	for range d / tickInterval {
 		for _, router := range routers {
-			n.nodes[router].fleet.onStoreAnswer()
+			n.nodes[router].fleet.storeAnswers()
 		}
 		n.advance(tickInterval)
 	}
--- a/transport/edge/fakes_test.go
+++ b/transport/edge/fakes_test.go
@@ -115,3 +115,22 @@
 }
 
 func (f *fixture) usableUpstreams() int { return f.dispatcher.loadView.CountUsable("s") }
+
+// testWatchWaits are the waits of the calls that the routers of tests make to
+// the store.
+var testWatchWaits = map[Kind]time.Duration{KindConfig: watchWait, KindUpstream: watchWait}
+
+// storeAnswers simulates that the store answers a router's calls and holds
+// nothing newer than the router.
+func (f *fleet) storeAnswers() {
+	for kind := range f.watchWaits {
+		f.onStoreAnswer(kind, f.now())
+	}
+}
+
+// storeFails simulates that a router's calls to the store fail.
+func (f *fleet) storeFails() {
+	for kind := range f.watchWaits {
+		f.onStoreFailure(kind)
+	}
+}
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -55,6 +55,8 @@
 type sender interface {
 	Send(to state.Router, env *peerpb.Envelope) bool
 	SendEach(to []state.Router, env *peerpb.Envelope)
+	// SendTimed sends a message so that the receiver can bound its age.
+	SendTimed(to state.Router, env *peerpb.Envelope) bool
 	// SelectPeers sets the routers that sessions are wanted with. DropSession
 	// closes the session with a router.
 	SelectPeers(selected membership.SelectionChanged)
@@ -66,11 +68,18 @@
 // readerClaim records the last message in which a peer claimed to read the
 // store.
 type readerClaim struct {
-	receivedAt time.Time
+	// madeAt is a time before which the peer did not make the claim.
+	madeAt time.Time
 	// upstreamDigest is the digest of the upstreams that the peer holds.
 	upstreamDigest uint64
 }
 
+// storeCalls holds the times of the last answer and of the last failed call for
+// one kind of object.
+type storeCalls struct {
+	answeredAt, failedAt time.Time
+}
+
 // fleet exchanges objects, loads and usage with the peers.
 type fleet struct {
 	self       scheduler.Peer
@@ -96,11 +105,13 @@
 	// messages.
 	peerNames    map[state.Router]upstreamNames
 	readerClaims map[state.Router]readerClaim
-	// lastAnswer is the time of the store's last answer, and lastFailure that
-	// of the last failed call. Each kind of object is followed with its own
-	// calls.
-	lastAnswer  time.Time
-	lastFailure time.Time
+	// storeCalls are the latest results of the calls for each kind of object,
+	// and watchWaits the longest wait of a watch call for it.
+	storeCalls map[Kind]storeCalls
+	watchWaits map[Kind]time.Duration
+	// confirmedAt is the time at which the store last confirmed the configuration
+	// to this router itself.
+	confirmedAt time.Time
 	// readingStore is set while this router reads the store.
 	readingStore bool
 	// noReaderSince is the time since which no peer has claimed to read the
@@ -126,6 +137,7 @@
 	f := &fleet{
 		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, startedAt: now(),
 		readerClaims: make(map[state.Router]readerClaim), linkOutboxes: make(map[state.Router]*outbox), peerNames: make(map[state.Router]upstreamNames),
+		storeCalls: make(map[Kind]storeCalls),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
 	dispatcher.onLostRequest = f.sendLostRequest
@@ -140,25 +152,49 @@
 	f.livePeers = f.overlay.LiveRouters()
 }
 
-func (f *fleet) onStoreAnswer() {
+// onStoreAnswer records an answer of the store to a call for one kind of object.
+// The objects of the answer were applied.
+func (f *fleet) onStoreAnswer(kind Kind, answeredAt time.Time) {
 	f.mu.Lock()
-	f.lastAnswer = f.now()
+	calls := f.storeCalls[kind]
+	calls.answeredAt = f.now()
+	f.storeCalls[kind] = calls
+	if kind == KindConfig {
+		f.confirmedAt = answeredAt
+	}
 	f.mu.Unlock()
-	f.dispatcher.confirmConfig(f.catalogue.contentSummary().ConfigRevision, sourceStore)
+	if kind == KindConfig {
+		f.dispatcher.confirmConfig(f.catalogue.contentSummary().ConfigRevision, sourceStore, answeredAt)
+	}
+}
+
+func (f *fleet) ownConfirmation() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt
 }
 
-func (f *fleet) onStoreFailure() {
+func (f *fleet) onStoreFailure(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastFailure = f.now()
+	calls := f.storeCalls[kind]
+	calls.failedAt = f.now()
+	f.storeCalls[kind] = calls
 }
 
 // mayClaimReading reports whether this router may announce to peers that it
-// follows the store.
+// follows the store: the store answers the calls for every kind of object.
 func (f *fleet) mayClaimReading() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.readingStore && !f.lastAnswer.IsZero() && f.lastAnswer.After(f.lastFailure) && f.now().Sub(f.lastAnswer) <= readingClaimedFor
+	now := f.now()
+	for kind, wait := range f.watchWaits {
+		calls := f.storeCalls[kind]
+		if !calls.answeredAt.After(calls.failedAt) || now.Sub(calls.answeredAt) > wait+callTimeout {
+			return false
+		}
+	}
+	return f.readingStore
 }
 
 // checkStalled cancels stalled requests. It does nothing for a while after a
--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -18,16 +18,18 @@
 func (f *fixture) fleet(name state.Router) *fleet {
 	fleet := newFleet(scheduler.Peer{Router: name}, f.dispatcher, f.catalogue, zerolog.Nop(), f.clock.now)
 	fleet.mesh = discardSender{}
+	fleet.watchWaits = testWatchWaits
 	return fleet
 }
 
 // discardSender discards all messages.
 type discardSender struct{}
 
-func (discardSender) Send(state.Router, *peerpb.Envelope) bool  { return false }
-func (discardSender) SendEach([]state.Router, *peerpb.Envelope) {}
-func (discardSender) SelectPeers(membership.SelectionChanged)   {}
-func (discardSender) DropSession(state.Router)                  {}
+func (discardSender) Send(state.Router, *peerpb.Envelope) bool      { return false }
+func (discardSender) SendTimed(state.Router, *peerpb.Envelope) bool { return false }
+func (discardSender) SendEach([]state.Router, *peerpb.Envelope)     {}
+func (discardSender) SelectPeers(membership.SelectionChanged)       {}
+func (discardSender) DropSession(state.Router)                      {}
 
 func peersNamed(n int) []scheduler.Peer {
 	var peers []scheduler.Peer
@@ -55,12 +57,12 @@
 		clock.advance(tickInterval)
 		for i, from := range fleets {
 			if from.shouldReadStore() {
-				from.onStoreAnswer()
+				from.storeAnswers()
 			}
 			claim := from.mayClaimReading()
 			for j, to := range fleets {
 				if i != j {
-					to.onReading(from.self.Router, &peerpb.Reading{Store: claim})
+					to.onReading(from.self.Router, &peerpb.Reading{Store: claim}, time.Time{})
 				}
 			}
 		}
@@ -82,7 +84,7 @@
 	fleet := f.fleet("r09")
 	fleet.onPeers(peersNamed(10))
 	for i := range targetReaders {
-		fleet.onReading(state.Router(fmt.Sprintf("r%02d", i)), &peerpb.Reading{Store: true})
+		fleet.onReading(state.Router(fmt.Sprintf("r%02d", i)), &peerpb.Reading{Store: true}, time.Time{})
 	}
 	require.False(t, fleet.shouldReadStore())
 	f.clock.advance(claimExpiry + time.Millisecond)
@@ -139,13 +141,33 @@
 	require.True(t, fleet.shouldReadStore())
 	require.False(t, fleet.mayClaimReading(), "the store has not answered yet")
 	f.clock.advance(time.Second)
-	fleet.onStoreAnswer()
+	fleet.storeAnswers()
 	require.True(t, fleet.mayClaimReading())
 	f.clock.advance(time.Millisecond)
-	fleet.onStoreFailure()
+	fleet.storeFails()
 	require.False(t, fleet.mayClaimReading())
 }
 
+// The calls for the configuration hang, while those for upstreams are answered.
+// The router must not claim to follow the store, or its peers would take its
+// configuration for the newest.
+func TestCallsOfOneKindDoNotHideTheSilenceOfAnother(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	require.True(t, fleet.shouldReadStore())
+	fleet.storeAnswers()
+	for range 30 {
+		require.True(t, fleet.mayClaimReading())
+		f.clock.advance(tickInterval)
+		fleet.onStoreAnswer(KindUpstream, f.clock.now())
+		if f.clock.now().Sub(fleet.ownConfirmation()) > watchWait+callTimeout {
+			break
+		}
+	}
+	require.False(t, fleet.mayClaimReading())
+	require.False(t, f.dispatcher.ConfigStatus().Current)
+}
+
 // A configuration and an upstream that leaves reach a router through a peer
 // while the store rejects its calls. So does the confirmation that the peer's
 // configuration is the newest.
@@ -153,38 +175,100 @@
 	f := newFixture()
 	fleet := f.fleet("r00")
 	from := peer.Peer{Router: "r01"}
-	fleet.onEnvelope(from, objectEnvelope(KindConfig, configObject(5, 2)))
-	fleet.onEnvelope(from, objectEnvelope(KindUpstream, upstreamObject("u", 6, false)))
+	receive := func(env *peerpb.Envelope) { fleet.onMessage(from, env, f.clock.now()) }
+	receive(objectEnvelope(KindConfig, configObject(5, 2)))
+	receive(objectEnvelope(KindUpstream, upstreamObject("u", 6, false)))
 	require.EqualValues(t, 2, f.dispatcher.Table().Version())
 	require.Equal(t, 1, f.usableUpstreams())
-	require.True(t, f.dispatcher.ConfigStatus().Current, "a new configuration from a peer is the newest")
-	f.clock.advance(configCurrentFor + time.Second)
+	require.False(t, f.dispatcher.ConfigStatus().Current, "a configuration that is sent on may be an old one")
+	receive(claim(5, 0))
+	require.True(t, f.dispatcher.ConfigStatus().Current)
+	f.clock.advance(defaultConfigLimit + 1)
 	require.False(t, f.dispatcher.ConfigStatus().Current)
-	fleet.onEnvelope(from, fleet.readingEnvelope(true))
+	receive(claim(5, 0))
 	require.True(t, f.dispatcher.ConfigStatus().Current)
-	fleet.onEnvelope(from, objectEnvelope(KindUpstream, removal("u", 7)))
+	receive(objectEnvelope(KindUpstream, removal("u", 7)))
 	require.Zero(t, f.usableUpstreams())
-	f.clock.advance(configCurrentFor + time.Second)
+	f.clock.advance(defaultConfigLimit + 1)
 	require.False(t, f.dispatcher.ConfigStatus().Current)
 }
 
+// claim is the message of a reader that holds a revision, which the store
+// confirmed some milliseconds ago.
+func claim(revision uint64, confirmedMs uint32) *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: &peerpb.Reading{
+		Store: true, Router: "r02", ConfigRevision: revision, ConfirmedMs: &confirmedMs,
+	}}}
+}
+
+// A reader claims to read the store and names a newer configuration than the one
+// held here, which lost the change. This router must not tell callers that a
+// route does not exist, however often the claim is repeated.
+func TestClaimOfANewerConfigurationDoesNotConfirmTheHeldOne(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r00")
+	from := peer.Peer{Router: "r01"}
+	fleet.onMessage(from, objectEnvelope(KindConfig, configObject(5, 2)), time.Time{})
+	fleet.onMessage(from, claim(5, 0), f.clock.now())
+	for range 10 {
+		f.clock.advance(heartbeatInterval)
+		fleet.onMessage(from, claim(6, 0), f.clock.now())
+		require.False(t, f.dispatcher.ConfigStatus().Current)
+	}
+	fleet.onMessage(from, objectEnvelope(KindConfig, configObject(6, 3)), time.Time{})
+	require.True(t, f.dispatcher.ConfigStatus().Current)
+}
+
+// A claim waited in the sockets of a router that stood still, or its reader had
+// not heard from the store for a while. What it confirms is as old as that.
+func TestOldClaimConfirmsOnlyItsOwnTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmedMs uint32
+		transit     time.Duration
+		known       bool
+		current     bool
+	}{
+		"fresh":            {100, 10 * time.Millisecond, true, true},
+		"reader cut off":   {2001, 0, true, false},
+		"delayed":          {0, 2001 * time.Millisecond, true, false},
+		"both":             {1200, 1200 * time.Millisecond, true, false},
+		"unknown age":      {0, 0, false, false},
+		"just within both": {1000, time.Second, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			fleet := f.fleet("r00")
+			from := peer.Peer{Router: "r01"}
+			fleet.onMessage(from, objectEnvelope(KindConfig, configObject(5, 2)), time.Time{})
+			var sentAfter time.Time
+			if c.known {
+				sentAfter = f.clock.now().Add(-c.transit)
+			}
+			fleet.onMessage(from, claim(5, c.confirmedMs), sentAfter)
+			require.Equal(t, c.current, f.dispatcher.ConfigStatus().Current)
+		})
+	}
+}
+
 // A router starts and receives the configuration from a peer. If that peer
-// follows the store, a caller with an unknown key is refused without a retry.
-// If it does not, the key may have been added meanwhile, and the caller must be
-// able to retry.
-func TestCatalogueFromAReaderIsCurrent(t *testing.T) {
-	for _, reads := range []bool{true, false} {
+// states that the store confirmed its configuration, a caller with an unknown
+// key is refused without a retry. If it does not, the key may have been added
+// meanwhile, and the caller must be able to retry.
+func TestCatalogueWithAConfirmationIsCurrent(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
 		f := newFixture()
 		fleet := f.fleet("r00")
 		answer := objectEnvelope(KindConfig, configObject(5, 2))
 		answer.GetConfigObject().Answer = true
 		from := peer.Peer{Router: "r01"}
-		fleet.onEnvelope(from, answer)
+		fleet.onMessage(from, answer, time.Time{})
 		require.False(t, f.dispatcher.ConfigStatus().Current)
-		fleet.onEnvelope(from, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{
-			CatalogueEnd: &peerpb.CatalogueEnd{Holds: true, ReadsStore: reads},
-		}})
-		require.Equal(t, reads, f.dispatcher.ConfigStatus().Current)
+		end := &peerpb.CatalogueEnd{Holds: true, ConfigRevision: 5}
+		if confirmed {
+			end.ConfirmedMs = new(uint32)
+		}
+		fleet.onMessage(from, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}}, f.clock.now())
+		require.Equal(t, confirmed, f.dispatcher.ConfigStatus().Current)
 	}
 }
 
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// watchWait limits one watch call, except for evacuations. An open
-	// connection may stop receiving data without an error. A new call on a new
-	// connection then detects it, well within the few seconds in which a
-	// configuration must be in force.
+	// watchWait limits one watch call for upstreams. An open connection may stop
+	// receiving data without an error. A new call on a new connection then
+	// detects it.
 	watchWait = 1500 * time.Millisecond
+	// probeWait is the wait of a watch call that shall be answered at once: after
+	// a failed call, to learn whether the store answers again, and after a change
+	// of the configuration, to learn whether it is the newest.
+	probeWait = 50 * time.Millisecond
 	// upstreamWatchInterval is the mean pause between two watch calls for
 	// upstreams, so that one call returns several changes. Each upstream
 	// changes its entry about once a second, and without a pause each router
@@ -51,10 +54,13 @@
 	// shouldRead reports whether this router has to read the store. Otherwise
 	// the router receives changes from peers that read the store.
 	shouldRead func() bool
-	// onAnswer is called after each answer of the store and onFailure after
-	// each failed call. onChanged receives changed objects.
-	onAnswer  func()
-	onFailure func()
+	now        func() time.Time
+	// onAnswer is called after the objects of an answer of the store were
+	// applied. At the time answeredAt, no later one, the store held no other
+	// objects. onFailure is called after each failed call. onChanged receives
+	// changed objects.
+	onAnswer  func(kind Kind, answeredAt time.Time)
+	onFailure func(kind Kind)
 	onChanged func(kind Kind, objects []Object)
 
 	// retryDelay may lengthen the pause after a failed call. If nil, the pause
@@ -63,6 +69,8 @@
 
 	listed   bool
 	revision uint64
+	// probe is set if the next watch call has to be answered at once.
+	probe bool
 }
 
 // run follows the store until the context ends.
@@ -88,7 +96,8 @@
 			f.listed = false
 			f.log.Info().Stringer("kind", f.kind).Msg("store's history gone; listing anew")
 		default:
-			f.onFailure()
+			f.probe = true
+			f.onFailure(f.kind)
 			f.catalogue.markStoreUnavailable(err)
 			_ = pause.For(ctx, f.retryDelay(retry.NextBackOff()))
 		}
@@ -106,13 +115,23 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.watchWait+callTimeout)
+	wait := f.watchWait
+	if f.probe {
+		wait = probeWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	objects, at, err := f.store.Watch(ctx, f.kind, f.revision, f.watchWait)
+	calledAt := f.now()
+	objects, at, err := f.store.Watch(ctx, f.kind, f.revision, wait)
 	if err != nil {
 		return err
 	}
-	f.recordAnswer()
+	answeredAt := calledAt
+	if len(objects) == 0 && f.now().Sub(calledAt) >= wait {
+		answeredAt = calledAt.Add(wait)
+	}
+	f.probe = f.kind == KindConfig && len(objects) > 0
+	f.catalogue.markStoreAvailable()
 	var changed []Object
 	for _, o := range objects {
 		if f.catalogue.applyObject(f.kind, o, sourceStore) {
@@ -121,6 +140,7 @@
 	}
 	f.revision = at
 	f.notify(changed)
+	f.onAnswer(f.kind, answeredAt)
 	return nil
 }
 
@@ -130,31 +150,32 @@
 func (f *follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	calledAt := f.now()
 	objects, at, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return err
 	}
-	f.recordAnswer()
+	f.catalogue.markStoreAvailable()
 	f.listed, f.revision = true, at
+	f.replaceAll(objects, at)
+	f.onAnswer(f.kind, calledAt)
+	return nil
+}
+
+// replaceAll applies a complete list of objects, read at a revision.
+func (f *follower) replaceAll(objects []Object, at uint64) {
 	switch f.kind {
 	case KindUpstream:
 		f.notify(f.catalogue.replaceUpstreams(objects, at, sourceStore))
-		return nil
 	case KindEvacuation:
 		f.notify(f.catalogue.replaceEvacuations(objects, at, sourceStore))
-		return nil
-	}
-	for _, o := range objects {
-		if f.catalogue.applyObject(f.kind, o, sourceStore) {
-			f.notify([]Object{o})
+	default:
+		for _, o := range objects {
+			if f.catalogue.applyObject(f.kind, o, sourceStore) {
+				f.notify([]Object{o})
+			}
 		}
 	}
-	return nil
-}
-
-func (f *follower) recordAnswer() {
-	f.catalogue.markStoreAvailable()
-	f.onAnswer()
 }
 
 func (f *follower) notify(changed []Object) {
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -12,8 +13,8 @@
 func newFollower(f *fixture, kind Kind) (*follower, *[]Object) {
 	changed := &[]Object{}
 	return &follower{
-		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(),
-		shouldRead: func() bool { return true }, onAnswer: func() {}, onFailure: func() {},
+		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(), now: f.clock.now, watchWait: watchWait,
+		shouldRead: func() bool { return true }, onAnswer: func(Kind, time.Time) {}, onFailure: func(Kind) {},
 		onChanged: func(_ Kind, objects []Object) { *changed = append(*changed, objects...) },
 	}, changed
 }
@@ -65,7 +66,7 @@
 	require.NoError(t, follower.step(context.Background()))
 	ctx, cancel := context.WithCancel(context.Background())
 	failures := 0
-	follower.onFailure = func() { failures++ }
+	follower.onFailure = func(Kind) { failures++ }
 	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
 		secondCall := failures == 1
 		if secondCall {
@@ -93,3 +94,41 @@
 	follower.run(ctx)
 	require.Empty(t, f.platform.calls)
 }
+
+// An answer of the store must not confirm the configuration for a later time
+// than the store can have answered: a router that stood still reads the answer
+// long after it was sent.
+func TestAnswerConfirmsNoLaterTimeThanItsOwn(t *testing.T) {
+	changed := []Object{configObject(7, 2)}
+	for name, c := range map[string]struct {
+		objects []Object
+		took    time.Duration
+		// confirmed is the time after the call at which the store is known to
+		// have held nothing newer.
+		confirmed time.Duration
+	}{
+		"no change":           {nil, watchWait, watchWait},
+		"read late":           {nil, watchWait + time.Second, watchWait},
+		"call cut short":      {nil, time.Second, 0},
+		"change":              {changed, time.Second, 0},
+		"change, read late":   {changed, watchWait + time.Second, 0},
+		"clock was suspended": {nil, time.Hour, watchWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.platform.list = func(Kind) ([]Object, uint64, error) { return []Object{configObject(5, 1)}, 5, nil }
+			f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
+				f.clock.advance(c.took)
+				return c.objects, 9, nil
+			}
+			follower, _ := newFollower(f, KindConfig)
+			require.NoError(t, follower.step(context.Background()))
+			calledAt := f.clock.now()
+			var answeredAt time.Time
+			follower.onAnswer = func(_ Kind, at time.Time) { answeredAt = at }
+			require.NoError(t, follower.step(context.Background()))
+			require.Equal(t, c.confirmed, answeredAt.Sub(calledAt))
+			require.Equal(t, c.objects != nil, follower.probe, "a call that is answered at once follows a change")
+		})
+	}
+}
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/figstile/figstile/coordination/membership"
 	"github.com/figstile/figstile/coordination/overlay"
@@ -35,7 +36,7 @@
 	f.performActions()
 	direct := !f.overlay.TreeMode()
 	f.mu.Unlock()
-	f.mesh.Send(s.Router, f.readingEnvelope(f.mayClaimReading()))
+	f.stateHoldings([]state.Router{s.Router})
 	if direct {
 		f.mesh.Send(s.Router, loadsEnvelope(f.dispatcher.ownLoads(), true))
 	}
@@ -158,9 +159,20 @@
 // send sends a message to a router, relayed through other routers if there is
 // no session with it.
 func (f *fleet) send(to state.Router, env *peerpb.Envelope) {
-	if f.mesh.Send(to, env) {
-		return
+	if !f.mesh.Send(to, env) {
+		f.relayTo(to, env)
+	}
+}
+
+// sendTimed sends a message as send does. If there is a session, the receiver
+// can bound the message's age.
+func (f *fleet) sendTimed(to state.Router, env *peerpb.Envelope) {
+	if !f.mesh.SendTimed(to, env) {
+		f.relayTo(to, env)
 	}
+}
+
+func (f *fleet) relayTo(to state.Router, env *peerpb.Envelope) {
 	f.relay(to, "", &peerpb.Relay{
 		From: string(f.self.Router), FromDataCentre: string(f.self.DataCentre), To: string(to), Envelope: env,
 	})
@@ -190,7 +202,8 @@
 	if m.GetEnvelope().GetRelay() != nil || m.GetEnvelope().GetMembers() != nil {
 		return
 	}
-	f.onEnvelope(peer.Peer{Router: state.Router(m.GetFrom()), DataCentre: state.DataCentre(m.GetFromDataCentre())}, m.GetEnvelope())
+	sender := peer.Peer{Router: state.Router(m.GetFrom()), DataCentre: state.DataCentre(m.GetFromDataCentre())}
+	f.onMessage(sender, m.GetEnvelope(), time.Time{})
 }
 
 func overlayMessage(m *peerpb.Members) overlay.Message {
--- a/transport/edge/metrics.go
+++ b/transport/edge/metrics.go
@@ -89,7 +89,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	ages := viewAges{loads: d.loadView.OldestLoadsAge(now), spending: d.ledger.OldestPeerAge(now)}
-	status := d.freshness.Status(now, configCurrentFor)
+	status := d.freshness.Status(now, d.configLimit())
 	if !status.Confirmation.At.IsZero() {
 		ages.configuration = now.Sub(status.Confirmation.At)
 	}
--- a/transport/edge/metrics_test.go
+++ b/transport/edge/metrics_test.go
@@ -16,7 +16,7 @@
 func TestAgesOfViews(t *testing.T) {
 	f := newFixture()
 	require.Zero(t, f.dispatcher.viewAges())
-	f.dispatcher.confirmConfig(0, sourceStore)
+	f.dispatcher.confirmConfig(0, sourceStore, f.clock.now())
 	f.dispatcher.receiveLoads("r2", map[state.Upstream]placement.Load{}, true)
 	f.clock.advance(2 * time.Second)
 	f.dispatcher.receiveLoads("r3", map[state.Upstream]placement.Load{}, true)
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -123,10 +123,7 @@
 		// Peers that have also just started can now fetch the configuration
 		// from this router.
 		peers, _ := f.receivers()
-		f.mesh.SendEach(peers, f.readingEnvelope(f.mayClaimReading()))
-	}
-	if kind == KindConfig && !m.GetAnswer() {
-		f.dispatcher.confirmConfig(o.Revision, string(from))
+		f.stateHoldings(peers)
 	}
 	if _, tree := f.receivers(); tree && (!m.GetAnswer() || f.isCaughtUp()) {
 		f.forward(from, f.changeEnvelope(kind, o))
@@ -155,8 +152,12 @@
 	for _, message := range f.catalogueEnvelopes() {
 		f.send(to, message)
 	}
-	end := &peerpb.CatalogueEnd{Holds: !f.catalogue.isIncomplete(), ReadsStore: f.mayClaimReading()}
-	f.send(to, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}})
+	end := &peerpb.CatalogueEnd{Holds: !f.catalogue.isIncomplete()}
+	if revision, age, ok := f.dispatcher.configConfirmation(); ok {
+		ms := ageMillis(age)
+		end.ConfigRevision, end.ConfirmedMs = revision, &ms
+	}
+	f.sendTimed(to, &peerpb.Envelope{Body: &peerpb.Envelope_CatalogueEnd{CatalogueEnd: end}})
 }
 
 // keySeparator separates the kind and the name in the key of an object.
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -121,6 +121,9 @@
 	// fleet.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// ConfigLimit is the time within which a change of the configuration must be
+	// in force; 0 means defaultConfigLimit.
+	ConfigLimit time.Duration
 	// EvacuationLimit is the time within which an evacuation of a data centre
 	// must be in force; 0 if data centres are never evacuated. Otherwise the
 	// router serves callers only once it knows which ones are.
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -64,10 +64,13 @@
 
 // publishTimes records when each kind of report was last sent to peers.
 type publishTimes struct {
-	readingSent    bool
-	readingSentAt  time.Time
-	loadsSentAt    time.Time
-	spendingSentAt time.Time
+	readingSent   bool
+	readingSentAt time.Time
+	// readingConfirmedAt is the time of the store's confirmation that was sent
+	// last.
+	readingConfirmedAt time.Time
+	loadsSentAt        time.Time
+	spendingSentAt     time.Time
 }
 
 // publishDue sends the reports that are due.
@@ -83,20 +86,6 @@
 	}
 }
 
-// publishReading announces to all peers that this router follows the store, and
-// once when it no longer does.
-func (f *fleet) publishReading(now time.Time, last *publishTimes) {
-	reading := f.mayClaimReading()
-	if reading == last.readingSent && (!reading || now.Sub(last.readingSentAt) < heartbeatInterval) {
-		return
-	}
-	last.readingSent, last.readingSentAt = reading, now
-	env := f.readingEnvelope(reading)
-	env.GetReading().Router = string(f.self.Router)
-	peers, _ := f.receivers()
-	f.mesh.SendEach(peers, env)
-}
-
 // publishLoads sends changed loads, or a heartbeat if nothing was sent for
 // heartbeatInterval. In a tree, it sends them over the links of this router. It
 // returns the time of the last message to peers.
@@ -142,13 +131,6 @@
 	}}})
 }
 
-func (f *fleet) readingEnvelope(reads bool) *peerpb.Envelope {
-	summary := f.catalogue.contentSummary()
-	return &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: &peerpb.Reading{
-		Store: reads, ConfigRevision: summary.ConfigRevision, Upstreams: summary.UpstreamsDigest,
-	}}}
-}
-
 func spendingEnvelope(usage map[state.Workspace]shares.Usage) *peerpb.Envelope {
 	message := &peerpb.Spending{}
 	for ws, u := range usage {
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -36,12 +36,8 @@
 	nonEagerRetryDelay = 2500 * time.Millisecond
 	// claimExpiry is the age at which a peer's claim to read the store expires.
 	// A peer repeats its claim every heartbeatInterval, so by then about three
-	// repetitions are missing.
+	// repetitions are missing. The time that a claim takes on its way counts.
 	claimExpiry = 1200 * time.Millisecond
-	// readingClaimedFor is the time after the store's last answer for which
-	// this router still claims to read it. A watch call may wait for most of
-	// that time.
-	readingClaimedFor = watchWait + callTimeout
 )
 
 // shouldReadStore reports whether this router has to read the store. A reader
@@ -72,7 +68,7 @@
 // that precede this router by name.
 func (f *fleet) countReaders(now time.Time) (before, all int) {
 	for router, claim := range f.readerClaims {
-		if now.Sub(claim.receivedAt) > claimExpiry || !f.isLive(router) {
+		if now.Sub(claim.madeAt) > claimExpiry || !f.isLive(router) {
 			delete(f.readerClaims, router)
 			continue
 		}
@@ -91,7 +87,7 @@
 	var readers []scheduler.Peer
 	for _, p := range f.livePeers {
 		claim, ok := f.readerClaims[p.Router]
-		if ok && now.Sub(claim.receivedAt) <= claimExpiry && claim.upstreamDigest != upstreams {
+		if ok && now.Sub(claim.madeAt) <= claimExpiry && claim.upstreamDigest != upstreams {
 			readers = append(readers, p)
 		}
 	}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/figstile/figstile/coordination/exchange"
 	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/scheduler"
@@ -11,8 +13,9 @@
 	"github.com/figstile/figstile/transport/peer"
 )
 
-// onEnvelope handles a message from a peer.
-func (f *fleet) onEnvelope(from peer.Peer, env *peerpb.Envelope) {
+// onMessage handles a message from a peer that was not sent before sentAfter, if
+// that is known.
+func (f *fleet) onMessage(from peer.Peer, env *peerpb.Envelope, sentAfter time.Time) {
 	f.markAlive(from.Router)
 	switch body := env.GetBody().(type) {
 	case *peerpb.Envelope_Members:
@@ -30,11 +33,11 @@
 	case *peerpb.Envelope_Spending:
 		f.onSpending(from.Router, body.Spending)
 	case *peerpb.Envelope_Reading:
-		f.onReading(from.Router, body.Reading)
+		f.onReading(from.Router, body.Reading, sentAfter)
 	case *peerpb.Envelope_CatalogueRequest:
 		f.sendCatalogue(from.Router, body.CatalogueRequest)
 	case *peerpb.Envelope_CatalogueEnd:
-		f.onCatalogueEnd(from.Router, body.CatalogueEnd)
+		f.onCatalogueEnd(from.Router, body.CatalogueEnd, sentAfter)
 	case *peerpb.Envelope_Crash:
 		f.onCrash(from.Router, body.Crash, env)
 	}
@@ -108,27 +111,38 @@
 }
 
 // onReading handles a router's message on whether it reads the store.
-func (f *fleet) onReading(from state.Router, m *peerpb.Reading) {
-	reader := from
+func (f *fleet) onReading(from state.Router, m *peerpb.Reading, sentAfter time.Time) {
+	now, reader := f.now(), from
+	statement := newStatement(now, m, sentAfter)
 	if m.GetRouter() != "" {
 		reader = state.Router(m.GetRouter())
-		f.forward(from, &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: m}})
-	}
-	ownSummary, readerSummary := f.catalogue.contentSummary(), exchange.StateSummary{ConfigRevision: m.GetConfigRevision(), UpstreamsDigest: m.GetUpstreams()}
-	f.mu.Lock()
-	f.catchUp.SummaryReceived(f.now(), reader, readerSummary, ownSummary)
-	if m.GetStore() {
-		f.readerClaims[reader] = readerClaim{receivedAt: f.now(), upstreamDigest: readerSummary.UpstreamsDigest}
-		f.catchUp.CompareWithReader(f.now(), reader, readerSummary, ownSummary)
-	} else {
-		delete(f.readerClaims, reader)
+		f.forwardReading(from, m, statement)
 	}
-	f.mu.Unlock()
 	f.dispatcher.configSeen(m.GetConfigRevision(), string(reader))
+	if statement.confirmed {
+		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader), statement.confirmedAt)
+	}
+	f.compareWith(reader, m, statement.madeAt)
 	f.fetchCatalogue()
-	if m.GetStore() {
-		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader))
+}
+
+// compareWith compares what a router holds with what is held here, and records
+// its claim to read the store.
+func (f *fleet) compareWith(router state.Router, m *peerpb.Reading, madeAt time.Time) {
+	own, remote := f.catalogue.contentSummary(), exchange.StateSummary{ConfigRevision: m.GetConfigRevision(), UpstreamsDigest: m.GetUpstreams()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.catchUp.SummaryReceived(now, router, remote, own)
+	if now.Sub(madeAt) > claimExpiry || madeAt.Before(f.readerClaims[router].madeAt) {
+		return
+	}
+	if !m.GetStore() {
+		delete(f.readerClaims, router)
+		return
 	}
+	f.readerClaims[router] = readerClaim{madeAt: madeAt, upstreamDigest: remote.UpstreamsDigest}
+	f.catchUp.CompareWithReader(now, router, remote, own)
 }
 
 // fetchCatalogue requests all objects from a peer if some may be missing here,
@@ -158,10 +172,10 @@
 	return f.livePeers
 }
 
-// onCatalogueEnd handles the end of a peer's answer. If that peer follows the
-// store, this router's configuration is the newest, and a router that has just
-// started may answer callers at once that something does not exist.
-func (f *fleet) onCatalogueEnd(from state.Router, m *peerpb.CatalogueEnd) {
+// onCatalogueEnd handles the end of a peer's answer. A router that has just
+// started may answer callers at once that something does not exist if the peer
+// states how recently the store confirmed its configuration.
+func (f *fleet) onCatalogueEnd(from state.Router, m *peerpb.CatalogueEnd, sentAfter time.Time) {
 	f.mu.Lock()
 	f.catchUp.Answered(f.now(), from, m.GetHolds())
 	f.caughtUp = f.caughtUp || m.GetHolds()
@@ -169,7 +183,7 @@
 	if m.GetHolds() {
 		f.catalogue.markComplete()
 	}
-	if m.GetHolds() && m.GetReadsStore() {
-		f.dispatcher.confirmConfig(f.catalogue.contentSummary().ConfigRevision, string(from))
+	if m.ConfirmedMs != nil && !sentAfter.IsZero() {
+		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(from), sentAfter.Add(-millis(m.GetConfirmedMs())))
 	}
 }
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -96,13 +96,14 @@
 		Capacity: cpuHundredths(settings),
 	})
 	r.newHandler(platform)
-	waits := map[Kind]time.Duration{KindConfig: watchWait, KindUpstream: watchWait}
+	waits := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: watchWait}
 	if settings.EvacuationLimit > 0 {
 		waits[KindEvacuation] = max(watchWait, settings.EvacuationLimit/2)
 	}
+	r.fleet.watchWaits = waits
 	for kind, wait := range waits {
 		r.followers = append(r.followers, &follower{
-			kind: kind, watchWait: wait, store: platform, catalogue: r.catalogue, log: log,
+			kind: kind, watchWait: wait, store: platform, catalogue: r.catalogue, log: log, now: boottime.Now,
 			shouldRead: r.fleet.shouldReadStore, onAnswer: r.fleet.onStoreAnswer, onFailure: r.fleet.onStoreFailure, onChanged: r.fleet.publishObjects,
 			retryDelay: r.fleet.retryDelay,
 		})
@@ -170,7 +171,8 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		},
 		FlushTimeout:     peerFlushTimeout,
-		Handler:          r.fleet.onEnvelope,
+		Handler:          r.fleet.onMessage,
+		Clock:            bootClock{},
 		OnPeers:          r.fleet.onPeers,
 		OnSession:        r.fleet.onSession,
 		OnSessionEnd:     r.fleet.onSessionEnd,
@@ -207,6 +209,20 @@
 	}
 }
 
+// bootClock lets the mesh measure ages that include a suspension of the VM.
+type bootClock struct{}
+
+var _ peer.Clock = bootClock{}
+
+// Now implements peer.Clock.
+func (bootClock) Now() time.Time { return boottime.Now() }
+
+// Ticker implements peer.Clock.
+func (bootClock) Ticker(d time.Duration) (<-chan time.Time, func()) {
+	ticker := time.NewTicker(d)
+	return ticker.C, ticker.Stop
+}
+
 // AddSeeds adds the addresses of peers that new settings name.
 func (r *Router) AddSeeds(addresses []string) { r.mesh.AddSeeds(addresses) }
 
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -250,11 +250,17 @@
 	}
 	m.goroutines.Go(func() { s.writeLoop(s.bulk) })
 	s.readLoop(s.bulk, func(env *peerpb.Envelope) error {
-		m.opts.Handler(s.peer, env)
+		m.handle(s, env)
 		return nil
 	})
 }
 
+// handle passes a message to the handler of the options.
+func (m *Mesh) handle(s *session, env *peerpb.Envelope) {
+	held := time.Duration(env.GetEchoHeldUs()) * time.Microsecond
+	m.opts.Handler(s.peer, env, s.roundTrip.sentAfter(m.opts.Clock.Now(), env.GetEcho(), held))
+}
+
 func (m *Mesh) handleControl(s *session, env *peerpb.Envelope) error {
 	switch body := env.GetBody().(type) {
 	case *peerpb.Envelope_Heartbeat:
@@ -264,7 +270,7 @@
 	case nil:
 		// The body is of a type that a later protocol version added.
 	default:
-		m.opts.Handler(s.peer, env)
+		m.handle(s, env)
 	}
 	return nil
 }
--- a/transport/peer/fleet_test.go
+++ b/transport/peer/fleet_test.go
@@ -96,7 +96,7 @@
 		Self:   Self{Peer: Peer{Router: n.name, DataCentre: "sala-laredo", Incarnation: state.Incarnation(incarnation)}, Fleet: "cantabria"},
 		Listen: "127.0.0.1:0",
 		Seeds:  seeds,
-		Handler: func(from Peer, _ *peerpb.Envelope) {
+		Handler: func(from Peer, _ *peerpb.Envelope, _ time.Time) {
 			n.readBlock.RLock()
 			defer n.readBlock.RUnlock()
 			locked(f, func() int { n.messages[from.Router]++; return 0 })
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -188,6 +188,22 @@
 	return ok && s.enqueue(stream, frame)
 }
 
+// SendTimed queues a message as Send does, together with what lets the receiver
+// bound the time that the message takes.
+func (m *Mesh) SendTimed(to state.Router, env *peerpb.Envelope) bool {
+	m.mu.RLock()
+	s, ok := m.acceptedByRouter[to]
+	m.mu.RUnlock()
+	if !ok {
+		return false
+	}
+	echo, held := s.roundTrip.echo(m.opts.Clock.Now())
+	timed := &peerpb.Envelope{Body: env.GetBody(), Echo: echo, EchoHeldUs: uint64(held.Microseconds())}
+	stream := s.streamFor(timed)
+	frame, ok := m.encode(timed, stream.maxFrameBytes)
+	return ok && s.enqueue(stream, frame)
+}
+
 // Broadcast encodes a message once and queues it for all peers.
 func (m *Mesh) Broadcast(env *peerpb.Envelope) { m.enqueueEach(m.acceptedSessions(), env) }
 
--- a/transport/peer/options.go
+++ b/transport/peer/options.go
@@ -80,8 +80,10 @@
 	// simulate links that fail.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Handler receives the messages of peers. It is called concurrently for
-	// different peers, and for the two streams of one peer.
-	Handler func(from Peer, env *peerpb.Envelope)
+	// different peers, and for the two streams of one peer. sentAfter is a time
+	// of the mesh's clock before which the peer cannot have sent the message;
+	// it is zero if none is known. Only messages sent with SendTimed have it.
+	Handler func(from Peer, env *peerpb.Envelope, sentAfter time.Time)
 	// OnPeers receives the live routers, including this one, on each change.
 	// The first message of a new peer is handled after OnPeers has returned.
 	OnPeers func(peers []scheduler.Peer)
--- a/transport/peer/roundtrip.go
+++ b/transport/peer/roundtrip.go
@@ -49,6 +49,34 @@
 	}
 }
 
+// echo returns the sequence number of the peer's last heartbeat, 0 if there was
+// none, and the time since it was received.
+func (r *roundTrip) echo(now time.Time) (sequence uint64, held time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.receivedSequence == 0 {
+		return 0, 0
+	}
+	return r.receivedSequence, max(now.Sub(r.receivedAt), 0)
+}
+
+// sentAfter returns a time of this router's clock before which the peer cannot
+// have sent a message with this echo: it received the echoed heartbeat no
+// earlier than this router sent it, and then held the echo for a while. The
+// result is the zero time if the echo is unknown.
+func (r *roundTrip) sentAfter(now time.Time, echo uint64, held time.Duration) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if echo == 0 || echo > r.sequence || r.sequence-echo >= rememberedHeartbeats || held < 0 {
+		return time.Time{}
+	}
+	sentAfter := r.sentAt[echo%rememberedHeartbeats].Add(held)
+	if sentAfter.After(now) {
+		return time.Time{}
+	}
+	return sentAfter
+}
+
 func (r *roundTrip) latest() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
