Tell a new link what is held, and every neighbour the revision in use

A change travels over the links of the moment. A router whose neighbour fell silent linked to another that had passed the change on already, and got it from neither; so did one that linked while its former neighbour lagged. It learned of the change from a lasting difference to a reader, two seconds and more later, by a request through the tree that moves of links could lose, and until then refused a route or key that had been added, or used what had been dropped. That hit the routers below a frozen one, which their names decide.

Both sides of a new link now state revision and digest, and a side that finds another content fetches it over that link. The revision in use goes with the loads to every neighbour when it changes and every two seconds; a router that holds an older one fetches it from that neighbour, unless it is arriving. The end of a session ends the wait for an answer from it, and a fetch no longer waits for an answer to a request for all objects, unless the router holds no configuration at all.

--- a/coordination/exchange/catchup.go
+++ b/coordination/exchange/catchup.go
@@ -45,8 +45,9 @@
 // The zero value represents a router that has just started. A CatchUp is not
 // safe for concurrent use.
 type CatchUp struct {
-	// complete is set while this router cannot lack any object.
-	complete bool
+	// complete is set while this router cannot lack any object. wasComplete is
+	// set once it was.
+	complete, wasComplete bool
 	// missedAt is the latest time at which this router may have missed a
 	// change. rejoinedAt is when a peer that was unreachable last returned.
 	missedAt, rejoinedAt time.Time
@@ -151,6 +152,28 @@
 	c.knownIncarnations[p.Router] = p.Incarnation
 }
 
+// LinkOpened compares the state of a peer at the other end of a new link with
+// the local state. Changes are only passed on over existing links, so what
+// passed before the link opened may be missing here and is fetched from the
+// peer. A router that still fetches its first objects gets them anyway.
+func (c *CatchUp) LinkOpened(now time.Time, peer state.Router, remote, local StateSummary) {
+	if !c.wasComplete || remote.ConfigRevision <= local.ConfigRevision && remote.UpstreamsDigest == local.UpstreamsDigest {
+		return
+	}
+	c.complete, c.missedAt, c.holder = false, now, peer
+}
+
+// PeerLost records that the session with a peer has ended, so that an answer
+// from it is no longer expected.
+func (c *CatchUp) PeerLost(peer state.Router) {
+	if c.askedPeer == peer {
+		c.askedPeer, c.askedHolder = "", false
+	}
+	if c.holder == peer {
+		c.holder = ""
+	}
+}
+
 // MarkRejoined records that an unreachable part of the fleet may be back, so
 // that differences to readers lead to a request sooner.
 func (c *CatchUp) MarkRejoined(now time.Time) {
@@ -239,7 +262,7 @@
 		return
 	}
 	// The answer may lack changes that were missed after the request was sent.
-	c.complete = !c.missedAt.After(c.askedAt)
+	c.complete, c.wasComplete = !c.missedAt.After(c.askedAt), true
 	clear(c.triedPeers)
 	// A neighbour may have been cut off together with this router, so its
 	// answer does not resolve differences to readers.
--- a/coordination/exchange/catchup_test.go
+++ b/coordination/exchange/catchup_test.go
@@ -280,3 +280,51 @@
 	require.True(t, ok)
 	require.Equal(t, reader.Router, router)
 }
+
+// A link opens to a peer that received a change earlier, and no change is sent
+// twice. The router must fetch what the peer holds, also while it waits for the
+// answer of another peer.
+func TestNewLinkToAPeerWithOtherObjectsAsksIt(t *testing.T) {
+	live := runningFleet(9, 3)
+	local := StateSummary{ConfigRevision: 3, UpstreamsDigest: 7}
+	for name, remote := range map[string]StateSummary{"configuration": {ConfigRevision: 4, UpstreamsDigest: 7}, "upstreams": {ConfigRevision: 3, UpstreamsDigest: 8}} {
+		t.Run(name, func(t *testing.T) {
+			c := newCaughtUp(t, live)
+			c.LinkOpened(after(1), "r001", remote, local)
+			first, ok := c.NextPeer(after(1), live[0], live)
+			require.True(t, ok)
+			require.EqualValues(t, "r001", first)
+			c.LinkOpened(after(2), "r002", remote, local)
+			second, ok := c.NextPeer(after(2), live[0], live)
+			require.True(t, ok)
+			require.EqualValues(t, "r002", second)
+		})
+	}
+	c := newCaughtUp(t, live)
+	c.LinkOpened(after(1), "r001", local, local)
+	c.LinkOpened(after(1), "r002", StateSummary{ConfigRevision: 2, UpstreamsDigest: 7}, local)
+	_, ok := c.NextPeer(after(1), live[0], live)
+	require.False(t, ok, "the peers have nothing that this router lacks")
+}
+
+// The session with the asked peer ends. The router must ask another one at once
+// instead of waiting for an answer that cannot come.
+func TestLostPeerIsReplacedAtOnce(t *testing.T) {
+	live := runningFleet(4, 2)
+	var c CatchUp
+	first, ok := c.NextPeer(start, live[0], live)
+	require.True(t, ok)
+	c.PeerLost(first)
+	second, ok := c.NextPeer(after(1), live[0], live)
+	require.True(t, ok)
+	require.NotEqual(t, first, second)
+
+	var f Fetch
+	f.Announced("a", 5, 4)
+	f.Announced("b", 5, 4)
+	asked, _ := f.NextPeer(start, 4)
+	f.PeerLost(asked)
+	other, ok := f.NextPeer(after(1), 4)
+	require.True(t, ok)
+	require.NotEqual(t, asked, other)
+}
--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -58,6 +58,15 @@
 	return f.askedPeer, true
 }
 
+// PeerLost records that a session with a peer has ended. Its offer is void, and
+// an answer from it is no longer expected.
+func (f *Fetch) PeerLost(peer state.Router) {
+	delete(f.offeredRevisions, peer)
+	if f.askedPeer == peer {
+		f.askedPeer = ""
+	}
+}
+
 // ExpectedRevision returns the revision that was requested, or 0 if none is
 // pending.
 func (f *Fetch) ExpectedRevision() uint64 {
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -51,7 +51,10 @@
 	// encoding is a delta of; 0 is the full encoding.
 	encodedConfigs map[uint64][]byte
 	configVersion  uint64
-	objects        map[string]Object
+	// decodingRevision is the greatest revision that was received and is being
+	// decoded, or was refused.
+	decodingRevision uint64
+	objects          map[string]Object
 	// objectChanges counts the changes of objects and of evacuations.
 	objectChanges uint64
 	directory     *directory.Directory
@@ -104,6 +107,7 @@
 	if o.Removed || o.Revision <= c.contentSummary().ConfigRevision {
 		return false
 	}
+	c.startDecoding(o.Revision)
 	config, err := c.platform.DecodeConfig(o.Spec, func() { time.Sleep(decodeYieldTime) })
 	if err != nil {
 		c.log.Error().Err(err).Uint64("revision", o.Revision).Str("source", source).Msg("configuration refused")
@@ -127,6 +131,20 @@
 	return true
 }
 
+func (c *catalogue) startDecoding(revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decodingRevision = max(c.decodingRevision, revision)
+}
+
+// receivedRevision returns the newest revision of the configuration that was
+// received, whether or not it has been taken yet.
+func (c *catalogue) receivedRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.config.Revision, c.decodingRevision)
+}
+
 func (c *catalogue) applyUpstream(o Object, source string) bool {
 	entry := c.decodeEntry(o)
 	if pending, ok := c.pendingRemovals[state.Upstream(o.Name)]; ok && c.resolvePendingRemoval(pending, o, entry, source) {
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -112,6 +112,9 @@
 	// confirmedAt is the time at which the store last confirmed the configuration
 	// to this router itself.
 	confirmedAt time.Time
+	// newLinks are the peers of new links that have not yet stated what they
+	// hold.
+	newLinks map[state.Router]bool
 	// readingStore is set while this router reads the store.
 	readingStore bool
 	// noReaderSince is the time since which no peer has claimed to read the
@@ -137,7 +140,7 @@
 	f := &fleet{
 		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, startedAt: now(),
 		readerClaims: make(map[state.Router]readerClaim), linkOutboxes: make(map[state.Router]*outbox), peerNames: make(map[state.Router]upstreamNames),
-		storeCalls: make(map[Kind]storeCalls),
+		storeCalls: make(map[Kind]storeCalls), newLinks: make(map[state.Router]bool),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
 	dispatcher.onLostRequest = f.sendLostRequest
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -16,26 +16,31 @@
 // onPeers updates the routers that have a session with this one, which is
 // included in the list.
 func (f *fleet) onPeers(peers []scheduler.Peer) {
+	f.updateOverlay(func() { f.overlay.SetNeighbours(peers) })
+}
+
+// updateOverlay passes an event to the overlay, performs the actions that the
+// overlay decides on, and tells the peers of new links what this router holds.
+func (f *fleet) updateOverlay(event func()) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.overlay.SetNeighbours(peers)
-	f.performActions()
+	event()
+	opened := f.performActions()
+	f.mu.Unlock()
+	f.stateHoldings(opened)
 }
 
 // onSession sends this router's state to a peer at the start of a session,
 // since earlier messages may have been lost.
 func (f *fleet) onSession(s peer.Session) {
-	now := f.now()
-	f.mu.Lock()
-	f.overlay.SessionOpened(now, membership.Member{
-		Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Address: s.Address, Capacity: s.Capacity,
-	}, s.Dialled)
-	if !f.overlay.TreeMode() {
-		f.catchUp.SessionOpened(now, scheduler.Peer{Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation})
-	}
-	f.performActions()
-	direct := !f.overlay.TreeMode()
-	f.mu.Unlock()
+	now, direct := f.now(), false
+	f.updateOverlay(func() {
+		f.overlay.SessionOpened(now, membership.Member{
+			Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Address: s.Address, Capacity: s.Capacity,
+		}, s.Dialled)
+		if direct = !f.overlay.TreeMode(); direct {
+			f.catchUp.SessionOpened(now, scheduler.Peer{Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation})
+		}
+	})
 	f.stateHoldings([]state.Router{s.Router})
 	if direct {
 		f.mesh.Send(s.Router, loadsEnvelope(f.dispatcher.ownLoads(), true))
@@ -43,33 +48,28 @@
 }
 
 func (f *fleet) onSessionEnd(p peer.Peer) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.peerNames, p.Router)
-	f.overlay.SessionClosed(f.now(), p.Router)
-	f.performActions()
+	f.updateOverlay(func() {
+		delete(f.peerNames, p.Router)
+		f.fetch.PeerLost(p.Router)
+		f.catchUp.PeerLost(p.Router)
+		f.overlay.SessionClosed(f.now(), p.Router)
+	})
 }
 
 // onMembers handles a peer's message about the members of the fleet.
 func (f *fleet) onMembers(from state.Router, m *peerpb.Members) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.overlay.Receive(f.now(), from, overlayMessage(m))
-	f.performActions()
+	f.updateOverlay(func() { f.overlay.Receive(f.now(), from, overlayMessage(m)) })
 }
 
 // tickOverlay runs the overlay's periodic task and performs its actions.
 func (f *fleet) tickOverlay() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.overlay.Tick(f.now())
-	f.performActions()
+	f.updateOverlay(func() { f.overlay.Tick(f.now()) })
 }
 
-// performActions performs the actions that the overlay decided on. The caller
-// holds the lock, so that messages are sent in the order of the decisions. None
-// of the calls blocks.
-func (f *fleet) performActions() {
+// performActions performs the actions that the overlay decided on and returns
+// the peers of new links. The caller holds the lock, so that messages are sent
+// in the order of the decisions. None of the calls blocks.
+func (f *fleet) performActions() (opened []state.Router) {
 	for _, action := range f.overlay.Actions() {
 		switch a := action.(type) {
 		case overlay.Send:
@@ -80,19 +80,25 @@
 			f.mesh.DropSession(a.Router)
 		case overlay.LinkEstablished:
 			f.openLink(a.Router)
+			opened = append(opened, a.Router)
 		case overlay.LinkEnded:
 			delete(f.linkOutboxes, a.Router)
+			delete(f.newLinks, a.Router)
 			f.log.Info().Str("router", string(a.Router)).Msg("link ended")
 			f.dispatcher.forgetPeer(a.Router)
 		}
 	}
 	f.updateLivePeers()
+	return opened
 }
 
-// openLink starts to send the loads of this side of a link to a peer.
+// openLink starts to send the loads of this side of a link to a peer. Changes
+// that passed before are not sent again, so both sides then state what they
+// hold.
 func (f *fleet) openLink(router state.Router) {
 	f.dispatcher.forgetPeer(router)
 	f.linkOutboxes[router] = &outbox{}
+	f.newLinks[router] = true
 	f.catchUp.MarkRejoined(f.now())
 	f.log.Info().Str("router", string(router)).Msg("linked")
 }
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -48,25 +48,37 @@
 	}
 }
 
-// onConfigOffered records that a peer holds a revision of the configuration.
+// onConfigOffered fetches a revision of the configuration that a peer announced,
+// if it is newer than the one held.
 func (f *fleet) onConfigOffered(from state.Router, revision uint64) {
+	f.onRevisionOffered(from, revision)
+	f.fetchAnnouncedConfig()
+}
+
+// onRevisionOffered records that a peer holds a revision of the configuration.
+// If it is newer than the one held, it is fetched at the next tick, unless it
+// arrives before: changes are sent without a request.
+func (f *fleet) onRevisionOffered(from state.Router, revision uint64) {
+	known := f.catalogue.receivedRevision()
+	if revision <= known {
+		return
+	}
 	f.dispatcher.configSeen(revision, string(from))
-	currentRevision := f.catalogue.contentSummary().ConfigRevision
 	f.mu.Lock()
-	f.fetch.Announced(from, revision, currentRevision)
+	f.fetch.Announced(from, revision, known)
 	f.mu.Unlock()
-	f.fetchAnnouncedConfig()
 }
 
 // fetchAnnouncedConfig requests a newer configuration from a peer, if one was
 // announced.
 func (f *fleet) fetchAnnouncedConfig() {
-	current := f.catalogue.configRef()
+	current, received := f.catalogue.configRef(), f.catalogue.receivedRevision()
 	f.mu.Lock()
 	var from state.Router
 	ask := false
-	if !f.catchUp.AwaitingAnswer(f.now()) {
-		from, ask = f.fetch.NextPeer(f.now(), current.Revision)
+	// A router without a configuration gets one with the answer it waits for.
+	if current.Revision > 0 || !f.catchUp.AwaitingAnswer(f.now()) {
+		from, ask = f.fetch.NextPeer(f.now(), received)
 	}
 	f.mu.Unlock()
 	if ask {
--- a/transport/edge/outbox.go
+++ b/transport/edge/outbox.go
@@ -28,6 +28,8 @@
 	// sentAt is the time of the last message to the peer, and fullSumsSentAt
 	// that of the last message with all sums.
 	sentAt, fullSumsSentAt time.Time
+	// revisionSent is the revision of the configuration that was sent last.
+	revisionSent uint64
 }
 
 func (o *outbox) add(prompts []placement.PlacedPrompt, refused []uint32) {
@@ -70,6 +72,7 @@
 // publishLoadSums sends over each link the load sums of this side, or those
 // that changed, together with the content of the outbox.
 func (f *fleet) publishLoadSums(now time.Time) {
+	revision := f.catalogue.contentSummary().ConfigRevision
 	for router, box := range f.outboxes() {
 		f.mu.Lock()
 		prompts, refused := box.prompts, box.refused
@@ -77,11 +80,14 @@
 		all := now.Sub(box.fullSumsSentAt) >= fullSumsInterval
 		f.mu.Unlock()
 		loads := f.dispatcher.takeLoadSums(router, all)
-		if !all && len(loads)+len(prompts)+len(refused) == 0 && now.Sub(box.sentAt) < heartbeatInterval {
+		if !all && revision == box.revisionSent && len(loads)+len(prompts)+len(refused) == 0 && now.Sub(box.sentAt) < heartbeatInterval {
 			continue
 		}
 		message := box.numbering.loadsMessage(loads, prompts)
 		message.Full, message.Refused = all, refused
+		if all || revision != box.revisionSent {
+			message.ConfigRevision, box.revisionSent = revision, revision
+		}
 		f.mesh.Send(router, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
 		box.sentAt = now
 		if all {
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -33,7 +33,7 @@
 			}
 		case <-urgent.C:
 			waiting = false
-			last.loadsSentAt = f.publishLoads(f.now(), last.loadsSentAt)
+			f.publishLoads(f.now(), &last)
 		case <-ticker.C:
 			f.publishConfirmedRemovals()
 			f.checkStalled()
@@ -70,7 +70,11 @@
 	// last.
 	readingConfirmedAt time.Time
 	loadsSentAt        time.Time
-	spendingSentAt     time.Time
+	// revisionSent is the revision of the configuration that was sent last, at
+	// revisionSentAt, while every router reports to every other.
+	revisionSent   uint64
+	revisionSentAt time.Time
+	spendingSentAt time.Time
 }
 
 // publishDue sends the reports that are due.
@@ -78,7 +82,7 @@
 	now := f.now()
 	f.publishReading(now, last)
 	if now.Sub(last.loadsSentAt) >= loadsInterval {
-		last.loadsSentAt = f.publishLoads(now, last.loadsSentAt)
+		f.publishLoads(now, last)
 	}
 	if now.Sub(last.spendingSentAt) >= spendingInterval {
 		last.spendingSentAt = now
@@ -87,24 +91,31 @@
 }
 
 // publishLoads sends changed loads, or a heartbeat if nothing was sent for
-// heartbeatInterval. In a tree, it sends them over the links of this router. It
-// returns the time of the last message to peers.
-func (f *fleet) publishLoads(now, last time.Time) time.Time {
+// heartbeatInterval. In a tree, it sends them over the links of this router.
+// With them goes the revision of the configuration, so that a peer which missed
+// a change learns of it from each of its neighbours.
+func (f *fleet) publishLoads(now time.Time, last *publishTimes) {
 	placed, refused := f.dispatcher.takePlacedPrompts(), f.dispatcher.takeRefusedRequests()
 	peers, tree := f.receivers()
 	if tree {
 		f.enqueue(placed, refused, "")
 		f.publishLoadSums(now)
-		return now
+		last.loadsSentAt = now
+		return
 	}
+	revision := f.catalogue.contentSummary().ConfigRevision
+	revisionDue := revision != last.revisionSent || now.Sub(last.revisionSentAt) >= fullSumsInterval
 	loads := f.dispatcher.takeChangedLoads()
-	if len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last) < heartbeatInterval {
-		return last
+	if !revisionDue && len(loads) == 0 && len(placed) == 0 && len(refused) == 0 && now.Sub(last.loadsSentAt) < heartbeatInterval {
+		return
 	}
 	message := new(upstreamNumbering).loadsMessage(loads, placed)
 	message.Refused = refused
+	if revisionDue {
+		message.ConfigRevision, last.revisionSent, last.revisionSentAt = revision, revision, now
+	}
 	f.mesh.SendEach(peers, &peerpb.Envelope{Body: &peerpb.Envelope_Loads{Loads: message}})
-	return now
+	last.loadsSentAt = now
 }
 
 func (f *fleet) publishSpending(now time.Time) {
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -61,6 +61,7 @@
 
 // onLoads handles the loads of a peer, or of all routers on its side of a link.
 func (f *fleet) onLoads(from state.Router, m *peerpb.Loads) {
+	f.onRevisionOffered(from, m.GetConfigRevision())
 	upstreams := f.extendNames(from, m)
 	loads, loadsOK := upstreams.loads(m)
 	prompts, promptsOK := upstreams.prompts(m)
@@ -118,6 +119,9 @@
 		reader = state.Router(m.GetRouter())
 		f.forwardReading(from, m, statement)
 	}
+	if reader == from {
+		f.onRevisionOffered(from, m.GetConfigRevision())
+	}
 	f.dispatcher.configSeen(m.GetConfigRevision(), string(reader))
 	if statement.confirmed {
 		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader), statement.confirmedAt)
@@ -134,6 +138,10 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.catchUp.SummaryReceived(now, router, remote, own)
+	if f.newLinks[router] && m.GetRouter() == "" {
+		delete(f.newLinks, router)
+		f.catchUp.LinkOpened(now, router, remote, own)
+	}
 	if now.Sub(madeAt) > claimExpiry || madeAt.Before(f.readerClaims[router].madeAt) {
 		return
 	}
