Release a part's lock before the loss of requests is reported

A router that woke while entries of crashed upstreams were removed could hang for good: the catalogue held its lock while the loss of requests was reported to the peers, which takes the fleet's lock, and the fleet held its own while it asked the catalogue whether objects of operators are missing. Such a router went on serving old routes, left requests without an answer and did not end after SIGTERM.

The dispatcher now returns the lost requests and the catalogue reports them after it has released its lock; the fleet asks the catalogue before it takes its own.

--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -68,6 +68,9 @@
 	// still have to be sent to peers.
 	pendingRemovals   map[state.Upstream]pendingRemoval
 	confirmedRemovals []Object
+	// lost are the requests that were lost with removed upstreams and are not
+	// reported yet.
+	lost []lostRequest
 	// storeUnavailable is set while the store does not answer. storeReturnedAt
 	// is the time at which it last became reachable again.
 	storeUnavailable bool
@@ -93,8 +96,18 @@
 		return c.applyEvacuation(o, source)
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.applyUpstream(o, source)
+	changed, lost := c.applyUpstream(o, source), c.takeLost()
+	c.mu.Unlock()
+	c.dispatcher.reportLost(lost)
+	return changed
+}
+
+// takeLost returns the requests that were lost with removed upstreams since its
+// last call. The caller reports them after it has released the lock.
+func (c *catalogue) takeLost() []lostRequest {
+	lost := c.lost
+	c.lost = nil
+	return lost
 }
 
 // decodeYieldTime is the sleep between the parts of a configuration that is
@@ -229,7 +242,7 @@
 	if sameContent(before, entry) {
 		return
 	}
-	c.dispatcher.setUpstream(id, entry.Upstream, entry.Present)
+	c.lost = append(c.lost, c.dispatcher.setUpstream(id, entry.Upstream, entry.Present)...)
 	if onlyColdTimeDiffers(before, entry) {
 		return
 	}
@@ -302,7 +315,14 @@
 // have to be sent to peers.
 func (c *catalogue) confirmDueRemovals() []Object {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	confirmed, lost := c.takeDueRemovals(), c.takeLost()
+	c.mu.Unlock()
+	c.dispatcher.reportLost(lost)
+	return confirmed
+}
+
+// takeDueRemovals implements confirmDueRemovals. The caller holds the lock.
+func (c *catalogue) takeDueRemovals() []Object {
 	now := c.now()
 	for _, pending := range c.pendingRemovals {
 		if !now.Before(pending.due) {
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -317,7 +317,8 @@
 	run         quarantine.Run
 }
 
-// reportLost reports lost requests to peers. The caller must not hold the lock.
+// reportLost reports lost requests to peers. The caller must not hold any lock of
+// this package.
 func (d *dispatcher) reportLost(lost []lostRequest) {
 	for _, request := range lost {
 		d.onLostRequest(request.fingerprint, request.run)
@@ -384,10 +385,11 @@
 }
 
 // setUpstream applies the state of an upstream in its newest entry. present is
-// false if the upstream was removed.
-func (d *dispatcher) setUpstream(id state.Upstream, u directory.Upstream, present bool) {
+// false if the upstream was removed. It returns the requests that were lost with
+// an earlier run of the upstream; the caller passes them to reportLost.
+func (d *dispatcher) setUpstream(id state.Upstream, u directory.Upstream, present bool) (lost []lostRequest) {
 	d.mu.Lock()
-	var lost []lostRequest
+	defer d.mu.Unlock()
 	if !present || d.lostRuns[id] != placement.RunOf(u) {
 		lost = d.recordUpstreamLoss(id)
 	}
@@ -397,8 +399,7 @@
 	} else {
 		d.loadView.RemoveUpstream(id)
 	}
-	d.mu.Unlock()
-	d.reportLost(lost)
+	return lost
 }
 
 // configLimit is the age up to which a confirmation of the configuration counts.
--- a/transport/edge/evacuations_test.go
+++ b/transport/edge/evacuations_test.go
@@ -114,9 +114,9 @@
 	for _, name := range []state.Router{"a", "b", "c", "d", "e", "f", "g"} {
 		fleet.livePeers = append(fleet.livePeers, scheduler.Peer{Router: name})
 	}
-	require.True(t, fleet.isEagerReader())
+	require.True(t, fleet.isEagerReader(f.catalogue.lacksOperatorObjects()))
 	f.catalogue.replaceEvacuations(nil, 3, sourceStore)
-	require.False(t, fleet.isEagerReader())
+	require.False(t, fleet.isEagerReader(f.catalogue.lacksOperatorObjects()))
 }
 
 // A request may only be sent to the region of its workspace, which has no
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -45,6 +45,7 @@
 // Another router starts if there are too few claimants and it is an eager
 // reader, or if there was no claimant for noReaderTimeout.
 func (f *fleet) shouldReadStore() bool {
+	lacksObjects := f.catalogue.lacksOperatorObjects()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -56,7 +57,7 @@
 		f.noReaderSince = now
 	}
 	noReader := now.Sub(f.noReaderSince) >= noReaderTimeout
-	reading := others < targetReaders && (f.isEagerReader() || noReader) || before < targetReaders && f.readingStore
+	reading := others < targetReaders && (f.isEagerReader(lacksObjects) || noReader) || before < targetReaders && f.readingStore
 	if reading != f.readingStore {
 		f.readingStore = reading
 		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
@@ -101,23 +102,25 @@
 // isEagerReader reports whether this router is one of the first live routers by
 // name, or lacks objects of operators without which it serves no callers. If
 // every router called an unavailable store again and again, 73 routers would
-// make two thousand calls in six seconds, and each call is billed.
-func (f *fleet) isEagerReader() bool {
+// make two thousand calls in six seconds, and each call is billed. The caller
+// holds the lock.
+func (f *fleet) isEagerReader(lacksObjects bool) bool {
 	earlier := 0
 	for _, p := range f.livePeers {
 		if p.Router < f.self.Router {
 			earlier++
 		}
 	}
-	return earlier < eagerReaders || f.catalogue.lacksOperatorObjects()
+	return earlier < eagerReaders || lacksObjects
 }
 
 // retryDelay lengthens the pause after a failed call for routers that are not
 // eager readers.
 func (f *fleet) retryDelay(delay time.Duration) time.Duration {
+	lacksObjects := f.catalogue.lacksOperatorObjects()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isEagerReader() {
+	if f.isEagerReader(lacksObjects) {
 		return delay
 	}
 	return nonEagerRetryDelay/2 + rand.N(nonEagerRetryDelay)
