Notice a router whose periodic tasks hang, and stop counting it as ready

A hung router went on answering its readiness probe with the routes and upstreams of the moment in which it hung, so nobody took it out. A watchdog counts the rounds of the periodic tasks. It counts as ready again once the task goes on.

--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -86,6 +86,8 @@
 	dispatcher *dispatcher
 	catalogue  *catalogue
 	mesh       sender
+	// progressed is called in every round of run.
+	progressed func()
 	log        zerolog.Logger
 	now        func() time.Time
 
@@ -138,7 +140,7 @@
 
 func newFleet(self scheduler.Peer, dispatcher *dispatcher, catalogue *catalogue, log zerolog.Logger, now func() time.Time) *fleet {
 	f := &fleet{
-		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, startedAt: now(),
+		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, startedAt: now(), progressed: func() {},
 		readerClaims: make(map[state.Router]readerClaim), linkOutboxes: make(map[state.Router]*outbox), peerNames: make(map[state.Router]upstreamNames),
 		storeCalls: make(map[Kind]storeCalls), newLinks: make(map[state.Router]bool),
 	}
--- a/transport/edge/metrics.go
+++ b/transport/edge/metrics.go
@@ -12,8 +12,9 @@
 const housekeepingInterval = time.Second
 
 // runHousekeeping updates the metrics of the router's state and closes
-// connections that were idle for too long, until the context ends.
-func (r *Router) runHousekeeping(ctx context.Context) {
+// connections that were idle for too long, until the context ends. It calls
+// progressed in every round.
+func (r *Router) runHousekeeping(ctx context.Context, progressed func()) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
 	for {
@@ -21,6 +22,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			progressed()
 			r.updateMetrics()
 			r.logPressure()
 			r.connTracker.CloseIdle(r.dispatcher.idleTimeout())
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -35,6 +35,7 @@
 			waiting = false
 			f.publishLoads(f.now(), &last)
 		case <-ticker.C:
+			f.progressed()
 			f.publishConfirmedRemovals()
 			f.checkStalled()
 			f.tickOverlay()
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -63,6 +63,7 @@
 	handler     *ingress.Handler
 	pressure    *pressure
 	connTracker *conntrack.Tracker
+	watchdog    *watchdog
 	// loggedTotals is the work that was logged so far, and loggedClosedTime the
 	// time for which the port was closed until then. Only runHousekeeping uses
 	// them.
@@ -85,10 +86,12 @@
 		dispatcher:  newDispatcher(settings, boottime.Now),
 		connTracker: conntrack.New(boottime.Now),
 		metrics:     metrics.New(settings.Router, settings.DataCentre),
+		watchdog:    &watchdog{log: log},
 	}
 	r.catalogue = newCatalogue(platform, r.dispatcher, log, boottime.Now)
 	r.pressure = r.dispatcher.pressure
 	r.fleet = newFleet(scheduler.Peer{Router: settings.Router, DataCentre: settings.DataCentre}, r.dispatcher, r.catalogue, log, boottime.Now)
+	r.fleet.progressed = r.watchdog.watch("fleet")
 	r.fleet.storeReadDelay = storeReadDelay(settings)
 	incarnation := state.Incarnation(time.Now().UnixNano())
 	r.fleet.join(membership.Member{
@@ -241,7 +244,9 @@
 	group.Go(func() error { return r.mesh.Run(inner) })
 	group.Go(func() error { r.fleet.run(inner); return nil })
 	group.Go(func() error { r.probeUnreachable(inner); return nil })
-	group.Go(func() error { r.runHousekeeping(inner); return nil })
+	housekeepingProgressed := r.watchdog.watch("housekeeping")
+	group.Go(func() error { r.runHousekeeping(inner, housekeepingProgressed); return nil })
+	group.Go(func() error { r.watchdog.run(inner); return nil })
 	for _, f := range r.followers {
 		group.Go(func() error { f.run(inner); return nil })
 	}
@@ -300,7 +305,7 @@
 // router is ready for new callers.
 func (r *Router) readinessHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !r.dispatcher.ready() {
+		if r.watchdog.hung.Load() || !r.dispatcher.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
