Block a request only for crashes at two moments without an answer between

A popular request that ran on engines which went down together was taken for the cause and refused for an hour, although other engines went on answering it. Each lost engine counted by itself, answers counted only below the threshold and only at their own router, and a blocked request never ran again, so that nothing could clear it.

Upstreams that were lost within two seconds while each of them ran the request count as one moment; a request that was sent after an earlier loss does not belong to it, however quickly it follows, so a caller who repeats a request that crashes each engine is stopped at the second one, as before. A complete answer clears the request, also while it is blocked, and the routers tell each other. A blocked request is tried again after 30 to 45 s, by one router at a time, at one upstream and without a retry. A crash in the trial puts the next one off for an hour; a request that was answered and is blocked again waits longer each time. Reports of a crash carry how long ago the request was sent and lost. The test that wanted a late answer not to unblock a request now wants the contrary: what an upstream answers does not crash each one that runs it.

Weighed and left: a share of the suspicion by the number of other requests on the same engine. A request that crashes each engine runs beside dozens of others and would never be stopped.

The scheduler of the own interface gains the answers, not the moments: it does not know when a request began at an engine of another router.

--- a/coordination/placement/observe.go
+++ b/coordination/placement/observe.go
@@ -290,6 +290,9 @@
 	return time.Duration(v.tokenTime(w.Service) * float64(w.ExpectedOutputTokens))
 }
 
+// PlacedAt returns when the request was placed.
+func (t *Ticket) PlacedAt() time.Time { return t.placedAt }
+
 // Run identifies the run of the upstream that the request was sent to.
 func (t *Ticket) Run() quarantine.Run {
 	return RunOf(directory.Upstream{ID: t.upstream, Born: t.born})
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -288,7 +288,7 @@
 	s.reportSuspicion(r, e.Outcome)
 	switch e.Outcome {
 	case OutcomeServed:
-		s.quarantine.ForgetUnblocked(item.Fingerprint)
+		s.quarantine.Served(item.Fingerprint)
 		s.losses.Forget(item.Fingerprint)
 	case OutcomeNotSent:
 		s.retry(item, result.UpstreamUnreachable)
--- a/coordination/scheduler/upstream.go
+++ b/coordination/scheduler/upstream.go
@@ -131,7 +131,7 @@
 
 func (s *Scheduler) receiveCrash(e CrashHeard) {
 	if e.Boot != "" {
-		s.quarantine.RecordCrash(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot})
+		s.quarantine.RecordCrash(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot}, quarantine.Loss{StartedAt: s.now, LostAt: s.now})
 		s.losses.ConfirmOldest(e.Fingerprint)
 		return
 	}
@@ -156,21 +156,21 @@
 		s.confirmCrash(f, u)
 		return
 	}
-	s.suspicions.Add(s.now, f, u.name)
+	s.suspicions.Add(f, u.name, quarantine.Loss{StartedAt: s.now, LostAt: s.now})
 }
 
 // recordFailure records that a run of an upstream has ended.
 func (s *Scheduler) recordFailure(u *upstream, boot string) {
 	u.lastFailure = s.now
 	u.failedBoot = boot
-	for _, f := range s.suspicions.Confirm(s.now, u.name) {
-		s.confirmCrash(f, u)
+	for _, suspect := range s.suspicions.Confirm(s.now, u.name) {
+		s.confirmCrash(suspect.Fingerprint, u)
 	}
 }
 
 func (s *Scheduler) confirmCrash(f state.Fingerprint, u *upstream) {
 	s.losses.ConfirmOldest(f)
-	if s.quarantine.RecordCrash(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.failedBoot}) {
+	if s.quarantine.RecordCrash(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.failedBoot}, quarantine.Loss{StartedAt: s.now, LostAt: s.now}) {
 		s.emit(SendCrash{Fingerprint: f, Upstream: u.name, Boot: u.failedBoot})
 	}
 }
--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -59,7 +59,12 @@
 	// urgentPublish triggers an immediate report of this router's load to
 	// peers.
 	urgentPublish chan struct{}
-	onLostRequest func(f state.Fingerprint, run quarantine.Run)
+	// onLostRequest, onServed and onTrial tell peers that an upstream's run ended
+	// with a request, that a suspected request was answered, and that a blocked
+	// one is tried again.
+	onLostRequest func(lost lostRequest)
+	onServed      func(f state.Fingerprint)
+	onTrial       func(f state.Fingerprint)
 }
 
 func newDispatcher(settings Settings, now func() time.Time) *dispatcher {
@@ -83,7 +88,9 @@
 		charges:        make(map[*placement.Ticket]charge),
 		routerCount:    1,
 		urgentPublish:  make(chan struct{}, 1),
-		onLostRequest:  func(state.Fingerprint, quarantine.Run) {},
+		onLostRequest:  func(lostRequest) {},
+		onServed:       func(state.Fingerprint) {},
+		onTrial:        func(state.Fingerprint) {},
 	}
 }
 
@@ -273,13 +280,6 @@
 	return d.refusedRequests.Elapsed(d.now(), f)
 }
 
-// Quarantined implements ingress.Dispatcher.
-func (d *dispatcher) Quarantined(f state.Fingerprint) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.quarantined.Blocked(d.now(), f)
-}
-
 // ReportLost implements ingress.Dispatcher. A lost connection does not prove
 // that the request crashed the upstream: answers are also lost on healthy
 // upstreams, and two such losses would quarantine a page that many callers
@@ -288,7 +288,7 @@
 func (d *dispatcher) ReportLost(f state.Fingerprint, t *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.suspicions.Add(d.now(), f, t.Upstream())
+	d.suspicions.Add(f, t.Upstream(), quarantine.Loss{StartedAt: t.PlacedAt(), LostAt: d.now()})
 	d.lostRuns[t.Upstream()] = t.Run()
 }
 
@@ -303,9 +303,9 @@
 	delete(d.lostRuns, id)
 	now := d.now()
 	var lost []lostRequest
-	for _, f := range d.suspicions.Confirm(now, id) {
-		if d.quarantined.RecordCrash(now, f, run) {
-			lost = append(lost, lostRequest{f, run})
+	for _, suspect := range d.suspicions.Confirm(now, id) {
+		if d.quarantined.RecordCrash(now, suspect.Fingerprint, run, suspect.Loss) {
+			lost = append(lost, lostRequest{suspect.Fingerprint, run, suspect.Loss})
 		}
 	}
 	return lost
@@ -315,29 +315,23 @@
 type lostRequest struct {
 	fingerprint state.Fingerprint
 	run         quarantine.Run
+	loss        quarantine.Loss
 }
 
 // reportLost reports lost requests to peers. The caller must not hold any lock of
 // this package.
 func (d *dispatcher) reportLost(lost []lostRequest) {
 	for _, request := range lost {
-		d.onLostRequest(request.fingerprint, request.run)
+		d.onLostRequest(request)
 	}
 }
 
 // receiveLost handles a peer's report that an upstream's run ended while it ran
 // a request.
-func (d *dispatcher) receiveLost(f state.Fingerprint, run quarantine.Run) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.quarantined.RecordCrash(d.now(), f, run)
-}
-
-// ReportServed implements ingress.Dispatcher.
-func (d *dispatcher) ReportServed(f state.Fingerprint) {
+func (d *dispatcher) receiveLost(lost lostRequest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.quarantined.ForgetUnblocked(f)
+	d.quarantined.RecordCrash(d.now(), lost.fingerprint, lost.run, lost.loss)
 }
 
 // Drain implements ingress.Dispatcher.
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -17,12 +17,40 @@
 	"github.com/figstile/figstile/transport/metrics"
 )
 
+func blocks(f *fixture, fingerprint state.Fingerprint) bool {
+	verdict, _ := f.dispatcher.CheckSuspect(fingerprint)
+	return verdict == quarantine.Blocked
+}
+
+// Guards against blocking a popular request because engines that ran it crashed,
+// while other routers have it answered.
+func TestAnswerAtAnotherRouterClearsASuspect(t *testing.T) {
+	f, g := newFixture(), newFixture()
+	f.dispatcher.onServed = func(fp state.Fingerprint) { g.dispatcher.receiveSuspicion(fp, true, false) }
+	lose := func(upstream state.Upstream) {
+		g.clock.advance(10 * time.Second)
+		for _, x := range []*fixture{f, g} {
+			loss := quarantine.Loss{StartedAt: g.clock.now(), LostAt: g.clock.now()}
+			x.dispatcher.receiveLost(lostRequest{7, quarantine.Run{Upstream: upstream, Boot: "1"}, loss})
+		}
+	}
+	lose("a")
+	f.dispatcher.ReportServed(7)
+	lose("b")
+	require.False(t, blocks(g, 7))
+	lose("c")
+	require.True(t, blocks(g, 7))
+	f.dispatcher.ReportServed(7)
+	require.False(t, blocks(f, 7))
+	require.False(t, blocks(g, 7))
+}
+
 // Guards against a request that crashes one worker after another because each
 // retry reaches another router.
 func TestCrashingRequestIsQuarantinedAcrossRouters(t *testing.T) {
 	f, g := newFixture(), newFixture()
-	f.dispatcher.onLostRequest = func(fp state.Fingerprint, run quarantine.Run) { g.dispatcher.receiveLost(fp, run) }
-	g.dispatcher.onLostRequest = func(fp state.Fingerprint, run quarantine.Run) { f.dispatcher.receiveLost(fp, run) }
+	f.dispatcher.onLostRequest = g.dispatcher.receiveLost
+	g.dispatcher.onLostRequest = f.dispatcher.receiveLost
 	for _, name := range []string{"a", "b"} {
 		for _, x := range []*fixture{f, g} {
 			x.catalogue.applyObject(KindUpstream, upstreamObject(name, 1, false), sourceStore)
@@ -35,10 +63,10 @@
 		x.catalogue.applyObject(KindUpstream, removal(string(ticket.Upstream()), 2), sourceStore)
 	}
 	loseConnection(f, "a")
-	require.False(t, g.dispatcher.Quarantined(7))
+	require.False(t, blocks(g, 7))
 	loseConnection(g, "b")
-	require.True(t, f.dispatcher.Quarantined(7))
-	require.True(t, g.dispatcher.Quarantined(7))
+	require.True(t, blocks(f, 7))
+	require.True(t, blocks(g, 7))
 }
 
 // Guards against quarantining a popular page because its answers are lost in
@@ -53,7 +81,7 @@
 		f.dispatcher.End(ticket, placement.Broken)
 	}
 	f.catalogue.applyObject(KindUpstream, upstreamObject("a", 3, true), sourceStore)
-	require.False(t, f.dispatcher.Quarantined(7))
+	require.False(t, blocks(f, 7))
 }
 
 // Guards against a small VM that admits too many requests because streams are
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -147,7 +147,7 @@
 		storeCalls: make(map[Kind]storeCalls), newLinks: make(map[state.Router]bool),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
-	dispatcher.onLostRequest = f.sendLostRequest
+	dispatcher.onLostRequest, dispatcher.onServed, dispatcher.onTrial = f.sendLostRequest, f.sendServed, f.sendTrial
 	return f
 }
 
--- a/transport/edge/lockorder_test.go
+++ b/transport/edge/lockorder_test.go
@@ -95,7 +95,7 @@
 	id, revision := state.Upstream(fmt.Sprint("u", round%7)), uint64(2*round+1)
 	s.catalogue.applyObject(KindUpstream, upstreamObject(string(id), revision, false), sourceStore)
 	s.dispatcher.mu.Lock()
-	s.dispatcher.suspicions.Add(boottime.Now(), state.Fingerprint(round+1), id)
+	s.dispatcher.suspicions.Add(state.Fingerprint(round+1), id, quarantine.Loss{StartedAt: boottime.Now(), LostAt: boottime.Now()})
 	s.dispatcher.lostRuns[id] = quarantine.Run{Upstream: id, Boot: fmt.Sprint(round)}
 	s.dispatcher.mu.Unlock()
 	s.catalogue.applyObject(KindUpstream, removal(string(id), revision+1), sourceStore)
--- a/transport/edge/publish.go
+++ b/transport/edge/publish.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/shares"
 	"github.com/figstile/figstile/protocol/peerpb"
 	"github.com/figstile/figstile/state"
@@ -134,15 +133,6 @@
 	}
 }
 
-// sendLostRequest reports to peers a request that was running when an
-// upstream's run ended.
-func (f *fleet) sendLostRequest(fingerprint state.Fingerprint, run quarantine.Run) {
-	peers, _ := f.receivers()
-	f.mesh.SendEach(peers, &peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{
-		Fingerprint: uint64(fingerprint), Upstream: string(run.Upstream), Boot: run.Boot,
-	}}})
-}
-
 func spendingEnvelope(usage map[state.Workspace]shares.Usage) *peerpb.Envelope {
 	message := &peerpb.Spending{}
 	for ws, u := range usage {
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/figstile/figstile/coordination/exchange"
-	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/shares"
 	"github.com/figstile/figstile/protocol/peerpb"
@@ -40,6 +39,8 @@
 		f.onCatalogueEnd(from.Router, body.CatalogueEnd, sentAfter)
 	case *peerpb.Envelope_Crash:
 		f.onCrash(from.Router, body.Crash, env)
+	case *peerpb.Envelope_Suspicion:
+		f.onSuspicion(from.Router, body.Suspicion, env)
 	}
 }
 
@@ -103,14 +104,6 @@
 	f.dispatcher.receiveSpending(from, usage)
 }
 
-// onCrash handles a peer's report of a request that was running when an
-// upstream's run ended.
-func (f *fleet) onCrash(from state.Router, m *peerpb.Crash, env *peerpb.Envelope) {
-	f.dispatcher.receiveLost(state.Fingerprint(m.GetFingerprint()),
-		quarantine.Run{Upstream: state.Upstream(m.GetUpstream()), Boot: m.GetBoot()})
-	f.forward(from, env)
-}
-
 // onReading handles a router's message on whether it reads the store.
 func (f *fleet) onReading(from state.Router, m *peerpb.Reading, sentAfter time.Time) {
 	now, reader := f.now(), from
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -2,14 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/state/routing"
@@ -190,12 +193,21 @@
 		Elapsed:         x.h.Dispatcher.ElapsedSinceFirst(x.fingerprint) + x.readDelay,
 		Timeout:         timeout,
 	}
-	if x.h.Dispatcher.Quarantined(x.fingerprint) {
-		return result.New(result.Suspected, "").WithRetryAfter(timeout / 2), false
-	}
 	if !x.h.Dispatcher.Drain().Accepting(x.h.Now()) {
 		return result.New(result.Draining, "").WithRetryAfter(admission.OtherRouterRetryAfter), false
 	}
+	return x.checkSuspect(timeout)
+}
+
+// checkSuspect refuses a request that crashed upstreams, unless it is to be
+// tried again.
+func (x *exchange) checkSuspect(timeout time.Duration) (result.Result, bool) {
+	verdict, wait := x.h.Dispatcher.CheckSuspect(x.fingerprint)
+	if verdict == quarantine.Blocked {
+		detail := fmt.Sprintf("It is tried again in %s.", wait.Round(time.Second))
+		return result.New(result.Suspected, detail).WithRetryAfter(min(wait, timeout/2)), false
+	}
+	x.trial = verdict == quarantine.Trial
 	return result.Result{}, true
 }
 
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -53,7 +53,7 @@
 func (x *exchange) dispatch(ctx context.Context) result.Result {
 	notSent := 0
 	for {
-		x.request.Repeatable = x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
+		x.request.Repeatable = x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts && !x.trial
 		x.request.Resumed = x.headSent
 		retry := x.attempts > 0 || notSent > 0
 		verdict, ticket := x.h.Dispatcher.Admit(x.request, retry)
@@ -88,7 +88,7 @@
 	switch {
 	case end.status == attemptNotSent:
 		return true
-	case x.attempts >= max(x.route.MaxAttempts, 1):
+	case x.attempts >= max(x.route.MaxAttempts, 1) || x.trial:
 		return false
 	case end.status == attemptFailed && !x.route.Repeatable():
 		return false
--- a/transport/ingress/dispatcher.go
+++ b/transport/ingress/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/routing"
 )
@@ -39,9 +40,9 @@
 	// ElapsedSinceFirst returns the time since the caller first sent this
 	// request, if it was refused then, or 0.
 	ElapsedSinceFirst(f state.Fingerprint) time.Duration
-	// Quarantined reports whether a request has crashed upstreams and must not
-	// run again.
-	Quarantined(f state.Fingerprint) bool
+	// CheckSuspect returns whether a request that has crashed upstreams may run,
+	// and for a blocked one the time until it may be tried again.
+	CheckSuspect(f state.Fingerprint) (quarantine.Verdict, time.Duration)
 	// ReportLost reports that the connection to an upstream broke while it ran
 	// a request.
 	ReportLost(f state.Fingerprint, t *placement.Ticket)
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/figstile/figstile/coordination/drain"
 	"github.com/figstile/figstile/coordination/freshness"
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/directory"
 	"github.com/figstile/figstile/state/routing"
@@ -165,7 +166,7 @@
 	verdict        admission.Verdict
 	noRetries      bool
 	configStale    bool
-	quarantined    bool
+	suspect        quarantine.Verdict
 	draining       bool
 	atCapacity     bool
 	atCapacityFor  state.Workspace
@@ -235,7 +236,9 @@
 
 func (d *scriptedDispatcher) SpendRetry(state.Service) bool                     { return !d.noRetries }
 func (d *scriptedDispatcher) ElapsedSinceFirst(state.Fingerprint) time.Duration { return 0 }
-func (d *scriptedDispatcher) Quarantined(state.Fingerprint) bool                { return d.quarantined }
+func (d *scriptedDispatcher) CheckSuspect(state.Fingerprint) (quarantine.Verdict, time.Duration) {
+	return d.suspect, time.Hour
+}
 
 func (d *scriptedDispatcher) ReportLost(state.Fingerprint, *placement.Ticket) {
 	d.mu.Lock()
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -136,6 +136,8 @@
 	fallback *bufferedAnswer
 	verdict  admission.Verdict
 	record   Record
+	// trial is set if the request has crashed upstreams and is tried once more.
+	trial bool
 	// configStatus is set if the request named a route or key that the
 	// configuration does not contain.
 	configStatus *freshness.Status
@@ -260,6 +262,9 @@
 	if x.configStatus != nil {
 		logConfigStatus(event, *x.configStatus)
 	}
+	if x.trial {
+		event.Bool("trial", true)
+	}
 	if res.RetryAfter > 0 {
 		event.Int64("retry_after_ms", res.RetryAfter.Milliseconds())
 	}
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/coordination/quarantine"
 	"github.com/figstile/figstile/state/routing"
 )
 
@@ -145,7 +146,7 @@
 		"stale, no key":                 {func(d *handlerFixture, r *http.Request) { d.dispatcher.configStale = true; r.Header.Del("Key") }, 503},
 		"stale, no route":               {func(d *handlerFixture, r *http.Request) { d.dispatcher.configStale = true; r.Host = "other" }, 503},
 		"long head":                     {func(_ *handlerFixture, r *http.Request) { r.Header.Set("Filler", strings.Repeat("x", 2000)) }, 431},
-		"request quarantined":           {func(d *handlerFixture, _ *http.Request) { d.dispatcher.quarantined = true }, 503},
+		"request quarantined":           {func(d *handlerFixture, _ *http.Request) { d.dispatcher.suspect = quarantine.Blocked }, 503},
 		"at capacity":                   {func(d *handlerFixture, _ *http.Request) { d.dispatcher.atCapacity = true }, 429},
 		"at capacity for the workspace": {func(d *handlerFixture, _ *http.Request) { d.dispatcher.atCapacityFor = "w" }, 429},
 		"router draining":               {func(d *handlerFixture, _ *http.Request) { d.dispatcher.draining = true }, 503},
@@ -166,6 +167,19 @@
 	}
 }
 
+// A blocked request is tried again and crashes the upstream that runs it. It must
+// not be sent to a second one.
+func TestTrialOfASuspectIsNotRetried(t *testing.T) {
+	crashed := startUpstream(t, func(conn net.Conn, _ *http.Request) { reset(conn) })
+	other := startUpstream(t, writeText(completeAnswer(200, "page")))
+	d := newHandlerFixture(t, idempotentRoute, crashed, other)
+	d.dispatcher.suspect = quarantine.Trial
+	require.NotEqual(t, http.StatusOK, d.post(t).StatusCode)
+	require.Empty(t, other.receivedRequests())
+	d.dispatcher.suspect = quarantine.Free
+	require.Equal(t, http.StatusOK, d.post(t).StatusCode)
+}
+
 // An engine's connection breaks within the third event. The caller must receive
 // each event once: the partial event is dropped, and another engine resumes
 // after the last complete one, under the head of the first engine's answer.
