Give a slow store more time before a call counts as overdue

A reader whose call was 0.6 s late stopped claiming to read the store until the answer came. A store that is slow because of its load would then be read by every router, and become slower. The time is now at least twice that of the last answer, up to the time-out of the call.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -21,9 +21,12 @@
 	upstreamWatchWait = 500 * time.Millisecond
 	// minEvacuationWatchWait is the shortest wait of a watch call for evacuations.
 	minEvacuationWatchWait = 1500 * time.Millisecond
-	// answerSlack is the time beyond the wait of a call after which the call is
-	// overdue. It covers a slow store.
-	answerSlack = 600 * time.Millisecond
+	// answerSlack is the shortest time beyond the wait of a call after which the
+	// call is overdue. It covers a slow store. While answers take longer, the
+	// time is latencyMargin times that of the last answer, up to callTimeout:
+	// otherwise all routers would read a store that is slow because of its load.
+	answerSlack   = 600 * time.Millisecond
+	latencyMargin = 2
 	// probeWait is the wait of a watch call that shall be answered at once: after
 	// a failed call, to learn whether the store answers again, and after a change
 	// of the configuration, to learn whether it is the newest.
@@ -78,6 +81,8 @@
 
 	listed   bool
 	revision uint64
+	// latency is the time that the last answer took beyond the wait of its call.
+	latency time.Duration
 	// probe is set if the next watch call has to be answered at once.
 	probe bool
 }
@@ -136,7 +141,8 @@
 		return err
 	}
 	answeredAt := calledAt
-	if len(objects) == 0 && f.now().Sub(calledAt) >= wait {
+	f.latency = f.now().Sub(calledAt) - wait
+	if len(objects) == 0 && f.latency >= 0 {
 		answeredAt = calledAt.Add(wait)
 	}
 	f.probe = f.kind == KindConfig && len(objects) > 0
@@ -157,7 +163,8 @@
 // latest. It returns the current time.
 func (f *follower) call(wait time.Duration) time.Time {
 	now := f.now()
-	f.onCall(f.kind, now.Add(wait+answerSlack))
+	slack := min(max(latencyMargin*f.latency, answerSlack), callTimeout)
+	f.onCall(f.kind, now.Add(wait+slack))
 	return now
 }
 
@@ -172,6 +179,7 @@
 	if err != nil {
 		return err
 	}
+	f.latency = f.now().Sub(calledAt)
 	f.catalogue.markStoreAvailable()
 	f.listed, f.revision = true, at
 	f.replaceAll(objects, at)
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -133,3 +133,33 @@
 		})
 	}
 }
+
+// The store is slow. If readers stopped claiming to read it for that, all routers
+// would read it, and it would become slower.
+func TestSlowStoreHasMoreTimeBeforeACallIsOverdue(t *testing.T) {
+	f := newFixture()
+	latency := 4 * time.Millisecond
+	f.platform.list = func(Kind) ([]Object, uint64, error) { return nil, 5, nil }
+	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
+		f.clock.advance(testWatchWaits[KindUpstream] + latency)
+		return nil, 5, nil
+	}
+	follower, _ := newFollower(f, KindUpstream)
+	follower.watchWait = testWatchWaits[KindUpstream]
+	var slack time.Duration
+	follower.onCall = func(_ Kind, overdueAt time.Time) { slack = overdueAt.Sub(f.clock.now()) - follower.watchWait }
+	for range 3 {
+		require.NoError(t, follower.step(context.Background()))
+	}
+	require.Equal(t, answerSlack, slack)
+	latency = 500 * time.Millisecond
+	for range 2 {
+		require.NoError(t, follower.step(context.Background()))
+	}
+	require.Equal(t, time.Second, slack)
+	latency = 5 * time.Second
+	for range 2 {
+		require.NoError(t, follower.step(context.Background()))
+	}
+	require.Equal(t, callTimeout, slack)
+}
