--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -16,8 +16,7 @@
 	// upstreamWatchWait limits one watch call for upstreams. A router whose call
 	// is overdue no longer claims to read the store, and others then read it:
 	// with a short wait, all of them still know of a leaving upstream within the
-	// time that it is given. Upstreams change their entries about once a second,
-	// so few calls wait that long.
+	// time that it is given.
 	upstreamWatchWait = 500 * time.Millisecond
 	// minEvacuationWatchWait is the shortest wait of a watch call for evacuations.
 	minEvacuationWatchWait = 1500 * time.Millisecond
