Compare what both sides of a link hold for as long as the link is new

A peer sends a summary when its session opens and another when the link does. The first one could arrive after this side had opened the link, and then the second was not compared: what the peer had received between the two over its former link was missed. All summaries of the first second now count. Found by reading; the window is one round trip, and no run showed it.

--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -18,6 +18,9 @@
 const (
 	// tickInterval is the interval of the fleet's periodic task.
 	tickInterval = 100 * time.Millisecond
+	// newLinkPeriod is how long a link counts as new. Both sides send a summary
+	// when their session opens, and another when the link does.
+	newLinkPeriod = time.Second
 	// heartbeatInterval is the interval at which a router sends a message to
 	// its peers if nothing has changed.
 	heartbeatInterval = 400 * time.Millisecond
@@ -116,9 +119,9 @@
 	// confirmedAt is the time at which the store last confirmed the configuration
 	// to this router itself.
 	confirmedAt time.Time
-	// newLinks are the peers of new links that have not yet stated what they
-	// hold.
-	newLinks map[state.Router]bool
+	// newLinks holds the peers of new links, with the time until which their
+	// summaries are compared with what this router holds.
+	newLinks map[state.Router]time.Time
 	// readingStore is set while this router reads the store.
 	readingStore bool
 	// noReaderSince is the time since which no peer has claimed to read the
@@ -144,7 +147,7 @@
 	f := &fleet{
 		self: self, dispatcher: dispatcher, catalogue: catalogue, log: log, now: now, startedAt: now(), progressed: func() {},
 		readerClaims: make(map[state.Router]readerClaim), linkOutboxes: make(map[state.Router]*outbox), peerNames: make(map[state.Router]upstreamNames),
-		storeCalls: make(map[Kind]storeCalls), newLinks: make(map[state.Router]bool),
+		storeCalls: make(map[Kind]storeCalls), newLinks: make(map[state.Router]time.Time),
 	}
 	f.join(membership.Member{Router: self.Router, DataCentre: self.DataCentre, Incarnation: self.Incarnation})
 	dispatcher.onLostRequest, dispatcher.onServed, dispatcher.onTrial = f.sendLostRequest, f.sendServed, f.sendTrial
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -26,7 +26,7 @@
 	event()
 	opened := f.performActions()
 	f.mu.Unlock()
-	f.stateHoldings(opened)
+	f.sendSummary(opened)
 }
 
 // onSession sends this router's state to a peer at the start of a session,
@@ -41,7 +41,7 @@
 			f.catchUp.SessionOpened(now, scheduler.Peer{Router: s.Router, DataCentre: s.DataCentre, Incarnation: s.Incarnation})
 		}
 	})
-	f.stateHoldings([]state.Router{s.Router})
+	f.sendSummary([]state.Router{s.Router})
 	if direct {
 		f.mesh.Send(s.Router, loadsEnvelope(f.dispatcher.ownLoads(), true))
 	}
@@ -98,7 +98,7 @@
 func (f *fleet) openLink(router state.Router) {
 	f.dispatcher.forgetPeer(router)
 	f.linkOutboxes[router] = &outbox{}
-	f.newLinks[router] = true
+	f.newLinks[router] = f.now().Add(newLinkPeriod)
 	f.catchUp.MarkRejoined(f.now())
 	f.log.Info().Str("router", string(router)).Msg("linked")
 }
--- a/transport/edge/objects.go
+++ b/transport/edge/objects.go
@@ -135,7 +135,7 @@
 		// Peers that have also just started can now fetch the configuration
 		// from this router.
 		peers, _ := f.receivers()
-		f.stateHoldings(peers)
+		f.sendSummary(peers)
 	}
 	if _, tree := f.receivers(); tree && (!m.GetAnswer() || f.isCaughtUp()) {
 		f.forward(from, f.changeEnvelope(kind, o))
--- a/transport/edge/reading.go
+++ b/transport/edge/reading.go
@@ -8,10 +8,11 @@
 	"github.com/figstile/figstile/state"
 )
 
-// statement is when a router stated whether it reads the store, and when the
-// store confirmed its configuration, in terms of this router's clock.
-type statement struct {
-	// madeAt is a time before which the router did not make the statement.
+// claimTimes holds when a router claimed to read the store, or stated that it
+// does not, and when the store confirmed its configuration. Both are times of
+// this router's clock.
+type claimTimes struct {
+	// madeAt is a time before which the router did not make the claim.
 	madeAt time.Time
 	// confirmed is set if the store confirmed the configuration, at confirmedAt
 	// or later.
@@ -19,14 +20,14 @@
 	confirmedAt time.Time
 }
 
-// newStatement returns the times of a message that was received at now and not
+// newClaimTimes returns the times for a message that was received at now and not
 // sent before sentAfter. If sentAfter is unknown, the message may have waited
 // on its way for any time, so it confirms nothing.
-func newStatement(now time.Time, m *peerpb.Reading, sentAfter time.Time) statement {
+func newClaimTimes(now time.Time, m *peerpb.Reading, sentAfter time.Time) claimTimes {
 	if sentAfter.IsZero() {
-		return statement{madeAt: now.Add(-millis(m.GetAgeMs()))}
+		return claimTimes{madeAt: now.Add(-millis(m.GetAgeMs()))}
 	}
-	return statement{
+	return claimTimes{
 		madeAt:      sentAfter.Add(-millis(m.GetAgeMs())),
 		confirmed:   m.ConfirmedMs != nil,
 		confirmedAt: sentAfter.Add(-millis(m.GetConfirmedMs())),
@@ -43,17 +44,17 @@
 
 // forwardReading forwards a router's message over all other links, with its age
 // here. An expired message is dropped.
-func (f *fleet) forwardReading(from state.Router, m *peerpb.Reading, s statement) {
+func (f *fleet) forwardReading(from state.Router, m *peerpb.Reading, times claimTimes) {
 	now := f.now()
-	if now.Sub(s.madeAt) > claimExpiry {
+	if now.Sub(times.madeAt) > claimExpiry {
 		return
 	}
 	forwarded := &peerpb.Reading{
 		Store: m.GetStore(), ConfigRevision: m.GetConfigRevision(), Upstreams: m.GetUpstreams(), Router: m.GetRouter(),
-		AgeMs: ageMillis(now.Sub(s.madeAt)),
+		AgeMs: ageMillis(now.Sub(times.madeAt)),
 	}
-	if s.confirmed {
-		age := ageMillis(now.Sub(s.confirmedAt))
+	if times.confirmed {
+		age := ageMillis(now.Sub(times.confirmedAt))
 		forwarded.ConfirmedMs = &age
 	}
 	peers, tree := f.receivers()
@@ -79,8 +80,8 @@
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Reading{Reading: reading}}
 }
 
-// stateHoldings tells peers what this router holds.
-func (f *fleet) stateHoldings(peers []state.Router) {
+// sendSummary sends peers the revision and the digest of what this router holds.
+func (f *fleet) sendSummary(peers []state.Router) {
 	for _, router := range peers {
 		f.mesh.SendTimed(router, f.readingEnvelope(f.mayClaimReading()))
 	}
--- a/transport/edge/receive.go
+++ b/transport/edge/receive.go
@@ -107,19 +107,19 @@
 // onReading handles a router's message on whether it reads the store.
 func (f *fleet) onReading(from state.Router, m *peerpb.Reading, sentAfter time.Time) {
 	now, reader := f.now(), from
-	statement := newStatement(now, m, sentAfter)
+	times := newClaimTimes(now, m, sentAfter)
 	if m.GetRouter() != "" {
 		reader = state.Router(m.GetRouter())
-		f.forwardReading(from, m, statement)
+		f.forwardReading(from, m, times)
 	}
 	if reader == from {
 		f.onRevisionOffered(from, m.GetConfigRevision())
 	}
 	f.dispatcher.configSeen(m.GetConfigRevision(), string(reader))
-	if statement.confirmed {
-		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader), statement.confirmedAt)
+	if times.confirmed {
+		f.dispatcher.confirmConfig(m.GetConfigRevision(), string(reader), times.confirmedAt)
 	}
-	f.compareWith(reader, m, statement.madeAt)
+	f.compareWith(reader, m, times.madeAt)
 	f.fetchCatalogue()
 }
 
@@ -131,8 +131,7 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.catchUp.SummaryReceived(now, router, remote, own)
-	if f.newLinks[router] && m.GetRouter() == "" {
-		delete(f.newLinks, router)
+	if m.GetRouter() == "" && now.Before(f.newLinks[router]) {
 		f.catchUp.LinkOpened(now, router, remote, own)
 	}
 	if now.Sub(madeAt) > claimExpiry || madeAt.Before(f.readerClaims[router].madeAt) {
