Count the crashes of a repeated request in whatever order they are confirmed

Two crashes counted as one moment if the second was recorded first, although the request was sent again only after the first: a crash is recorded when its upstream is found gone, which may take longer for the first. Runs now belong to one moment only if each was sent before the other was lost. Found by reading; the test fails on the code before.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -72,13 +72,32 @@
 // moment is a time at which a request crashed one upstream, or several that ran
 // it at the same time.
 type moment struct {
-	at   time.Time
-	runs map[Run]struct{}
+	// lostAt is the first loss, and startedAt when the last run was sent.
+	startedAt, lostAt time.Time
+	runs              map[Run]struct{}
+}
+
+// includes reports whether a loss belongs to the moment: the runs overlapped,
+// and were lost within sameMoment. A run that was sent after an earlier loss
+// does not, however soon it was lost too: that is a caller who repeats the
+// request. Losses are recorded in any order.
+func (m *moment) includes(loss Loss) bool {
+	return loss.StartedAt.Before(m.lostAt) && m.startedAt.Before(loss.LostAt) && loss.LostAt.Sub(m.lostAt).Abs() <= sameMoment
+}
+
+func (m *moment) add(run Run, loss Loss) {
+	m.runs[run] = struct{}{}
+	if loss.LostAt.Before(m.lostAt) {
+		m.lostAt = loss.LostAt
+	}
+	if loss.StartedAt.After(m.startedAt) {
+		m.startedAt = loss.StartedAt
+	}
 }
 
 type record struct {
 	fingerprint state.Fingerprint
-	moments     []moment
+	moments     []*moment
 	lastCrash   time.Time
 	// blockedAt is when the request was blocked, or last crashed an upstream
 	// while it was; zero if it is not blocked. trialDelay is the time from then
@@ -133,18 +152,16 @@
 	return false
 }
 
-// addRun adds a crashed run to the moment at which it was lost. A request that
-// was sent after an earlier loss is not part of that moment, however soon it was
-// lost too: that is a caller who repeats the request.
+// addRun adds a crashed run to the moment at which it was lost.
 func (r *record) addRun(run Run, loss Loss) {
 	for _, m := range r.moments {
-		if loss.StartedAt.Before(m.at) && loss.LostAt.Sub(m.at).Abs() <= sameMoment {
-			m.runs[run] = struct{}{}
+		if m.includes(loss) {
+			m.add(run, loss)
 			return
 		}
 	}
 	if len(r.moments) < maxMoments {
-		r.moments = append(r.moments, moment{at: loss.LostAt, runs: map[Run]struct{}{run: {}}})
+		r.moments = append(r.moments, &moment{startedAt: loss.StartedAt, lostAt: loss.LostAt, runs: map[Run]struct{}{run: {}}})
 	}
 }
 
@@ -181,8 +198,8 @@
 	return r
 }
 
-// Blocked reports whether requests with this fingerprint must not run, and for
-// how long. It does not provide for trials.
+// Blocked reports whether requests with this fingerprint must not run. It does
+// not provide for trials: a block ends after MaxTrialDelay.
 func (l *List) Blocked(now time.Time, f state.Fingerprint) bool {
 	r := l.lookup(now, f)
 	return r != nil && !r.blockedAt.IsZero() && now.Sub(r.blockedAt) <= MaxTrialDelay
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -47,6 +47,15 @@
 	require.False(t, l.Blocked(now, 1), "the oldest record is dropped first")
 }
 
+// The second crash of a caller's repeated request is confirmed before the first.
+// Both must count.
+func TestCrashesCountInAnyOrder(t *testing.T) {
+	l := New(10)
+	require.True(t, crash(l, 110*time.Millisecond, 1, "v"))
+	require.True(t, crash(l, 0, 1, "u"))
+	require.Equal(t, Blocked, verdict(l, time.Second, 1))
+}
+
 // Engines of one rack go down within the same moment, while each of them runs
 // the same popular request. That is no proof against the request.
 func TestUpstreamsLostTogetherCountOnce(t *testing.T) {
