Build a router's followers of the store in one function

Tests can then run the same followers as a router, with clocks of their own. No logic changes: the waits and the callbacks are those that New set before.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -86,6 +86,25 @@
 	probe bool
 }
 
+// newFollowers returns a follower for each kind of object that a router with
+// these settings needs. They read the store for the router and its peers.
+func newFollowers(settings Settings, store ObjectStore, fleet *fleet, now func() time.Time) []*follower {
+	waits := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchWait}
+	if settings.EvacuationLimit > 0 {
+		waits[KindEvacuation] = max(minEvacuationWatchWait, settings.EvacuationLimit/2)
+	}
+	fleet.watchWaits = waits
+	var followers []*follower
+	for kind, wait := range waits {
+		followers = append(followers, &follower{
+			kind: kind, watchWait: wait, store: store, catalogue: fleet.catalogue, log: fleet.log, now: now,
+			shouldRead: fleet.shouldReadStore, onCall: fleet.onStoreCall, onAnswer: fleet.onStoreAnswer, onFailure: fleet.onStoreFailure,
+			onChanged: fleet.publishObjects, retryDelay: fleet.retryDelay,
+		})
+	}
+	return followers
+}
+
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -99,18 +99,7 @@
 		Capacity: cpuHundredths(settings),
 	})
 	r.newHandler(platform)
-	waits := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchWait}
-	if settings.EvacuationLimit > 0 {
-		waits[KindEvacuation] = max(minEvacuationWatchWait, settings.EvacuationLimit/2)
-	}
-	r.fleet.watchWaits = waits
-	for kind, wait := range waits {
-		r.followers = append(r.followers, &follower{
-			kind: kind, watchWait: wait, store: platform, catalogue: r.catalogue, log: log, now: boottime.Now,
-			shouldRead: r.fleet.shouldReadStore, onCall: r.fleet.onStoreCall, onAnswer: r.fleet.onStoreAnswer, onFailure: r.fleet.onStoreFailure, onChanged: r.fleet.publishObjects,
-			retryDelay: r.fleet.retryDelay,
-		})
-	}
+	r.followers = newFollowers(settings, platform, r.fleet, boottime.Now)
 	if err := r.listen(incarnation); err != nil {
 		r.close()
 		return nil, err
