Replace readers in time when those that follow them lose the store as well

Callers' requests still reached an upstream up to 2.1 s after it had said that it leaves (2.0 s are allowed) when all routers that read the store, and all that start to read it next, were cut off from it together while their calls had just begun.

Cause: the time until a claim to read the store ends was computed from the wait of a call alone. The pause of up to 0.75 s before the call came on top, and then 0.5 s without any reader before routers beyond the first six by name read.

A period of 0.6 s now limits pause and wait together, and the time without a reader is 0.3 s. Computed for calls that all begin just before the cut: new readers after 1.7 s for 2.4, 1.4 s for 1.9 while one of the first six has its path.

The check in TestOverdueCallEndsTheClaimToRead now counts the pause, as the period holds it.

--- a/transport/edge/exchange_test.go
+++ b/transport/edge/exchange_test.go
@@ -101,7 +101,7 @@
 	o.sessions, o.selected, o.published = make(map[state.Router]bool), membership.SelectionChanged{DialSeeds: true}, publishTimes{}
 	o.fleet = newFleet(scheduler.Peer{Router: router, DataCentre: dc}, o.fixture.dispatcher, o.fixture.catalogue, zerolog.Nop(), o.network.clock.now)
 	o.fleet.mesh = o
-	o.fleet.watchWaits = testWatchWaits
+	o.fleet.watchPeriods = testWatchPeriods
 	o.fleet.join(membership.Member{Router: router, DataCentre: dc, Incarnation: o.incarnation, Address: string(router) + ":1"})
 }
 
--- a/transport/edge/fakes_test.go
+++ b/transport/edge/fakes_test.go
@@ -116,21 +116,21 @@
 
 func (f *fixture) usableUpstreams() int { return f.dispatcher.loadView.CountUsable("s") }
 
-// testWatchWaits are the waits of the calls that the routers of tests make to
+// testWatchPeriods are the waits of the calls that the routers of tests make to
 // the store.
-var testWatchWaits = map[Kind]time.Duration{KindConfig: defaultConfigLimit / 2, KindUpstream: upstreamWatchWait}
+var testWatchPeriods = map[Kind]time.Duration{KindConfig: defaultConfigLimit / 2, KindUpstream: upstreamWatchPeriod}
 
 // storeAnswers simulates that the store answers a router's calls and holds
 // nothing newer than the router.
 func (f *fleet) storeAnswers() {
-	for kind := range f.watchWaits {
+	for kind := range f.watchPeriods {
 		f.onStoreAnswer(kind, f.now())
 	}
 }
 
 // storeFails simulates that a router's calls to the store fail.
 func (f *fleet) storeFails() {
-	for kind := range f.watchWaits {
+	for kind := range f.watchPeriods {
 		f.onStoreFailure(kind)
 	}
 }
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -113,9 +113,9 @@
 	peerNames    map[state.Router]upstreamNames
 	readerClaims map[state.Router]readerClaim
 	// storeCalls are the latest results of the calls for each kind of object,
-	// and watchWaits the longest wait of a watch call for it.
-	storeCalls map[Kind]storeCalls
-	watchWaits map[Kind]time.Duration
+	// and watchPeriods the periods of the watch calls for it.
+	storeCalls   map[Kind]storeCalls
+	watchPeriods map[Kind]time.Duration
 	// confirmedAt is the time at which the store last confirmed the configuration
 	// to this router itself.
 	confirmedAt time.Time
@@ -209,10 +209,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	for kind, wait := range f.watchWaits {
+	for kind, period := range f.watchPeriods {
 		calls := f.storeCalls[kind]
 		overdue := !calls.overdueAt.IsZero() && now.After(calls.overdueAt)
-		if overdue || !calls.answeredAt.After(calls.failedAt) || now.Sub(calls.answeredAt) > wait+callTimeout {
+		if overdue || !calls.answeredAt.After(calls.failedAt) || now.Sub(calls.answeredAt) > period+callTimeout {
 			return false
 		}
 	}
--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -18,7 +18,7 @@
 func (f *fixture) fleet(name state.Router) *fleet {
 	fleet := newFleet(scheduler.Peer{Router: name}, f.dispatcher, f.catalogue, zerolog.Nop(), f.clock.now)
 	fleet.mesh = discardSender{}
-	fleet.watchWaits = testWatchWaits
+	fleet.watchPeriods = testWatchPeriods
 	return fleet
 }
 
@@ -156,12 +156,12 @@
 	fleet := f.fleet("r00")
 	require.True(t, fleet.shouldReadStore())
 	fleet.storeAnswers()
-	fleet.onStoreCall(KindUpstream, f.clock.now().Add(upstreamWatchWait+answerSlack))
-	f.clock.advance(upstreamWatchWait + answerSlack)
+	fleet.onStoreCall(KindUpstream, f.clock.now().Add(upstreamWatchPeriod+answerSlack))
+	f.clock.advance(upstreamWatchPeriod + answerSlack)
 	require.True(t, fleet.mayClaimReading(), "a slow store still answers within this time")
 	f.clock.advance(1)
 	require.False(t, fleet.mayClaimReading())
-	require.Less(t, upstreamWatchWait+answerSlack+noReaderTimeout+tickInterval+readerCheckInterval, applyLimit)
+	require.Less(t, upstreamWatchPeriod+answerSlack+noReaderTimeout+tickInterval+readerCheckInterval, applyLimit)
 	fleet.storeAnswers()
 	require.True(t, fleet.mayClaimReading())
 }
@@ -178,7 +178,7 @@
 		require.True(t, fleet.mayClaimReading())
 		f.clock.advance(tickInterval)
 		fleet.onStoreAnswer(KindUpstream, f.clock.now())
-		if f.clock.now().Sub(fleet.ownConfirmation()) > testWatchWaits[KindConfig]+callTimeout {
+		if f.clock.now().Sub(fleet.ownConfirmation()) > testWatchPeriods[KindConfig]+callTimeout {
 			break
 		}
 	}
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// upstreamWatchWait limits one watch call for upstreams. A router whose call
-	// is overdue no longer claims to read the store, and others then read it:
-	// with a short wait, all of them still know of a leaving upstream within the
-	// time that it is given.
-	upstreamWatchWait = 500 * time.Millisecond
-	// minEvacuationWatchWait is the shortest wait of a watch call for evacuations.
-	minEvacuationWatchWait = 1500 * time.Millisecond
+	// upstreamWatchPeriod limits the pause before a watch call for upstreams and
+	// the wait of that call together. A router whose call is overdue no longer
+	// claims to read the store, and others then read it: with a short period, all
+	// of them still know of a leaving upstream within the time that it is given.
+	upstreamWatchPeriod = 600 * time.Millisecond
+	// minEvacuationWatchPeriod is the shortest period of the watch calls for
+	// evacuations.
+	minEvacuationWatchPeriod = 1500 * time.Millisecond
 	// answerSlack is the shortest time beyond the wait of a call after which the
 	// call is overdue. It covers a slow store. While answers take longer, the
 	// time is latencyMargin times that of the last answer, up to callTimeout:
@@ -30,12 +31,12 @@
 	// a failed call, to learn whether the store answers again, and after a change
 	// of the configuration, to learn whether it is the newest.
 	probeWait = 50 * time.Millisecond
-	// upstreamWatchInterval is the mean pause between two watch calls for
-	// upstreams, so that one call returns several changes. Each upstream
+	// minUpstreamPause and maxUpstreamPause limit the pause between two watch
+	// calls for upstreams, so that one call returns several changes. Each upstream
 	// changes its entry about once a second, and without a pause each router
-	// would make a call for each of these changes. A leaving upstream is still
-	// noticed well within the two seconds that it is given.
-	upstreamWatchInterval = 500 * time.Millisecond
+	// would make a call for each of these changes.
+	minUpstreamPause = 250 * time.Millisecond
+	maxUpstreamPause = 750 * time.Millisecond
 	// operatorWatchInterval limits the calls for each kind of object that
 	// operators write to ten per second if it changes many times in a row.
 	operatorWatchInterval = 100 * time.Millisecond
@@ -55,11 +56,12 @@
 // follower keeps a catalogue up to date with one kind of the store's objects.
 type follower struct {
 	kind Kind
-	// watchWait limits one watch call.
-	watchWait time.Duration
-	store     ObjectStore
-	catalogue *catalogue
-	log       zerolog.Logger
+	// watchPeriod limits the pause before a watch call and the wait of that call
+	// together.
+	watchPeriod time.Duration
+	store       ObjectStore
+	catalogue   *catalogue
+	log         zerolog.Logger
 	// shouldRead reports whether this router has to read the store. Otherwise
 	// the router receives changes from peers that read the store.
 	shouldRead func() bool
@@ -84,20 +86,22 @@
 	latency time.Duration
 	// probe is set if the next watch call has to be answered at once.
 	probe bool
+	// paused is the pause before the next watch call.
+	paused time.Duration
 }
 
 // newFollowers returns a follower for each kind of object that a router with
 // these settings needs. They read the store for the router and its peers.
 func newFollowers(settings Settings, store ObjectStore, fleet *fleet, now func() time.Time) []*follower {
-	waits := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchWait}
+	periods := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchPeriod}
 	if settings.EvacuationLimit > 0 {
-		waits[KindEvacuation] = max(minEvacuationWatchWait, settings.EvacuationLimit/2)
+		periods[KindEvacuation] = max(minEvacuationWatchPeriod, settings.EvacuationLimit/2)
 	}
-	fleet.watchWaits = waits
+	fleet.watchPeriods = periods
 	var followers []*follower
-	for kind, wait := range waits {
+	for kind, period := range periods {
 		followers = append(followers, &follower{
-			kind: kind, watchWait: wait, store: store, catalogue: fleet.catalogue, log: fleet.log, now: now,
+			kind: kind, watchPeriod: period, store: store, catalogue: fleet.catalogue, log: fleet.log, now: now,
 			shouldRead: fleet.shouldReadStore, onCall: fleet.onStoreCall, onAnswer: fleet.onStoreAnswer, onFailure: fleet.onStoreFailure,
 			onChanged: fleet.publishObjects, retryDelay: fleet.retryDelay,
 		})
@@ -123,7 +127,8 @@
 		case ctx.Err() != nil:
 		case err == nil:
 			retry.Reset()
-			_ = pause.For(ctx, f.watchInterval())
+			f.paused = f.watchPause()
+			_ = pause.For(ctx, f.paused)
 		case errors.Is(err, ErrHistoryExpired):
 			f.listed = false
 			f.log.Info().Stringer("kind", f.kind).Msg("store's history gone; listing anew")
@@ -136,9 +141,9 @@
 	}
 }
 
-func (f *follower) watchInterval() time.Duration {
+func (f *follower) watchPause() time.Duration {
 	if f.kind == KindUpstream {
-		return upstreamWatchInterval/2 + rand.N(upstreamWatchInterval)
+		return minUpstreamPause + rand.N(min(maxUpstreamPause, f.watchPeriod)-minUpstreamPause)
 	}
 	return operatorWatchInterval
 }
@@ -147,7 +152,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	wait := f.watchWait
+	wait := max(f.watchPeriod-f.paused, probeWait)
 	if f.probe {
 		wait = probeWait
 	}
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -13,7 +13,7 @@
 func newFollower(f *fixture, kind Kind) (*follower, *[]Object) {
 	changed := &[]Object{}
 	return &follower{
-		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(), now: f.clock.now, watchWait: testWatchWaits[KindConfig],
+		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(), now: f.clock.now, watchPeriod: testWatchPeriods[KindConfig],
 		onCall:     func(Kind, time.Time) {},
 		shouldRead: func() bool { return true }, onAnswer: func(Kind, time.Time) {}, onFailure: func(Kind) {},
 		onChanged: func(_ Kind, objects []Object) { *changed = append(*changed, objects...) },
@@ -100,7 +100,7 @@
 // than the store can have answered: a router that stood still reads the answer
 // long after it was sent.
 func TestAnswerConfirmsNoLaterTimeThanItsOwn(t *testing.T) {
-	changed, wait := []Object{configObject(7, 2)}, testWatchWaits[KindConfig]
+	changed, wait := []Object{configObject(7, 2)}, testWatchPeriods[KindConfig]
 	for name, c := range map[string]struct {
 		objects []Object
 		took    time.Duration
@@ -141,13 +141,13 @@
 	latency := 4 * time.Millisecond
 	f.platform.list = func(Kind) ([]Object, uint64, error) { return nil, 5, nil }
 	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
-		f.clock.advance(testWatchWaits[KindUpstream] + latency)
+		f.clock.advance(testWatchPeriods[KindUpstream] + latency)
 		return nil, 5, nil
 	}
 	follower, _ := newFollower(f, KindUpstream)
-	follower.watchWait = testWatchWaits[KindUpstream]
+	follower.watchPeriod = testWatchPeriods[KindUpstream]
 	var slack time.Duration
-	follower.onCall = func(_ Kind, overdueAt time.Time) { slack = overdueAt.Sub(f.clock.now()) - follower.watchWait }
+	follower.onCall = func(_ Kind, overdueAt time.Time) { slack = overdueAt.Sub(f.clock.now()) - follower.watchPeriod }
 	for range 3 {
 		require.NoError(t, follower.step(context.Background()))
 	}
--- a/transport/edge/lockorder_test.go
+++ b/transport/edge/lockorder_test.go
@@ -72,7 +72,7 @@
 	s := &stress{dispatcher: newDispatcher(Settings{DataCentre: "dc"}, boottime.Now)}
 	s.catalogue = newCatalogue(&fakePlatform{}, s.dispatcher, zerolog.Nop(), boottime.Now)
 	s.fleet = newFleet(scheduler.Peer{Router: "r99", DataCentre: "dc"}, s.dispatcher, s.catalogue, zerolog.Nop(), boottime.Now)
-	s.fleet.mesh, s.fleet.watchWaits = discardSender{}, testWatchWaits
+	s.fleet.mesh, s.fleet.watchPeriods = discardSender{}, testWatchPeriods
 	for i := range peers {
 		s.peers = append(s.peers, state.Router(fmt.Sprintf("r%02d", i)))
 	}
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -17,9 +17,10 @@
 	// eagerReaders is the number of routers, in order of their names, that
 	// start to read the store if there are fewer than targetReaders.
 	// noReaderTimeout is the time without any reader after which all other
-	// routers start to read it too.
+	// routers start to read it too. It covers the time in which an eager reader
+	// starts and its peers hear of it.
 	eagerReaders    = 2 * targetReaders
-	noReaderTimeout = 500 * time.Millisecond
+	noReaderTimeout = 300 * time.Millisecond
 	// firstStartStoreReadDelay is how long a router that is not a seed waits
 	// after its start, when the whole fleet starts for the first time, before
 	// it reads the store. Meanwhile the seeds read it, and peers send the
