Read the store from different data centres

When a data centre lost its path to the store, all readers of a fleet could lose it at once, and all routers elsewhere then began to read it.

Routers now follow each other in the order of names, one of each data centre after the other. The order is computed when the live routers change.

TestReadersAreInDifferentDataCentres, on the real followers and periodic tasks of twelve routers, fails on the code before with three readers in one data centre; now they are in three, and when one data centre is cut off, two readers go on and one router takes over. The test of a router without evacuations sets the live routers with the same function as the fleet, itself among them.

--- a/transport/edge/evacuations_test.go
+++ b/transport/edge/evacuations_test.go
@@ -111,9 +111,11 @@
 func TestRouterWithoutEvacuationsIsAnEagerReader(t *testing.T) {
 	f := evacuationFixture()
 	fleet := newFleet(scheduler.Peer{Router: "z", DataCentre: "dc"}, f.dispatcher, f.catalogue, zerolog.Nop(), f.clock.now)
+	live := []scheduler.Peer{fleet.self}
 	for _, name := range []state.Router{"a", "b", "c", "d", "e", "f", "g"} {
-		fleet.livePeers = append(fleet.livePeers, scheduler.Peer{Router: name})
+		live = append(live, scheduler.Peer{Router: name, DataCentre: "dc"})
 	}
+	fleet.setLivePeers(live)
 	require.True(t, fleet.isEagerReader(f.catalogue.lacksOperatorObjects()))
 	f.catalogue.replaceEvacuations(nil, 3, sourceStore)
 	require.False(t, fleet.isEagerReader(f.catalogue.lacksOperatorObjects()))
--- a/transport/edge/fleet.go
+++ b/transport/edge/fleet.go
@@ -106,6 +106,8 @@
 	// regards as live, including this one.
 	overlay   *overlay.Overlay
 	livePeers []scheduler.Peer
+	// readerRanks is the order in which the live routers read the store.
+	readerRanks map[state.Router]int
 	// linkOutboxes hold the messages that wait to be sent over each link.
 	linkOutboxes map[state.Router]*outbox
 	// peerNames are the upstream names that each peer has numbered in its
@@ -159,7 +161,7 @@
 func (f *fleet) join(self membership.Member) {
 	f.self.Incarnation = self.Incarnation
 	f.overlay = overlay.New(self)
-	f.livePeers = f.overlay.LiveRouters()
+	f.setLivePeers(f.overlay.LiveRouters())
 }
 
 // onStoreCall records that a call for one kind of object begins.
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -114,10 +114,14 @@
 	if !f.overlay.TreeMode() {
 		removed = removedRouters(f.livePeers, live)
 	}
-	f.livePeers = live
+	f.setLivePeers(live)
 	f.dispatcher.setLiveRouters(live, removed)
 }
 
+func (f *fleet) setLivePeers(live []scheduler.Peer) {
+	f.livePeers, f.readerRanks = live, readerRanks(live)
+}
+
 // removedRouters returns the routers in before that are missing from live.
 func removedRouters(before, live []scheduler.Peer) []state.Router {
 	remaining := make(map[state.Router]bool, len(live))
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/figstile/figstile/coordination/scheduler"
@@ -11,10 +12,11 @@
 
 const (
 	// targetReaders is the number of routers that read the store for the whole
-	// fleet. Three are only lost at once if a data centre fails together with
-	// another VM.
+	// fleet. Where there are as many data centres, the readers are in different
+	// ones, and three are only lost at once if two data centres fail together
+	// with another VM.
 	targetReaders = 3
-	// eagerReaders is the number of routers, in order of their names, that
+	// eagerReaders is the number of routers, in the order of readerRanks, that
 	// start to read the store if there are fewer than targetReaders.
 	// noReaderTimeout is the time without any reader after which all other
 	// routers start to read it too. It covers the time in which an eager reader
@@ -41,8 +43,25 @@
 	claimExpiry = 1200 * time.Millisecond
 )
 
+// readerRanks returns the order in which routers read the store: the first router
+// by name of each data centre, then the second of each, and so on.
+func readerRanks(routers []scheduler.Peer) map[state.Router]int {
+	byName := slices.SortedFunc(slices.Values(routers), func(a, b scheduler.Peer) int { return strings.Compare(string(a.Router), string(b.Router)) })
+	inDataCentre, earlier := make(map[state.DataCentre]int), make(map[state.Router]int, len(byName))
+	for _, p := range byName {
+		earlier[p.Router] = inDataCentre[p.DataCentre]
+		inDataCentre[p.DataCentre]++
+	}
+	slices.SortStableFunc(byName, func(a, b scheduler.Peer) int { return earlier[a.Router] - earlier[b.Router] })
+	ranks := make(map[state.Router]int, len(byName))
+	for rank, p := range byName {
+		ranks[p.Router] = rank
+	}
+	return ranks
+}
+
 // shouldReadStore reports whether this router has to read the store. A reader
-// continues while fewer than targetReaders claimants precede it by name.
+// continues while fewer than targetReaders claimants precede it by rank.
 // Another router starts if there are too few claimants and it is an eager
 // reader, or if there was no claimant for noReaderTimeout.
 func (f *fleet) shouldReadStore() bool {
@@ -67,7 +86,7 @@
 }
 
 // countReaders counts the peers that claim to read the store, and those of them
-// that precede this router by name.
+// that precede this router by rank.
 func (f *fleet) countReaders(now time.Time) (before, all int) {
 	for router, claim := range f.readerClaims {
 		if now.Sub(claim.madeAt) > claimExpiry || !f.isLive(router) {
@@ -75,7 +94,7 @@
 			continue
 		}
 		all++
-		if router < f.self.Router {
+		if f.readerRanks[router] < f.readerRanks[f.self.Router] {
 			before++
 		}
 	}
@@ -101,18 +120,12 @@
 }
 
 // isEagerReader reports whether this router is one of the first live routers by
-// name, or lacks objects of operators without which it serves no callers. If
+// rank, or lacks objects of operators without which it serves no callers. If
 // every router called an unavailable store again and again, 73 routers would
 // make two thousand calls in six seconds, and each call is billed. The caller
 // holds the lock.
 func (f *fleet) isEagerReader(lacksObjects bool) bool {
-	earlier := 0
-	for _, p := range f.livePeers {
-		if p.Router < f.self.Router {
-			earlier++
-		}
-	}
-	return earlier < eagerReaders || lacksObjects
+	return f.readerRanks[f.self.Router] < eagerReaders || lacksObjects
 }
 
 // retryDelay lengthens the pause after a failed call for routers that are not
--- a/transport/edge/takeover_test.go
+++ b/transport/edge/takeover_test.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// A data centre is cut off from the store, and the names of routers begin with
+// that of their data centre. If all readers were there, every other router would
+// have to start to read the store.
+func TestReadersAreInDifferentDataCentres(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := startTimedFleet(t, 12, 4)
+		time.Sleep(5 * time.Second)
+		dataCentres := make(map[state.DataCentre]int)
+		for _, router := range fleet.readers() {
+			dataCentres[fleet.routers[router].fleet.self.DataCentre]++
+		}
+		require.Equal(t, map[state.DataCentre]int{"0": 1, "1": 1, "2": 1}, dataCentres)
+		fleet.store.cutOff("r00", "r01", "r02")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []state.Router{"r03", "r06", "r09"}, fleet.readers(), "the readers that are left, and one that took over")
+	})
+}
+
 // timedFleet runs routers with all their periodic tasks on the clock of a bubble
 // of testing/synctest. Each holds a session with every other.
 type timedFleet struct {
@@ -155,6 +173,11 @@
 	}
 }
 
+// readers returns the routers that claim to read the store.
+func (f *timedFleet) readers() []state.Router {
+	return slices.DeleteFunc(slices.Clone(f.order), func(router state.Router) bool { return !f.routers[router].fleet.mayClaimReading() })
+}
+
 // readersAndNext returns the routers that read the store and those that start to
 // read it as soon as there are too few readers.
 func (f *timedFleet) readersAndNext() []state.Router {
