Check on each path that lost requests are reported without locks

A router hung for good when requests were lost with an upstream while it held the catalogue's lock.

The new test asks at the moment of the report whether the locks are free, on each path on which an upstream is lost: removed by the store, missing from a list, started again, expired during an outage, connection refused.

--- a/transport/edge/lockorder_test.go
+++ b/transport/edge/lockorder_test.go
@@ -59,6 +59,55 @@
 	}
 }
 
+// An upstream is lost while its requests run. A router that reported them to its
+// peers with a lock of the catalogue or the dispatcher held hung for good, as the
+// fleet takes its own lock for the report.
+func TestLostRequestsAreReportedWithoutLocks(t *testing.T) {
+	for name, lose := range map[string]func(f *fixture){
+		"removed by the store": func(f *fixture) { f.catalogue.applyObject(KindUpstream, removal("u", 6), sourceStore) },
+		"missing from a list":  func(f *fixture) { f.catalogue.replaceUpstreams(nil, 6, sourceStore) },
+		"started again":        func(f *fixture) { f.catalogue.applyObject(KindUpstream, restartedUpstream("u", 6), "r01") },
+		"expired during an outage": func(f *fixture) {
+			f.catalogue.markStoreUnavailable(errStoreSilent)
+			f.catalogue.markStoreAvailable()
+			f.catalogue.applyObject(KindUpstream, removal("u", 6), sourceStore)
+			f.clock.advance(storeReturnGrace)
+			f.catalogue.confirmDueRemovals()
+		},
+		"connection refused": func(f *fixture) { f.dispatcher.End(f.placeAt("u"), placement.Unconnected) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.catalogue.applyObject(KindUpstream, upstreamObject("u", 5, false), sourceStore)
+			f.dispatcher.ReportLost(state.Fingerprint(1), f.placeAt("u"))
+			reported := 0
+			f.dispatcher.onLostRequest = func(lostRequest) {
+				reported++
+				for _, mu := range []*sync.Mutex{&f.catalogue.decodeMu, &f.catalogue.mu, &f.dispatcher.mu} {
+					require.True(t, mu.TryLock())
+					mu.Unlock()
+				}
+			}
+			lose(f)
+			require.Equal(t, 1, reported)
+		})
+	}
+}
+
+// placeAt places a request at an upstream.
+func (f *fixture) placeAt(id state.Upstream) *placement.Ticket {
+	f.dispatcher.mu.Lock()
+	defer f.dispatcher.mu.Unlock()
+	return f.dispatcher.loadView.Place(f.clock.now(), placement.Work{Service: "s"}, placement.Estimate{Upstream: id})
+}
+
+// restartedUpstream returns the entry of an upstream that began to run at another
+// time than that of upstreamObject.
+func restartedUpstream(name string, revision uint64) Object {
+	spec := `{"Service":"s","Address":"10.0.0.1:80","DataCentre":"dc","Slots":2,"Born":7}`
+	return Object{Name: name, Revision: revision, Spec: []byte(spec)}
+}
+
 // stress is one router with its real parts and peers that do not exist.
 type stress struct {
 	dispatcher *dispatcher
