Derive the watch on upstreams from the time that a leaving one is given

Three readers called the store for upstreams as often where a leaving upstream has 3 or 4 s as where it has 2 s, although each call is billed, and a fleet with more time had no more use of it.

The period of the calls (pause and wait together) is now what remains of that time, which the settings state, after the takeover by other routers: the slack of an overdue call, a tick, the time without a reader and its check; a sixth of the time is left for the change to spread.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// upstreamWatchPeriod limits the pause before a watch call for upstreams and
-	// the wait of that call together. A router whose call is overdue no longer
-	// claims to read the store, and others then read it: with a short period, all
-	// of them still know of a leaving upstream within the time that it is given.
-	upstreamWatchPeriod = 600 * time.Millisecond
+	// defaultLeaveLimit is the time after which a leaving upstream must get no new
+	// requests, if the settings have none.
+	defaultLeaveLimit = 2 * time.Second
+	// minUpstreamWatchPeriod and maxUpstreamWatchPeriod limit the period of the
+	// watch calls for upstreams. A connection that receives nothing is noticed
+	// within the longest one.
+	minUpstreamWatchPeriod = minUpstreamPause + probeWait
+	maxUpstreamWatchPeriod = 3 * time.Second
 	// minEvacuationWatchPeriod is the shortest period of the watch calls for
 	// evacuations.
 	minEvacuationWatchPeriod = 1500 * time.Millisecond
@@ -93,7 +96,7 @@
 // newFollowers returns a follower for each kind of object that a router with
 // these settings needs. They read the store for the router and its peers.
 func newFollowers(settings Settings, store ObjectStore, fleet *fleet, now func() time.Time) []*follower {
-	periods := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchPeriod}
+	periods := map[Kind]time.Duration{KindConfig: configLimit(settings) / 2, KindUpstream: upstreamWatchPeriod(settings.LeaveLimit)}
 	if settings.EvacuationLimit > 0 {
 		periods[KindEvacuation] = max(minEvacuationWatchPeriod, settings.EvacuationLimit/2)
 	}
@@ -109,6 +112,20 @@
 	return followers
 }
 
+// upstreamWatchPeriod returns the longest time that the pause before a watch call
+// for upstreams and the wait of that call may take together, so that all routers
+// know of a leaving upstream within the limit although the readers lose the store.
+// The last of their calls begins just before that and is then overdue; the other
+// routers begin to read if no reader is left; and a sixth of the limit is for the
+// change to reach all routers.
+func upstreamWatchPeriod(leaveLimit time.Duration) time.Duration {
+	if leaveLimit == 0 {
+		leaveLimit = defaultLeaveLimit
+	}
+	const takeover = answerSlack + tickInterval + noReaderTimeout + readerCheckInterval
+	return min(max(leaveLimit-leaveLimit/6-takeover, minUpstreamWatchPeriod), maxUpstreamWatchPeriod)
+}
+
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -124,6 +124,9 @@
 	// ConfigLimit is the time within which a change of the configuration must be
 	// in force; 0 means defaultConfigLimit.
 	ConfigLimit time.Duration
+	// LeaveLimit is the time after which a leaving upstream must get no new
+	// requests; 0 means defaultLeaveLimit.
+	LeaveLimit time.Duration
 	// EvacuationLimit is the time within which an evacuation of a data centre
 	// must be in force; 0 if data centres are never evacuated. Otherwise the
 	// router serves callers only once it knows which ones are.
