Answer the stand-in store's callers without holding its lock

A caller of the stand-in store that stood still and did not read its answer could hold up all others once the buffers of its connection were full: the answer was written with the store's lock held. It is the class of the hung router, a lock held over a call into another part, in a stand-in; no run was seen to hang by it.

The answer is now encoded with the lock and written without it. The new test hangs for its limit of a minute on the code before.

--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -3,6 +3,7 @@
 package objects
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -76,22 +77,29 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	after, wait, isWatch := platform.ParseWatchQuery(r.URL.Query())
+	answer, err := s.answer(kind, after, wait, isWatch)
+	switch {
+	case errors.Is(err, edge.ErrUnavailable):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	default:
+		_, _ = w.Write(answer)
+	}
+}
+
+// answer returns the encoded answer to a list or a watch, or edge.ErrUnavailable.
+func (s *Store) answer(kind edge.Kind, after uint64, wait time.Duration, isWatch bool) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	after, wait, isWatch := platform.ParseWatchQuery(r.URL.Query())
 	if isWatch {
 		s.awaitChange(after, wait)
 	}
 	if s.unavailable {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	answer, err := s.encodeAnswer(kind, after, isWatch)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return nil, edge.ErrUnavailable
 	}
-	_, _ = w.Write(answer)
+	return s.encodeAnswer(kind, after, isWatch)
 }
 
 // awaitChange waits until the store's revision exceeds after, the store becomes
--- a/standin/objects/objects_test.go
+++ b/standin/objects/objects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -56,3 +57,36 @@
 	_, _, err = client.Watch(context.Background(), edge.KindConfig, 99, time.Minute)
 	require.ErrorIs(t, err, edge.ErrUnavailable)
 }
+
+// blockedWriter is the answer to a caller that does not read.
+type blockedWriter struct {
+	*httptest.ResponseRecorder
+	began, release chan struct{}
+}
+
+func (w blockedWriter) Write(p []byte) (int, error) {
+	close(w.began)
+	<-w.release
+	return len(p), nil
+}
+
+// A caller that stands still does not read its answer. The store must go on
+// answering all others.
+func TestCallerThatDoesNotReadDelaysNobody(t *testing.T) {
+	store := New()
+	request := func() *http.Request { return httptest.NewRequest(http.MethodGet, "/objects/servers", nil) }
+	blocked := blockedWriter{httptest.NewRecorder(), make(chan struct{}), make(chan struct{})}
+	go store.ServeHTTP(blocked, request())
+	<-blocked.began
+	answered := make(chan struct{})
+	go func() {
+		store.ServeHTTP(httptest.NewRecorder(), request())
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(time.Minute):
+		t.Fatal("no answer while another caller does not read")
+	}
+	close(blocked.release)
+}
