Spread the readers' calls after a change of the configuration

Cause: all readers see a change at once, and from then on called the store for the configuration in step, once a period (1 s there). The outage began 0.85 s after a common confirmation, so that this was 2 s old, the limit, when the store came back, and until the next retry there was none.

The first call after a change now waits for a random part of the period. On a simulated clock three readers' latest confirmation is 0.50 s old on average in step, which fails the new test, and less than 0.4 s now.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -89,6 +89,9 @@
 	latency time.Duration
 	// probe is set if the next watch call has to be answered at once.
 	probe bool
+	// unstaggered is set if other readers may have begun to wait at the same time
+	// as this one.
+	unstaggered bool
 	// paused is the pause before the next watch call.
 	paused time.Duration
 }
@@ -169,10 +172,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	wait := max(f.watchPeriod-f.paused, probeWait)
-	if f.probe {
-		wait = probeWait
-	}
+	wait := f.nextWait()
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	calledAt := f.call(wait)
@@ -199,6 +199,23 @@
 	return nil
 }
 
+// nextWait returns the wait of the next watch call. All readers see a change at
+// once, so the first call after one waits for a random time: otherwise they would
+// call in step from then on, and an outage would begin with confirmations that are
+// all equally old.
+func (f *follower) nextWait() time.Duration {
+	if f.probe {
+		f.unstaggered = true
+		return probeWait
+	}
+	wait := f.watchPeriod - f.paused
+	if f.unstaggered && wait > probeWait {
+		f.unstaggered = false
+		wait = rand.N(wait)
+	}
+	return max(wait, probeWait)
+}
+
 // call reports that a call begins, which the store answers after wait at the
 // latest. It returns the current time.
 func (f *follower) call(wait time.Duration) time.Time {
--- a/transport/edge/takeover_test.go
+++ b/transport/edge/takeover_test.go
@@ -102,6 +102,31 @@
 	})
 }
 
+// The store becomes unavailable some time after a change of the configuration. If
+// the readers called it in step since then, all routers would take their
+// configuration for possibly outdated earlier than necessary, and refuse callers
+// for the time being.
+func TestReadersDoNotCallInStepAfterAChange(t *testing.T) {
+	const trials = 50
+	var total time.Duration
+	for trial := range trials {
+		synctest.Test(t, func(t *testing.T) {
+			fleet := startTimedFleet(t, defaultLeaveLimit, 6, 3)
+			time.Sleep(5 * time.Second)
+			fleet.store.put(KindConfig, configObject(0, 2))
+			time.Sleep(5*time.Second + time.Duration(trial)*defaultConfigLimit/2/trials)
+			age := defaultConfigLimit
+			for _, router := range fleet.readers() {
+				age = min(age, time.Since(fleet.routers[router].fleet.ownConfirmation()))
+			}
+			total += age
+		})
+	}
+	// Calls in step would confirm it half of a period ago on average, calls of
+	// three readers at independent times a quarter.
+	require.Less(t, total/trials, testWatchPeriods[KindConfig]*4/10)
+}
+
 // timedFleet runs routers with all their periodic tasks on the clock of a bubble
 // of testing/synctest. Each holds a session with every other.
 type timedFleet struct {
