Let no request wait inside a full upstream while another owner awaits its report

In the first second of a fleet five of eight long drafts went to one engine of four slots and three to the other: one draft waited for seconds inside the first while a slot of the second was free.

Cause: an owner sends a request to the internal queue of a full upstream once it has waited for 5 ms, since every other owner with a free slot would have granted it by then. An owner that was chosen a moment ago grants nothing until it has a load report.

For the timeout of a poll after an upstream of a service got another owner, no request is now sent to wait inside a full one, unless this router owns all of them.

--- a/coordination/scheduler/faults_test.go
+++ b/coordination/scheduler/faults_test.go
@@ -262,3 +262,22 @@
 		}
 	}
 }
+
+// Right after the start of a fleet the owner of one engine has its load report and
+// that of the other has none yet. Long requests must not wait inside the first
+// engine, since the other one's slots are free a moment later.
+func TestNoRequestWaitsInAFullEngineWhileAnotherAwaitsItsFirstReport(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(4, 2, 8, seed, func(self Peer, seed uint64) stepper { return New(Options{Self: self, Seed: seed}) })
+		f.cost = func(state.Workspace) time.Duration { return 10 * time.Second }
+		f.start(f.settings(map[state.Workspace]float64{workspaceName(0): 1}))
+		for i := range 8 {
+			f.submit(f.routers[i%4], workspaceName(0))
+		}
+		f.run(5 * time.Second)
+		for _, e := range f.engines {
+			require.Empty(t, e.waiting, "seed %d: %s runs %d", seed, e.name, len(e.running))
+			require.Len(t, e.running, 4, "seed %d: %s", seed, e.name)
+		}
+	}
+}
--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -25,8 +25,7 @@
 // first, so that a slow one does not collect requests while others are idle.
 // The slot goes to the workspace with the lowest virtual time in the whole
 // fleet, whichever router its requests wait at. Places in the internal queue of
-// an upstream whose slots are all taken go only to requests that have waited
-// for minLookAheadAge, within which every other owner could have granted them.
+// an upstream whose slots are all taken go only to requests of mayWaitInside.
 func (s *Scheduler) grantOne(svc *service) bool {
 	for _, u := range s.freeUpstreamsByLoad(svc) {
 		models := s.loadedModels(u)
@@ -35,7 +34,7 @@
 			continue
 		}
 		k, e := s.oldestDemand(svc, w, models)
-		if u.tracker.FreeSlots(s.now) == 0 && s.now.Sub(e.OldestArrival) < minLookAheadAge {
+		if u.tracker.FreeSlots(s.now) == 0 && !s.mayWaitInside(svc, e) {
 			continue
 		}
 		if s.grantSlot(svc, u, k, e) {
@@ -45,6 +44,16 @@
 	return false
 }
 
+// mayWaitInside reports whether a request may be sent to the internal queue of a
+// full upstream: it has waited for minLookAheadAge, within which every other owner
+// could have granted it a free slot. An owner that was chosen a moment ago grants
+// nothing until it has a load report.
+func (s *Scheduler) mayWaitInside(svc *service, e demand.Entry) bool {
+	ownsAll := len(svc.owned) == len(svc.upstreams)
+	reported := s.now.Sub(svc.ownersChangedAt) >= firstReportTimeout
+	return s.now.Sub(e.OldestArrival) >= minLookAheadAge && (ownsAll || reported)
+}
+
 // freeUpstreamsByLoad lists the owned upstreams with a free slot or a free
 // place in their internal queue, sorted by the fraction of free slots, largest
 // first.
--- a/coordination/scheduler/options.go
+++ b/coordination/scheduler/options.go
@@ -63,6 +63,9 @@
 	// would have granted it. With four times as much, workers that run requests
 	// of 20 ms were idle twice as long while requests waited.
 	minLookAheadAge = 5 * time.Millisecond
+	// firstReportTimeout is the time within which a new owner of an upstream has
+	// its load report. It is the timeout of a poll.
+	firstReportTimeout = time.Second
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent to
 	// callers. Callers should not return within a second, and an estimate of
 	// more than a minute is too rough to delay a caller for that long.
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/figstile/figstile/coordination/demand"
 	"github.com/figstile/figstile/coordination/fairness"
@@ -118,7 +119,7 @@
 
 func (s *Scheduler) assignAll() {
 	for _, u := range s.orderedUpstreams {
-		u.setOwner(s.ownerTable.Owner(u.name, u.settings.DataCentre))
+		u.setOwner(s.now, s.ownerTable.Owner(u.name, u.settings.DataCentre))
 	}
 }
 
@@ -129,16 +130,17 @@
 		return false
 	}
 	for _, u := range s.orderedUpstreams {
-		u.setOwner(change.Owner(u.name, u.settings.DataCentre, u.owner))
+		u.setOwner(s.now, change.Owner(u.name, u.settings.DataCentre, u.owner))
 	}
 	return true
 }
 
-func (u *upstream) setOwner(owner state.Router) {
+func (u *upstream) setOwner(now time.Time, owner state.Router) {
 	if owner == u.owner {
 		return
 	}
 	u.owner = owner
+	u.service.ownersChangedAt = now
 	u.tracker.DistrustReport()
 }
 
--- a/coordination/scheduler/settings.go
+++ b/coordination/scheduler/settings.go
@@ -53,6 +53,8 @@
 	// announcement first.
 	partlyAnnouncedKeys map[demand.Key]struct{}
 	ownerRotation       int
+	// ownersChangedAt is the time at which an upstream last got another owner.
+	ownersChangedAt time.Time
 	// unusableSince is the time at which the last usable upstream became
 	// unusable; it is zero while there is a usable one.
 	unusableSince time.Time
