Wait until every router has taken its drafts before routers are stopped

TestPlannedStopCompletesRequests failed once beside load: it waited for eight of twelve drafts to run, not for the other four to arrive, and one of these reached its router 7 ms after the router had been told to stop. It got a truthful 503, as a router that stops shall answer; the test expects all twelve to be complete.

The test now waits for both, the drafts that run and those that wait at routers or are answered, and the drafts are longer, so that they still run when the routers are stopped. What it asks of the answers is unchanged.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -34,6 +34,13 @@
 	}()
 }
 
+// answered returns the number of answers so far.
+func (g *requestGroup) answered() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.answers)
+}
+
 // wait waits for all answers and returns them.
 func (g *requestGroup) wait() []answer {
 	g.wg.Wait()
@@ -74,11 +81,20 @@
 	f := startStandardFleet(t)
 	var drafts requestGroup
 	for i := range 12 {
-		drafts.send(t.Context(), f.routerList[i%4], "laredo", draftPath, draftBody(i, 300))
+		drafts.send(t.Context(), f.routerList[i%4], "laredo", draftPath, draftBody(i, 1000))
 	}
 	eventually(t, "drafts are being written", func() bool {
 		return runningCount(t, f.engineURLs[0])+runningCount(t, f.engineURLs[1]) == 8
 	})
+	// A draft that arrives after the order to stop may be refused.
+	eventually(t, "every router has taken its drafts", func() bool {
+		taken := drafts.answered()
+		for _, r := range f.routerList {
+			s := status(t, r)
+			taken += s.Waiting + s.Running
+		}
+		return taken == 12
+	})
 
 	f.routerList[0].terminate()
 	f.routerList[2].terminate()
