Spread the readers' calls for the configuration evenly

Each reader now waits first for the part of the period that follows from how many readers precede it: a third, two thirds, all of it.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -79,6 +79,9 @@
 	onFailure func(kind Kind)
 	onChanged func(kind Kind, objects []Object)
 
+	// firstWaitShare returns the part of the period that this reader waits for
+	// after a change.
+	firstWaitShare func() float64
 	// retryDelay may lengthen the pause after a failed call. If nil, the pause
 	// is unchanged.
 	retryDelay func(delay time.Duration) time.Duration
@@ -89,9 +92,9 @@
 	latency time.Duration
 	// probe is set if the next watch call has to be answered at once.
 	probe bool
-	// unstaggered is set if other readers may have begun to wait at the same time
-	// as this one.
-	unstaggered bool
+	// inStep is set if other readers may begin to wait at the same time as this
+	// one.
+	inStep bool
 	// paused is the pause before the next watch call.
 	paused time.Duration
 }
@@ -109,7 +112,7 @@
 		followers = append(followers, &follower{
 			kind: kind, watchPeriod: period, store: store, catalogue: fleet.catalogue, log: fleet.log, now: now,
 			shouldRead: fleet.shouldReadStore, onCall: fleet.onStoreCall, onAnswer: fleet.onStoreAnswer, onFailure: fleet.onStoreFailure,
-			onChanged: fleet.publishObjects, retryDelay: fleet.retryDelay,
+			onChanged: fleet.publishObjects, retryDelay: fleet.retryDelay, firstWaitShare: fleet.firstWaitShare,
 		})
 	}
 	return followers
@@ -200,18 +203,18 @@
 }
 
 // nextWait returns the wait of the next watch call. All readers see a change at
-// once, so the first call after one waits for a random time: otherwise they would
-// call in step from then on, and an outage would begin with confirmations that are
-// all equally old.
+// once. Each waits for another part of the period first, or they would call in
+// step from then on, and an outage could begin with confirmations that are all as
+// old as a period.
 func (f *follower) nextWait() time.Duration {
 	if f.probe {
-		f.unstaggered = true
+		f.inStep = true
 		return probeWait
 	}
 	wait := f.watchPeriod - f.paused
-	if f.unstaggered && wait > probeWait {
-		f.unstaggered = false
-		wait = rand.N(wait)
+	if f.inStep {
+		f.inStep = false
+		wait = time.Duration(float64(wait) * f.firstWaitShare())
 	}
 	return max(wait, probeWait)
 }
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -14,7 +14,7 @@
 	changed := &[]Object{}
 	return &follower{
 		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(), now: f.clock.now, watchPeriod: testWatchPeriods[KindConfig],
-		onCall:     func(Kind, time.Time) {},
+		onCall: func(Kind, time.Time) {}, firstWaitShare: func() float64 { return 1 },
 		shouldRead: func() bool { return true }, onAnswer: func(Kind, time.Time) {}, onFailure: func(Kind) {},
 		onChanged: func(_ Kind, objects []Object) { *changed = append(*changed, objects...) },
 	}, changed
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -101,6 +101,16 @@
 	return before, all
 }
 
+// firstWaitShare returns the part of a watch period after which this reader calls
+// the store first when all readers begin to wait at once. The parts of
+// targetReaders readers are spread evenly.
+func (f *fleet) firstWaitShare() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before, _ := f.countReaders(f.now())
+	return float64(min(before+1, targetReaders)) / targetReaders
+}
+
 // readersWithOtherUpstreams returns the live peers that read the store and hold
 // other upstreams than this router. Peers that hold the same upstreams have
 // nothing new to send.
--- a/transport/edge/takeover_test.go
+++ b/transport/edge/takeover_test.go
@@ -107,24 +107,22 @@
 // configuration for possibly outdated earlier than necessary, and refuse callers
 // for the time being.
 func TestReadersDoNotCallInStepAfterAChange(t *testing.T) {
-	const trials = 50
-	var total time.Duration
-	for trial := range trials {
+	period := testWatchPeriods[KindConfig]
+	for elapsed := 5 * time.Second; elapsed < 5*time.Second+period; elapsed += period / 50 {
 		synctest.Test(t, func(t *testing.T) {
 			fleet := startTimedFleet(t, defaultLeaveLimit, 6, 3)
 			time.Sleep(5 * time.Second)
 			fleet.store.put(KindConfig, configObject(0, 2))
-			time.Sleep(5*time.Second + time.Duration(trial)*defaultConfigLimit/2/trials)
-			age := defaultConfigLimit
+			time.Sleep(elapsed)
+			age := period
 			for _, router := range fleet.readers() {
 				age = min(age, time.Since(fleet.routers[router].fleet.ownConfirmation()))
 			}
-			total += age
+			// The readers' calls are a third of a period apart. Each takes a little
+			// longer than its wait.
+			require.Less(t, age, period/2, "%s after the change", elapsed)
 		})
 	}
-	// Calls in step would confirm it half of a period ago on average, calls of
-	// three readers at independent times a quarter.
-	require.Less(t, total/trials, testWatchPeriods[KindConfig]*4/10)
 }
 
 // timedFleet runs routers with all their periodic tasks on the clock of a bubble
