Test that routers which were cut off learn of evacuations that began and ended

What a router knows of evacuations carries no age, so that one that was cut off goes on with what it knew. The question was whether it does so once it is back. In the network of real parts, 8 and 40 routers, a data centre is cut off for 10 s while one evacuation ends and another begins: all its routers know of both within the 5 s that an evacuation has, since the digests of what two routers hold include the evacuations. The test passes on the code as it was; no mend is needed. While a data centre is cut off it goes on with the last that it knew, as intended.

--- a/transport/edge/evacuations_test.go
+++ b/transport/edge/evacuations_test.go
@@ -137,3 +137,45 @@
 	verdict, _ := f.dispatcher.Admit(request, false)
 	require.True(t, verdict.IsAdmitted())
 }
+
+// Operators begin and end evacuations while a data centre is cut off. Its routers
+// must know of both once they are back, within the time that an evacuation has.
+func TestRoutersThatWereCutOffLearnOfEvacuations(t *testing.T) {
+	const limit = 5 * time.Second
+	for _, routers := range []int{8, 40} {
+		n := newNetwork(routers, 4)
+		for _, one := range n.nodes {
+			settings := &one.fixture.dispatcher.settings
+			settings.EvacuationLimit, settings.Regions = limit, map[state.DataCentre]state.Region{"0": "r", "1": "r", "2": "r", "3": "r"}
+			one.fixture.catalogue.applyObject(KindConfig, configObject(5, 2), sourceStore)
+			one.fixture.catalogue.replaceEvacuations([]Object{evacuationObject("1", 6)}, 6, sourceStore)
+		}
+		n.advanceWithReaders(time.Second)
+		n.partitioned = "3"
+		n.closePartitioned()
+		n.advanceWithReaders(limit)
+		for _, reader := range storeReaders {
+			one := n.nodes[reader]
+			one.fleet.publishObjects(KindEvacuation, one.fixture.catalogue.replaceEvacuations([]Object{evacuationObject("2", 8)}, 8, sourceStore))
+		}
+		n.advanceWithReaders(limit)
+		require.Equal(t, map[state.DataCentre]bool{"1": true}, n.evacuated("r007"), "cut off")
+		n.partitioned = ""
+		for range limit / (500 * time.Millisecond) {
+			n.closePartitioned()
+			n.advanceWithReaders(500 * time.Millisecond)
+		}
+		for _, router := range n.order {
+			require.Equal(t, map[state.DataCentre]bool{"2": true}, n.evacuated(router), "%s of %d", router, routers)
+		}
+	}
+}
+
+// evacuated returns the data centres that a router knows to be evacuated.
+func (n *network) evacuated(router state.Router) map[state.DataCentre]bool {
+	evacuated := make(map[state.DataCentre]bool)
+	for dc := range n.nodes[router].fixture.dispatcher.evacuations.Since() {
+		evacuated[dc] = true
+	}
+	return evacuated
+}
