Keep the trial of a blocked request that is refused for another reason

A request that crashed upstreams at two moments is blocked and tried again after half a minute. If the one that came then was refused for its workspace's share, or for want of room, the trial counted as made: the caller, and all who sent the same question, waited for the next one, and the peers were told of a trial that never ran.

Whether a trial may be made is now asked first and begun once the request has been admitted; the peers are told then. Of requests that are admitted together one runs. A test of the record and one of the handler; on the code before the second question after the verdict was refused, as the first had used the trial.

In a fleet that is cut into parts each part tries by itself.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -219,8 +219,7 @@
 )
 
 // Decide returns whether a request may run at a router, and for a blocked one
-// the time until it may be tried again. A Trial is returned once; the caller
-// tells the other routers, which call TrialStarted.
+// the time until it may be tried again. A Trial is not begun until StartTrial.
 func (l *List) Decide(now time.Time, f state.Fingerprint, router state.Router) (Verdict, time.Duration) {
 	r := l.lookup(now, f)
 	if r == nil || r.blockedAt.IsZero() {
@@ -233,10 +232,20 @@
 	if now.Before(trialAt) {
 		return Blocked, trialAt.Sub(now)
 	}
-	r.trialUntil = now.Add(trialTimeout)
 	return Trial, 0
 }
 
+// StartTrial begins the trial of a blocked request at a router, unless it must not
+// run by now, and returns the verdict. The caller tells the other routers of a
+// Trial, which call TrialStarted.
+func (l *List) StartTrial(now time.Time, f state.Fingerprint, router state.Router) Verdict {
+	verdict, _ := l.Decide(now, f, router)
+	if verdict == Trial {
+		l.lookup(now, f).trialUntil = now.Add(trialTimeout)
+	}
+	return verdict
+}
+
 // stagger returns by how much later than others a router may try a request.
 func stagger(delay time.Duration, f state.Fingerprint, router state.Router) time.Duration {
 	part := float64(xxhash.Sum64String(string(router))^uint64(f)) / float64(1<<63) / 2
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,9 +24,9 @@
 	return l.RecordCrash(after(at), f, Run{Upstream: u, Boot: "1"}, lossAt(at, 100*time.Millisecond))
 }
 
+// verdict returns the verdict on a request, and begins a trial of it.
 func verdict(l *List, at time.Duration, f state.Fingerprint) Verdict {
-	v, _ := l.Decide(after(at), f, "r00")
-	return v
+	return l.StartTrial(after(at), f, "r00")
 }
 
 // A caller repeats a request that crashes each upstream, as soon as its answer
@@ -102,6 +103,21 @@
 	require.Equal(t, Blocked, verdict(l, 2*time.Minute+trialTimeout-1, 1), "another router tries it")
 }
 
+// A blocked request may be tried, and is refused for another reason. The trial
+// must not count as made.
+func TestRefusedRequestKeepsItsTrial(t *testing.T) {
+	l := New(10)
+	crash(l, 0, 1, "a")
+	crash(l, time.Second, 1, "b")
+	at := after(2 * TrialDelay)
+	for range 2 {
+		v, _ := l.Decide(at, 1, "r00")
+		require.Equal(t, Trial, v)
+	}
+	require.Equal(t, Trial, l.StartTrial(at, 1, "r00"))
+	require.Equal(t, Blocked, l.StartTrial(at, 1, "r00"))
+}
+
 // A request crashes each upstream that runs it, also in its trials. It takes one
 // more in each, and the next trial follows an hour later.
 func TestCrashInATrialBlocksForAnHour(t *testing.T) {
@@ -122,6 +138,35 @@
 	require.Equal(t, Trial, verdict(l, trialAt+time.Second+wait, 1))
 }
 
+// A fleet falls into parts that do not hear of each other's trials. Each may lose
+// one upstream in a trial within the hour, and two before that if it had not heard
+// of the first crashes.
+func TestEachPartOfAFleetTriesOnce(t *testing.T) {
+	for _, parts := range []int{1, 2, 5} {
+		for _, known := range []bool{true, false} {
+			total := 0
+			for part := range parts {
+				l := New(10)
+				if known {
+					crash(l, 0, 1, "a")
+					crash(l, time.Second, 1, "b")
+				}
+				for at := time.Second; at < 59*time.Minute; at += 100 * time.Millisecond {
+					if verdict(l, at, 1) != Blocked {
+						total++
+						l.RecordCrash(after(at+90*time.Millisecond), 1, Run{Upstream: "c", Boot: fmt.Sprint(part, at)}, lossAt(at+90*time.Millisecond, 90*time.Millisecond))
+					}
+				}
+			}
+			bound := 3 * parts
+			if known {
+				bound = parts
+			}
+			require.Equal(t, bound, total, "%d parts, crashes known: %t", parts, known)
+		}
+	}
+}
+
 // A request is answered now and then and crashes upstreams otherwise. The time
 // for which it is blocked must grow.
 func TestBlockGrowsAfterAnAnswer(t *testing.T) {
--- a/transport/edge/suspects.go
+++ b/transport/edge/suspects.go
@@ -8,16 +8,23 @@
 	"github.com/figstile/figstile/state"
 )
 
-// CheckSuspect implements ingress.Dispatcher. A trial is told to the peers
-// before the request runs, so that they do not begin one as well.
+// CheckSuspect implements ingress.Dispatcher.
 func (d *dispatcher) CheckSuspect(f state.Fingerprint) (quarantine.Verdict, time.Duration) {
 	d.mu.Lock()
-	verdict, wait := d.quarantined.Decide(d.now(), f, d.settings.Router)
+	defer d.mu.Unlock()
+	return d.quarantined.Decide(d.now(), f, d.settings.Router)
+}
+
+// StartTrial implements ingress.Dispatcher. A trial is told to the peers before
+// the request runs, so that they do not begin one as well.
+func (d *dispatcher) StartTrial(f state.Fingerprint) quarantine.Verdict {
+	d.mu.Lock()
+	verdict := d.quarantined.StartTrial(d.now(), f, d.settings.Router)
 	d.mu.Unlock()
 	if verdict == quarantine.Trial {
 		d.onTrial(f)
 	}
-	return verdict, wait
+	return verdict
 }
 
 // ReportServed implements ingress.Dispatcher.
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -200,21 +200,33 @@
 	if !x.h.Dispatcher.Drain().Accepting(x.h.Now()) {
 		return result.New(result.Draining, "").WithRetryAfter(admission.OtherRouterRetryAfter), false
 	}
-	return x.checkSuspect(timeout)
-}
-
-// checkSuspect refuses a request that crashed upstreams, unless it is to be
-// tried again.
-func (x *exchange) checkSuspect(timeout time.Duration) (result.Result, bool) {
 	verdict, wait := x.h.Dispatcher.CheckSuspect(x.fingerprint)
 	if verdict == quarantine.Blocked {
-		detail := fmt.Sprintf("It is tried again in %s.", wait.Round(time.Second))
-		return result.New(result.Suspected, detail).WithRetryAfter(min(wait, timeout/2)), false
+		return x.suspectedResult(wait), false
 	}
 	x.trial = verdict == quarantine.Trial
 	return result.Result{}, true
 }
 
+// suspectedResult returns the refusal of a request that crashed upstreams and may
+// be tried again after a while.
+func (x *exchange) suspectedResult(wait time.Duration) result.Result {
+	detail := fmt.Sprintf("It is tried again in %s.", wait.Round(time.Second))
+	return result.New(result.Suspected, detail).WithRetryAfter(min(wait, x.request.Timeout/2))
+}
+
+// startTrial begins the trial of a blocked request once it is admitted, so that a
+// request that is refused for another reason keeps its trial. It returns false if
+// the request must not run by now.
+func (x *exchange) startTrial() bool {
+	if !x.trial || x.trialStarted {
+		return true
+	}
+	verdict := x.h.Dispatcher.StartTrial(x.fingerprint)
+	x.trial, x.trialStarted = verdict == quarantine.Trial, true
+	return verdict != quarantine.Blocked
+}
+
 // allowedRegions returns the lists of regions that the route and the workspace
 // are restricted to.
 func (x *exchange) allowedRegions() [][]state.Region {
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -64,6 +64,11 @@
 		if !verdict.IsAdmitted() {
 			return x.answerFinal(refusal(verdict))
 		}
+		if !x.startTrial() {
+			x.h.Dispatcher.End(ticket, placement.Withdrawn)
+			_, wait := x.h.Dispatcher.CheckSuspect(x.fingerprint)
+			return x.answerFinal(x.suspectedResult(wait))
+		}
 		end := x.attempt(ctx, ticket)
 		switch end.status {
 		case attemptDelivered:
--- a/transport/ingress/dispatcher.go
+++ b/transport/ingress/dispatcher.go
@@ -43,6 +43,9 @@
 	// CheckSuspect returns whether a request that has crashed upstreams may run,
 	// and for a blocked one the time until it may be tried again.
 	CheckSuspect(f state.Fingerprint) (quarantine.Verdict, time.Duration)
+	// StartTrial begins the trial of a blocked request that was admitted, and
+	// returns whether it may still run.
+	StartTrial(f state.Fingerprint) quarantine.Verdict
 	// ReportLost reports that the connection to an upstream broke while it ran
 	// a request.
 	ReportLost(f state.Fingerprint, t *placement.Ticket)
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -171,6 +171,7 @@
 	atCapacity     bool
 	atCapacityFor  state.Workspace
 	lostCount      int
+	trials         int
 	outcomes       []placement.Outcome
 	stallCallbacks []func()
 }
@@ -240,6 +241,16 @@
 	return d.suspect, time.Hour
 }
 
+func (d *scriptedDispatcher) StartTrial(state.Fingerprint) quarantine.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trials++
+	if d.trials > 1 {
+		return quarantine.Blocked
+	}
+	return d.suspect
+}
+
 func (d *scriptedDispatcher) ReportLost(state.Fingerprint, *placement.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -136,8 +136,9 @@
 	fallback *bufferedAnswer
 	verdict  admission.Verdict
 	record   Record
-	// trial is set if the request has crashed upstreams and is tried once more.
-	trial bool
+	// trial is set if the request has crashed upstreams and is tried once more,
+	// and trialStarted once that trial was begun or refused.
+	trial, trialStarted bool
 	// configStatus is set if the request named a route or key that the
 	// configuration does not contain.
 	configStatus *freshness.Status
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -180,6 +180,22 @@
 	require.Equal(t, http.StatusOK, d.post(t).StatusCode)
 }
 
+// A blocked request that may be tried again is refused for its workspace's share.
+// Its trial must be left for the next one, and only one request may use it.
+func TestRefusedRequestDoesNotUseItsTrial(t *testing.T) {
+	u := startUpstream(t, writeText(completeAnswer(200, "page")))
+	d := newHandlerFixture(t, idempotentRoute, u)
+	d.dispatcher.suspect = quarantine.Trial
+	d.dispatcher.verdict = admission.Verdict{Reason: admission.OverShare, RetryAfter: time.Second}
+	require.Equal(t, http.StatusTooManyRequests, d.post(t).StatusCode)
+	require.Zero(t, d.dispatcher.trials)
+	d.dispatcher.verdict = admission.Verdict{}
+	require.Equal(t, http.StatusOK, d.post(t).StatusCode)
+	require.NotEqual(t, http.StatusOK, d.post(t).StatusCode, "a second trial")
+	require.Len(t, u.receivedRequests(), 1)
+	require.Equal(t, []placement.Outcome{placement.Answered, placement.Withdrawn}, d.dispatcher.endedOutcomes())
+}
+
 // An engine's connection breaks within the third event. The caller must receive
 // each event once: the partial event is dropped, and another engine resumes
 // after the last complete one, under the head of the first engine's answer.
