Claim to read the store only after an answer since the reading began

A router that stops to read the store and begins again within 1.7 s claimed at once to read it, by the answers to its earlier calls, also if it had lost its path meanwhile. The others then waited half a second longer for a reader and went on sending requests to an upstream that leaves.

The results of calls are forgotten when a router begins to read.

--- a/transport/edge/fleet_test.go
+++ b/transport/edge/fleet_test.go
@@ -167,6 +167,27 @@
 	require.True(t, fleet.mayClaimReading())
 }
 
+// A router stops to read the store, loses its path to it and is to read it again.
+// It must not claim to do so by the answers to its earlier calls.
+func TestRouterThatReadsAgainClaimsAfterAnAnswer(t *testing.T) {
+	f := newFixture()
+	fleet := f.fleet("r05")
+	fleet.onPeers(peersNamed(6))
+	require.True(t, fleet.shouldReadStore())
+	fleet.storeAnswers()
+	require.True(t, fleet.mayClaimReading())
+	for _, router := range []state.Router{"r00", "r01", "r02"} {
+		fleet.onReading(router, &peerpb.Reading{Store: true}, f.clock.now())
+	}
+	require.False(t, fleet.shouldReadStore())
+	f.clock.advance(tickInterval)
+	fleet.onReading("r00", &peerpb.Reading{Store: false}, f.clock.now())
+	require.True(t, fleet.shouldReadStore())
+	require.False(t, fleet.mayClaimReading())
+	fleet.storeAnswers()
+	require.True(t, fleet.mayClaimReading())
+}
+
 // The calls for the configuration hang, while those for upstreams are answered.
 // The router must not claim to follow the store, or its peers would take its
 // configuration for the newest.
--- a/transport/edge/readers.go
+++ b/transport/edge/readers.go
@@ -80,6 +80,9 @@
 	reading := others < targetReaders && (f.isEagerReader(lacksObjects) || noReader) || before < targetReaders && f.readingStore
 	if reading != f.readingStore {
 		f.readingStore = reading
+		// What the store answered when this router read it before says nothing
+		// about its path to the store now.
+		clear(f.storeCalls)
 		f.log.Info().Bool("reading", reading).Int("others", others).Msg("store reader changed")
 	}
 	return reading
--- a/transport/edge/takeover_test.go
+++ b/transport/edge/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -58,6 +59,38 @@
 	}
 }
 
+// Any routers lose the store, in some steps, at any moment between changes.
+// The remaining ones must learn of a leaving upstream in time.
+func TestLeavingUpstreamIsKnownWhicheverRoutersAreCutOff(t *testing.T) {
+	for seed := range uint64(90) {
+		random, limit := rand.New(rand.NewPCG(seed, 1)), leaveLimits[seed%uint64(len(leaveLimits))]
+		synctest.Test(t, func(t *testing.T) {
+			dataCentres := 1 + random.IntN(4)
+			fleet := startTimedFleet(t, limit, dataCentres*(1+random.IntN(3)), dataCentres)
+			time.Sleep(time.Second + time.Duration(random.Int64N(int64(3*time.Second))))
+			for version := range uint64(random.IntN(4)) {
+				fleet.store.put(KindConfig, configObject(0, 2+version))
+				fleet.store.put(KindUpstream, upstreamObject("other", 0, version%2 == 0))
+				time.Sleep(time.Duration(random.Int64N(int64(600 * time.Millisecond))))
+			}
+			cut := slices.Clone(fleet.order)
+			random.Shuffle(len(cut), func(i, j int) { cut[i], cut[j] = cut[j], cut[i] })
+			cut = cut[:random.IntN(len(cut))]
+			if next := fleet.readersAndNext(); random.IntN(2) == 0 && len(next) < len(fleet.order) {
+				cut = next
+			}
+			for rest := cut; len(rest) > 0; {
+				step := 1 + random.IntN(len(rest))
+				fleet.store.cutOff(rest[:step]...)
+				rest = rest[step:]
+				time.Sleep(time.Duration(random.Int64N(int64(limit))) * time.Duration(min(len(rest), 1)))
+			}
+			fleet.store.put(KindUpstream, upstreamObject("leaving", 0, true))
+			fleet.requireLeavingKnown(t, limit, cut, "seed %d, limit %s", seed, limit)
+		})
+	}
+}
+
 // cutOffAfterCallsBegan cuts routers off from the store at a moment at which the
 // calls of the readers have just begun, and lets an upstream leave.
 func (f *timedFleet) cutOffAfterCallsBegan(cut []state.Router) {
