Count upstreams that are lost together once in the scheduler as well

Callers who asked the same question of three engines that went down within the same moment had it refused for up to an hour: the scheduler of the product's own interface took the time at which it heard of a loss for the time at which the request was sent, so that each loss counted as a moment of its own.

The scheduler now keeps when a request was sent to its upstream, and reports of crashes between routers carry how long ago it was sent and lost, in the fields that the edge routers use already; a report without them counts as before. A request that is sent after such a loss and crashes an upstream still counts as a second moment. The new test fails without the times: the question is refused after three losses within 0.3 s.

--- a/coordination/scheduler/action.go
+++ b/coordination/scheduler/action.go
@@ -83,6 +83,7 @@
 	Fingerprint state.Fingerprint
 	Upstream    state.Upstream
 	Boot        string
+	Loss        LossAge
 }
 
 // SendLeaving announces the departure of an upstream to all peers.
--- a/coordination/scheduler/event.go
+++ b/coordination/scheduler/event.go
@@ -191,8 +191,13 @@
 	Fingerprint state.Fingerprint
 	Upstream    state.Upstream
 	Boot        string
+	Loss        LossAge
 }
 
+// LossAge says how long ago a request was sent to an upstream and how long ago it
+// was lost there.
+type LossAge struct{ Started, Lost time.Duration }
+
 // Outcome is the way in which a dispatch ended.
 type Outcome uint8
 
--- a/coordination/scheduler/faults_test.go
+++ b/coordination/scheduler/faults_test.go
@@ -281,3 +281,45 @@
 		}
 	}
 }
+
+// Three engines go down within the same moment while each of them runs the same
+// question of several callers. The question must not be blocked for that.
+func TestUpstreamsLostTogetherDoNotBlockTheirRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Options{Self: Peer{Router: "a", DataCentre: "x", Incarnation: 1}})
+	pass := func(d time.Duration, boot string) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(TickInterval)
+			for _, u := range []state.Upstream{"u1", "u2", "u3"} {
+				s.Step(now, Reported{Report: state.LoadReport{Upstream: u, Boot: boot, Slots: 1}})
+			}
+			s.Step(now, Tick{})
+		}
+	}
+	arrive := func(id state.RequestID) []Dispatch {
+		return actionsOf[Dispatch](s.Step(now, Arrived{Request: Request{ID: id, Service: "draft", Workspace: "w", Fingerprint: 9}}))
+	}
+	lose := func(d Dispatch) {
+		s.Step(now, Ended{ID: d.ID, Outcome: OutcomeLost})
+		s.Step(now, Unreachable{Upstream: d.Upstream})
+	}
+	s.Step(now, settings([]string{"u1=x", "u2=x", "u3=x"}))
+	pass(time.Second, "1")
+	var running []Dispatch
+	for id := range state.RequestID(3) {
+		running = append(running, arrive(id+1)...)
+	}
+	require.Len(t, running, 3)
+	pass(5*time.Second, "1")
+	for _, d := range running {
+		now = now.Add(100 * time.Millisecond)
+		lose(d)
+	}
+	pass(10*time.Second, "2")
+	again := arrive(4)
+	require.Len(t, again, 1)
+	pass(time.Second, "2")
+	lose(again[0])
+	pass(10*time.Second, "3")
+	require.Empty(t, arrive(5), "it was sent after the first losses, and crashed one more")
+}
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -18,7 +18,9 @@
 	sequence uint64
 	owner    Peer
 	upstream state.Upstream
-	cost     state.Cost
+	// startedAt is when the request was sent to the upstream.
+	startedAt time.Time
+	cost      state.Cost
 	// unreported is the part of cost that was not reported to the owner yet.
 	unreported state.Cost
 	// reserved is the cost that the owner has reserved. The grant contains it;
@@ -176,7 +178,7 @@
 func (s *Scheduler) dispatch(item *queue.Item, sequence uint64, owner Peer, u state.Upstream) {
 	item.Dispatches++
 	item.LastUpstream = u
-	s.running[item.ID] = &dispatchedRequest{item: item, sequence: sequence, owner: owner, upstream: u}
+	s.running[item.ID] = &dispatchedRequest{item: item, sequence: sequence, owner: owner, upstream: u, startedAt: s.now}
 	s.emit(Dispatch{ID: item.ID, Upstream: u, Attempt: item.Dispatches})
 }
 
--- a/coordination/scheduler/upstream.go
+++ b/coordination/scheduler/upstream.go
@@ -122,22 +122,28 @@
 	if u == nil {
 		return
 	}
+	loss := quarantine.Loss{StartedAt: r.startedAt, LostAt: s.now}
 	s.losses.Add(s.now, r.item.Fingerprint)
-	s.emit(SendCrash{Fingerprint: r.item.Fingerprint, Upstream: u.name})
+	s.emit(SendCrash{Fingerprint: r.item.Fingerprint, Upstream: u.name, Loss: s.lossAge(loss)})
 	if u.owner == s.self.Router {
-		s.confirmOrSuspect(r.item.Fingerprint, u)
+		s.confirmOrSuspect(r.item.Fingerprint, u, loss)
 	}
 }
 
+func (s *Scheduler) lossAge(loss quarantine.Loss) LossAge {
+	return LossAge{Started: s.now.Sub(loss.StartedAt), Lost: s.now.Sub(loss.LostAt)}
+}
+
 func (s *Scheduler) receiveCrash(e CrashHeard) {
+	loss := quarantine.Loss{StartedAt: s.now.Add(-e.Loss.Started), LostAt: s.now.Add(-e.Loss.Lost)}
 	if e.Boot != "" {
-		s.quarantine.RecordCrash(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot}, quarantine.Loss{StartedAt: s.now, LostAt: s.now})
+		s.quarantine.RecordCrash(s.now, e.Fingerprint, quarantine.Run{Upstream: e.Upstream, Boot: e.Boot}, loss)
 		s.losses.ConfirmOldest(e.Fingerprint)
 		return
 	}
 	s.losses.Add(s.now, e.Fingerprint)
 	if u := s.upstreams[e.Upstream]; u != nil && u.owner == s.self.Router {
-		s.confirmOrSuspect(e.Fingerprint, u)
+		s.confirmOrSuspect(e.Fingerprint, u, loss)
 	}
 }
 
@@ -151,12 +157,12 @@
 // confirmOrSuspect confirms a suspicion if a failure of the upstream was seen
 // within crashAttributionWindow. Otherwise it stores the suspicion until a
 // failure is seen.
-func (s *Scheduler) confirmOrSuspect(f state.Fingerprint, u *upstream) {
+func (s *Scheduler) confirmOrSuspect(f state.Fingerprint, u *upstream, loss quarantine.Loss) {
 	if !u.lastFailure.IsZero() && s.now.Sub(u.lastFailure) <= crashAttributionWindow {
-		s.confirmCrash(f, u)
+		s.confirmCrash(f, u, loss)
 		return
 	}
-	s.suspicions.Add(f, u.name, quarantine.Loss{StartedAt: s.now, LostAt: s.now})
+	s.suspicions.Add(f, u.name, loss)
 }
 
 // recordFailure records that a run of an upstream has ended.
@@ -164,13 +170,13 @@
 	u.lastFailure = s.now
 	u.failedBoot = boot
 	for _, suspect := range s.suspicions.Confirm(s.now, u.name) {
-		s.confirmCrash(suspect.Fingerprint, u)
+		s.confirmCrash(suspect.Fingerprint, u, suspect.Loss)
 	}
 }
 
-func (s *Scheduler) confirmCrash(f state.Fingerprint, u *upstream) {
+func (s *Scheduler) confirmCrash(f state.Fingerprint, u *upstream, loss quarantine.Loss) {
 	s.losses.ConfirmOldest(f)
-	if s.quarantine.RecordCrash(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.failedBoot}, quarantine.Loss{StartedAt: s.now, LostAt: s.now}) {
-		s.emit(SendCrash{Fingerprint: f, Upstream: u.name, Boot: u.failedBoot})
+	if s.quarantine.RecordCrash(s.now, f, quarantine.Run{Upstream: u.name, Boot: u.failedBoot}, loss) {
+		s.emit(SendCrash{Fingerprint: f, Upstream: u.name, Boot: u.failedBoot, Loss: s.lossAge(loss)})
 	}
 }
--- a/protocol/wire/decode.go
+++ b/protocol/wire/decode.go
@@ -177,6 +177,7 @@
 		Fingerprint: state.Fingerprint(m.GetFingerprint()),
 		Upstream:    state.Upstream(c.requiredName("crash.upstream", m.GetUpstream())),
 		Boot:        c.optionalName("crash.boot", m.GetBoot()),
+		Loss:        scheduler.LossAge{Started: durationFromMillis(m.GetStartedMs()), Lost: durationFromMillis(m.GetLostMs())},
 	}
 }
 
--- a/protocol/wire/encode.go
+++ b/protocol/wire/encode.go
@@ -143,6 +143,8 @@
 		Fingerprint: uint64(a.Fingerprint),
 		Upstream:    string(a.Upstream),
 		Boot:        a.Boot,
+		StartedMs:   clampMillis(a.Loss.Started),
+		LostMs:      clampMillis(a.Loss.Lost),
 	}
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: body}}
 }
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -17,6 +17,8 @@
 
 const sender = "castro-1"
 
+var crashLoss = scheduler.LossAge{Started: 4 * time.Second, Lost: 30 * time.Millisecond}
+
 var entry = scheduler.DemandEntry{Workspace: "guias", Model: "borrador-3", Waiting: 4, HeadAge: 1200 * time.Millisecond, HeadCost: 900}
 
 // mixedDemand and usageEntries contain names that are repeated and names that
@@ -73,8 +75,8 @@
 		scheduler.UsageHeard{Origin: "r9", Incarnation: 3},
 	},
 	{
-		scheduler.SendCrash{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b"},
-		scheduler.CrashHeard{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b"},
+		scheduler.SendCrash{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b", Loss: crashLoss},
+		scheduler.CrashHeard{Fingerprint: 1 << 63, Upstream: "u1", Boot: "b", Loss: crashLoss},
 	},
 	{
 		scheduler.SendLeaving{Upstream: "u1", Boot: "b"},
