--- a/coordination/scheduler/grant.go
+++ b/coordination/scheduler/grant.go
@@ -25,7 +25,8 @@
 // first, so that a slow one does not collect requests while others are idle.
 // The slot goes to the workspace with the lowest virtual time in the whole
 // fleet, whichever router its requests wait at. Places in the internal queue of
-// an upstream whose slots are all taken go only to requests of mayWaitInside.
+// an upstream whose slots are all taken go only to requests that mayWaitInside
+// allows there.
 func (s *Scheduler) grantOne(svc *service) bool {
 	for _, u := range s.freeUpstreamsByLoad(svc) {
 		models := s.loadedModels(u)
@@ -46,8 +47,8 @@
 
 // mayWaitInside reports whether a request may be sent to the internal queue of a
 // full upstream: it has waited for minLookAheadAge, within which every other owner
-// could have granted it a free slot. An owner that was chosen a moment ago grants
-// nothing until it has a load report.
+// could have granted it a free slot. A new owner grants nothing until it has a load
+// report, so for a while after a change of owners none waits inside.
 func (s *Scheduler) mayWaitInside(svc *service, e demand.Entry) bool {
 	ownsAll := len(svc.owned) == len(svc.upstreams)
 	reported := s.now.Sub(svc.ownersChangedAt) >= firstReportTimeout
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -164,6 +164,7 @@
 	}
 }
 
+// watchPause returns the pause before the next watch call.
 func (f *follower) watchPause() time.Duration {
 	if f.kind == KindUpstream {
 		return minUpstreamPause + rand.N(min(maxUpstreamPause, f.watchPeriod)-minUpstreamPause)
--- a/transport/edge/links.go
+++ b/transport/edge/links.go
@@ -118,6 +118,7 @@
 	f.dispatcher.setLiveRouters(live, removed)
 }
 
+// setLivePeers replaces the live routers. The caller holds the lock.
 func (f *fleet) setLivePeers(live []scheduler.Peer) {
 	f.livePeers, f.readerRanks = live, readerRanks(live)
 }
