Check that no lock is held over a wait for a channel

A part that waits for a channel with a lock held hangs like two locks in opposite orders, and the check of the source did not look for it. It now counts sends and receives like function values, except those of a select with a default clause. None is found in any package; a send made blocking in a scratch change fails the check.

--- a/lockorder_test.go
+++ b/lockorder_test.go
@@ -54,9 +54,9 @@
 	"endEpoch", // standin/platform: the cancel function of a context
 }
 
-// Two parts that take each other's locks in opposite orders hang the process,
-// and so may a callback that is called while a lock is held. All packages with
-// locks must keep to lockOrders.
+// Two parts that take each other's locks in opposite orders hang the process, and
+// so may a callback or a wait for a channel while a lock is held. All packages
+// with locks must keep to lockOrders.
 func TestLocksAreTakenInOneOrder(t *testing.T) {
 	for _, root := range []string{"cmd", "coordination", "devfleet", "loadgen", "logstory", "platform", "protocol", "replay", "standin", "state", "transport"} {
 		require.NoError(t, filepath.WalkDir(root, func(dir string, entry fs.DirEntry, err error) error {
@@ -85,8 +85,8 @@
 	callsUnder map[string]map[*types.Func]bool
 	locksUnder map[string]map[string]bool
 	// callbacks are the function values and methods of interfaces that the
-	// function calls, with their places, and callbacksUnder those while a lock is
-	// held.
+	// function calls, and its operations on channels that may block, with their
+	// places. callbacksUnder are those while a lock is held.
 	callbacks, callbacksUnder []string
 }
 
@@ -147,9 +147,22 @@
 	use := &lockUse{locks: make(map[string]bool), calls: make(map[*types.Func]bool), callsUnder: make(map[string]map[*types.Func]bool), locksUnder: make(map[string]map[string]bool)}
 	p.functions[object] = use
 	held := make(map[string]bool)
-	deferred := make(map[ast.Node]bool)
+	deferred, nonBlocking := make(map[ast.Node]bool), make(map[ast.Node]bool)
 	ast.Inspect(function.Body, func(node ast.Node) bool {
+		if nonBlocking[node] {
+			return false
+		}
 		switch n := node.(type) {
+		case *ast.SelectStmt:
+			for _, operation := range operationsWithDefault(n) {
+				nonBlocking[operation] = true
+			}
+		case *ast.SendStmt:
+			p.addCallback(use, held, "channel", n.Pos())
+		case *ast.UnaryExpr:
+			if n.Op == token.ARROW {
+				p.addCallback(use, held, "channel", n.Pos())
+			}
 		case *ast.DeferStmt:
 			deferred[n.Call] = true
 		case *ast.GoStmt:
@@ -164,6 +177,24 @@
 	})
 }
 
+// operationsWithDefault returns the operations on channels of a select statement
+// that does not block because it has a default clause.
+func operationsWithDefault(s *ast.SelectStmt) []ast.Node {
+	var operations []ast.Node
+	hasDefault := false
+	for _, clause := range s.Body.List {
+		if operation := clause.(*ast.CommClause).Comm; operation != nil {
+			operations = append(operations, operation)
+		} else {
+			hasDefault = true
+		}
+	}
+	if !hasDefault {
+		return nil
+	}
+	return operations
+}
+
 // startsGoroutine reports whether a call has the form group.Go(function) or
 // time.AfterFunc(delay, function).
 func startsGoroutine(call *ast.CallExpr) bool {
@@ -220,7 +251,7 @@
 	switch object := p.info.Uses[name].(type) {
 	case *types.Func:
 		if isInterfaceMethod(object) {
-			p.addCallback(use, held, name.Name, call)
+			p.addCallback(use, held, name.Name, call.Pos())
 			return
 		}
 		use.calls[object] = true
@@ -229,7 +260,7 @@
 		}
 	case *types.Var:
 		if object.IsField() {
-			p.addCallback(use, held, name.Name, call)
+			p.addCallback(use, held, name.Name, call.Pos())
 		}
 	}
 }
@@ -239,13 +270,13 @@
 	return receiver != nil && types.IsInterface(receiver.Type())
 }
 
-// addCallback records a call whose callee is not known from the source, unless
-// callbacksUnderLock allows it.
-func (p *lockedPackage) addCallback(use *lockUse, held map[string]bool, name string, call *ast.CallExpr) {
+// addCallback records a call whose callee is not known from the source, or an
+// operation on a channel that may block, unless callbacksUnderLock allows it.
+func (p *lockedPackage) addCallback(use *lockUse, held map[string]bool, name string, pos token.Pos) {
 	if slices.Contains(callbacksUnderLock, name) {
 		return
 	}
-	place := p.fset.Position(call.Pos()).String() + ": " + name
+	place := p.fset.Position(pos).String() + ": " + name
 	use.callbacks = append(use.callbacks, place)
 	if len(held) > 0 {
 		use.callbacksUnder = append(use.callbacksUnder, place)
