Add a review case: a request is answered 503 and has run

review/6: a worker sends additional bytes after a complete answer, late: an answer without an attempt id that says "not executed". The router takes it for the answer to the request under way, which the worker runs.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 
 var cases = map[string]func(folder string, trouble bool) (held bool, err error){
 	"endless": runEndless,
+	"not-run": runNotRun,
 	"resume":  runResume,
 }
 
