--- a/review/standins-2/endless.go
+++ b/review/standins-2/endless.go
@@ -17,7 +17,7 @@
 const (
 	endlessRouters = 8
 	endlessWorkers = 4
-	endlessLength  = 40 * time.Second
+	endlessLength  = 80 * time.Second
 	// endlessMemoryMb is MemoryMb of the site's machines.
 	endlessMemoryMb = 284
 	// spoilRate is how many bytes a second a spoiled answer sends: 480 of the
