--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -216,18 +218,30 @@
 	return os.RemoveAll(f.folder)
 }
 
+// The ports of the routers are below those that the kernel gives to outgoing
+// connections. Otherwise a router could find its port taken by a connection of a
+// router that started before it.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
 // freeAddresses returns n different loopback addresses that are free now.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := firstPort + rand.IntN(lastPort-firstPort-1000); len(addresses) < n; port++ {
+		if port >= lastPort {
+			return nil, errNoPorts
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		// All stay open until the last address is known, because the system may
-		// assign the address of a closed one again.
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
+
+var errNoPorts = errors.New("too few free ports")
