Do not suspect a request because of bytes that are no answer

Callers saw: a request whose upstream had sent bytes that are no answer was put on the list of those that may crash upstreams.

Cause: each attempt without a complete answer counted as a lost connection. But bytes that cannot be parsed as an answer say nothing about the request that waited, and the upstream that sent them goes on running.

The connection now records whether the upstream or the network has ended it. An attempt that ends otherwise, because the received bytes are no answer, ends with ErrMalformed; it counts as a failure of the upstream (outcome failed) and not against the request. The outcome weighs as before in the choice of upstreams.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/figstile/figstile/coordination/admission"
@@ -229,15 +230,31 @@
 	if upstream.StageOf(err) == upstream.StageNotSent {
 		return attemptEnd{attemptNotSent, result.New(result.NoUpstream, err.Error()).WithRetryAfter(rejectedRetryAfter)}, placement.Unconnected
 	}
-	x.reportLost(err, ticket)
-	return attemptEnd{attemptFailed, result.New(result.UpstreamLost, err.Error())}, placement.Broken
+	return attemptEnd{attemptFailed, result.New(result.UpstreamLost, err.Error())}, x.reportBroken(err, ticket)
 }
 
-// reportLost reports a request whose upstream's connection broke, unless the
-// router itself ended the attempt.
-func (x *exchange) reportLost(err error, ticket *placement.Ticket) {
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, upstream.ErrCrossed) || errors.Is(err, errStalled) {
-		return
+// ownReasons are the reasons for which the router itself ends an attempt.
+var ownReasons = []error{context.Canceled, context.DeadlineExceeded, upstream.ErrCrossed, errStalled}
+
+// unusableReasons are the reasons for which an upstream's answer is not used
+// although its connection did not break. Such an answer says nothing about the
+// request.
+var unusableReasons = []error{upstream.ErrMalformed}
+
+// reportBroken reports an attempt whose answer was not received completely, and
+// returns its outcome. Only an upstream that ended the connection may have been
+// crashed by the request.
+func (x *exchange) reportBroken(err error, ticket *placement.Ticket) placement.Outcome {
+	switch {
+	case isAny(err, ownReasons):
+	case isAny(err, unusableReasons):
+		return placement.Failed
+	default:
+		x.h.Dispatcher.ReportLost(x.fingerprint, ticket)
 	}
-	x.h.Dispatcher.ReportLost(x.fingerprint, ticket)
+	return placement.Broken
+}
+
+func isAny(err error, reasons []error) bool {
+	return slices.ContainsFunc(reasons, func(reason error) bool { return errors.Is(err, reason) })
 }
--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -29,8 +29,7 @@
 func (x *exchange) relayBuffered(answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
 	if err != nil {
-		x.reportLost(err, ticket)
-		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
+		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
 	}
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Stage() != upstream.StageComplete {
@@ -96,8 +95,7 @@
 	}
 	if _, err := io.Copy(x.w, answer); err != nil {
 		x.abortConn = true
-		x.reportLost(err, ticket)
-		return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
+		return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
 	}
 	x.h.Dispatcher.ReportServed(x.fingerprint)
 	return attemptEnd{attemptDelivered, result.New(result.OK, "")}, placement.Answered
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// An upstream sends bytes that are no answer, and goes on running. The request
+// that waited was suspected of crashing upstreams, and was refused in the whole
+// fleet once two such upstreams had left.
+func TestBytesThatAreNoAnswerDoNotCountAgainstTheRequest(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nAttempt: x\r\n"
+	for name, text := range map[string]string{
+		"before the head": "%%%%\r\n\r\n",
+		"in the head":     head + "%%%%\r\n\r\n",
+		"in the framing":  head + "Transfer-Encoding: chunked\r\n\r\n5\r\npages%%%%",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, writeText(text))
+			d := newHandlerFixture(t, nonIdempotentRoute, u)
+			require.Equal(t, http.StatusBadGateway, d.post(t).StatusCode)
+			require.Zero(t, d.dispatcher.lostCount)
+			d.dispatcher.awaitEnded(t, placement.Failed)
+		})
+	}
+}
+
 // Retries must not multiply the load of an overloaded fleet: once the retry
 // budget is spent, a failed answer is final.
 func TestNoRetryWithoutBudget(t *testing.T) {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -78,8 +78,7 @@
 
 func (x *exchange) endStream(err error, answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	if err != io.EOF {
-		x.reportLost(err, ticket)
-		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, err.Error())}, placement.Broken
+		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
 	}
 	if !x.headSent {
 		// The stream had no events: the answer consists of its head.
--- a/transport/upstream/answer.go
+++ b/transport/upstream/answer.go
@@ -18,6 +18,7 @@
 	stage        Stage
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
+	conn         *fencedConn
 	silenceTimer *time.Timer
 	idleTimeout  time.Duration
 }
@@ -68,10 +69,7 @@
 	if err == io.EOF {
 		return ErrUnframed
 	}
-	if cause := context.Cause(a.ctx); cause != nil {
-		return cause
-	}
-	return err
+	return receiveCause(a.ctx, a.conn, err)
 }
 
 // Close ends the attempt. Before the end of the answer it closes the
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -258,8 +258,11 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		stage, reused, conn := tracker.finish()
+		if stage != StageNotSent {
+			err = receiveCause(ctx, conn, err)
+		}
 		cancel(err)
-		stage, reused := tracker.finish()
 		if reused {
 			c.kept.recordLoss(a.BaseURL)
 		}
@@ -272,6 +275,7 @@
 		return nil, false, &Error{Stage: StageSent, Err: ErrCrossed}
 	}
 	answer = newAnswer(ctx, cancel, resp, c.answerIdle)
+	answer.conn = tracker.currentConn()
 	answer.framed = answer.framed || c.acceptUnframed
 	return answer, false, nil
 }
--- a/transport/upstream/client_test.go
+++ b/transport/upstream/client_test.go
@@ -151,7 +151,7 @@
 		inner, _ := net.Pipe()
 		conn := &fencedConn{Conn: inner}
 		tracker := &sendTracker{conn: conn}
-		stage, _ := tracker.finish()
+		stage, _, _ := tracker.finish()
 		require.Equal(t, StageNotSent, stage)
 		_, err := conn.Write([]byte("late"))
 		require.ErrorIs(t, err, errFenced)
--- a/transport/upstream/fence.go
+++ b/transport/upstream/fence.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // errFenced is the error of a write on a connection whose attempt has ended.
@@ -25,6 +26,10 @@
 	mu         sync.Mutex
 	writeCount uint64
 	fenced     bool
+
+	// endedByPeer is set once the connection was ended by the upstream or the
+	// network, and not by this process.
+	endedByPeer atomic.Bool
 }
 
 // Write counts the write before any byte can leave.
@@ -32,7 +37,9 @@
 	if !c.beginWrite() {
 		return 0, errFenced
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.recordEnd(err)
+	return n, err
 }
 
 func (c *fencedConn) beginWrite() bool {
@@ -67,6 +74,7 @@
 
 	mu           sync.Mutex
 	conn         *fencedConn
+	lastConn     *fencedConn
 	writesBefore uint64
 	sent         bool
 	reused       bool
@@ -104,19 +112,26 @@
 	if t.conn != nil && t.conn.fence() > t.writesBefore {
 		t.sent = true
 	}
-	t.conn = nil
+	t.lastConn, t.conn = t.conn, nil
+}
+
+// currentConn returns the connection of the attempt, or nil if there is none.
+func (t *sendTracker) currentConn() *fencedConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn
 }
 
 // finish ends the tracking of a failed attempt. Its result is final: nothing
-// leaves afterwards.
-func (t *sendTracker) finish() (stage Stage, reused bool) {
+// leaves afterwards. conn is the connection that the attempt used last, or nil.
+func (t *sendTracker) finish() (stage Stage, reused bool, conn *fencedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fenceCurrent()
 	if t.sent {
-		return StageSent, t.reused
+		return StageSent, t.reused, t.lastConn
 	}
-	return StageNotSent, t.reused
+	return StageNotSent, t.reused, t.lastConn
 }
 
 // unwrapFenced returns the fenced connection below conn, or nil if there is
