Bound what a router holds of answers that it cannot pass on yet

Callers saw: a router was killed with all that it had taken on, when a single upstream sent a stream whose events did not end.

Cause: the beginning of an event is held until its end arrives, and nothing bounded it. The relay chooses the path by the route's kind and the status alone, so any body on such a route was held in this way. Growing the buffer held the old and the new one at once. The garbage collector's limit bounds garbage only.

An event of more than 64 KB now ends the attempt: a stream that can resume does so at another upstream after the last complete event, any other breaks off. All that is held of answers, unfinished events and buffered bodies, draws on one budget of an eighth of the VM's memory (coordination/memory). Without room an unfinished event ends its attempt, and a body is passed on as it arrives.

--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figstile/figstile/coordination/membership"
+	"github.com/figstile/figstile/coordination/memory"
 	"github.com/figstile/figstile/coordination/scheduler"
 	"github.com/figstile/figstile/coordination/workload"
 	"github.com/figstile/figstile/state"
@@ -30,6 +31,9 @@
 	// memoryShare is the fraction of the VM's memory that is set as the Go
 	// runtime's memory limit. The kernel's socket buffers come on top of it.
 	memoryShare = 0.7
+	// answerMemoryShare is the fraction of the VM's memory that answers may hold
+	// until they can be passed on.
+	answerMemoryShare = 0.125
 	// upstreamKeepIdle is how long an idle connection to an upstream is kept.
 	// It is short because a request that crosses the upstream's own close of
 	// the connection is lost with an unknown outcome.
@@ -131,6 +135,7 @@
 			IdlePerUpstream: maxIdlePerUpstream,
 			AcceptUnframed:  true,
 		}),
+		AnswerMemory: memory.NewBudget(int64(answerMemoryShare * float64(r.settings.MemoryBytes))),
 		Observer:     observer{metrics: r.metrics, pressure: r.pressure},
 		Log:          r.log,
 		Now:          boottime.Now,
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -234,12 +234,12 @@
 }
 
 // ownReasons are the reasons for which the router itself ends an attempt.
-var ownReasons = []error{context.Canceled, context.DeadlineExceeded, upstream.ErrCrossed, errStalled}
+var ownReasons = []error{context.Canceled, context.DeadlineExceeded, upstream.ErrCrossed, errStalled, errAnswerMemory}
 
 // unusableReasons are the reasons for which an upstream's answer is not used
 // although its connection did not break. Such an answer says nothing about the
 // request.
-var unusableReasons = []error{upstream.ErrMalformed}
+var unusableReasons = []error{upstream.ErrMalformed, errEventTooLong}
 
 // reportBroken reports an attempt whose answer was not received completely, and
 // returns its outcome. Only an upstream that ended the connection may have been
--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/figstile/figstile/coordination/placement"
@@ -18,6 +19,10 @@
 // upstream. Pages and JSON answers are far shorter.
 const maxBufferedBytes = 256 << 10
 
+// initialBufferBytes is the size of the buffer that an answer begins with. Most
+// answers fit.
+const initialBufferBytes = 4 << 10
+
 // bufferedAnswer is an upstream's answer with its complete body.
 type bufferedAnswer struct {
 	status int
@@ -27,7 +32,7 @@
 
 // relayBuffered relays an answer that is not a stream.
 func (x *exchange) relayBuffered(answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	body, err := x.readBuffered(answer)
 	if err != nil {
 		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
 	}
@@ -51,6 +56,37 @@
 	return attemptEnd{attemptDelivered, x.deliver(buffered)}, outcome
 }
 
+// readBuffered reads an answer's body, up to maxBufferedBytes and as far as the
+// memory for answers allows. While the body grows, its old and its new buffer
+// are held at once.
+func (x *exchange) readBuffered(answer *upstream.Answer) ([]byte, error) {
+	body := make([]byte, 0, initialBufferBytes)
+	for {
+		n, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		case len(body) >= maxBufferedBytes || !x.answerHeld.TryGrow(int64(3*cap(body)+x.fallbackBytes())):
+			return body, nil
+		}
+		body = slices.Grow(body, cap(body))
+	}
+}
+
+// fallbackBytes returns the size of the answer that is held while another
+// upstream is tried.
+func (x *exchange) fallbackBytes() int {
+	if x.fallback == nil {
+		return 0
+	}
+	return cap(x.fallback.body)
+}
+
 // deliver writes a complete answer to the caller.
 func (x *exchange) deliver(buffered *bufferedAnswer) result.Result {
 	x.beginAnswer(buffered)
@@ -90,13 +126,29 @@
 	}
 	x.w.WriteHeader(buffered.status)
 	if _, err := x.w.Write(buffered.body); err != nil {
-		x.abortConn = true
-		return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Withdrawn
+		return x.callerLost(err)
 	}
-	if _, err := io.Copy(x.w, answer); err != nil {
-		x.abortConn = true
-		return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
+	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
+	defer streamBufferPool.Put(buffer)
+	for {
+		n, err := answer.Read(buffer[:])
+		if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
+			return x.callerLost(writeErr)
+		}
+		if err == io.EOF {
+			x.h.Dispatcher.ReportServed(x.fingerprint)
+			return attemptEnd{attemptDelivered, result.New(result.OK, "")}, placement.Answered
+		}
+		if err != nil {
+			x.abortConn = true
+			return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, x.reportBroken(err, ticket)
+		}
 	}
-	x.h.Dispatcher.ReportServed(x.fingerprint)
-	return attemptEnd{attemptDelivered, result.New(result.OK, "")}, placement.Answered
+}
+
+// callerLost ends an attempt whose answer its caller does not receive any
+// further.
+func (x *exchange) callerLost(err error) (attemptEnd, placement.Outcome) {
+	x.abortConn = true
+	return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, err.Error())}, placement.Withdrawn
 }
--- a/transport/ingress/events.go
+++ b/transport/ingress/events.go
@@ -1,9 +1,27 @@
 package ingress
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+
+	"github.com/figstile/figstile/coordination/memory"
+)
+
+// maxEventBytes limits the size in bytes of an event whose end was not received
+// yet. Events have a few hundred bytes.
+const maxEventBytes = 64 << 10
+
+var (
+	// errEventTooLong ends a stream whose event exceeds maxEventBytes.
+	errEventTooLong = errors.New("ingress: an event of the stream is too long")
+	// errAnswerMemory ends a stream for whose event no memory is left.
+	errAnswerMemory = errors.New("ingress: too much of other answers is held")
+)
 
 // eventSplitter splits a stream into events at the empty lines that end them.
 type eventSplitter struct {
+	// held is the reservation for partial.
+	held memory.Reservation
 	// partial is the beginning of an event whose end was not received yet.
 	partial []byte
 	// complete is the result of the last call of add. Its memory is reused.
@@ -15,18 +33,33 @@
 var idField = []byte("id:")
 
 // add adds received bytes and returns the events that they complete. The result
-// is valid until the next call.
-func (s *eventSplitter) add(p []byte) []byte {
+// is valid until the next call. An error means that the stream is not usable any
+// further.
+func (s *eventSplitter) add(p []byte) ([]byte, error) {
 	end := lastEventEnd(s.partial, p)
 	if end < 0 {
-		s.partial = append(s.partial, p...)
-		return nil
+		return nil, s.hold(p)
 	}
 	s.complete = append(s.complete[:0], s.partial...)
 	s.complete = append(s.complete, p[:end]...)
-	s.partial = append(s.partial[:0], p[end:]...)
+	s.partial = s.partial[:0]
 	s.recordID(s.complete)
-	return s.complete
+	return s.complete, s.hold(p[end:])
+}
+
+// hold appends the beginning of an event to partial.
+func (s *eventSplitter) hold(p []byte) error {
+	size := len(s.partial) + len(p)
+	if size > maxEventBytes {
+		return errEventTooLong
+	}
+	// Growing a slice holds the old and the new one at once, and complete holds
+	// the event once more.
+	if !s.held.TryGrow(int64(3 * size)) {
+		return errAnswerMemory
+	}
+	s.partial = append(s.partial, p...)
+	return nil
 }
 
 // hasPartial reports whether the beginning of an event was received, but not
--- a/transport/ingress/events_test.go
+++ b/transport/ingress/events_test.go
@@ -25,7 +25,9 @@
 		var out strings.Builder
 		for len(stream) > 0 {
 			n := rapid.IntRange(1, len(stream)).Draw(t, "read")
-			out.Write(s.add(stream[:n]))
+			complete, err := s.add(stream[:n])
+			require.NoError(t, err)
+			out.Write(complete)
 			stream = stream[n:]
 		}
 		if out.String() != complete {
@@ -48,6 +50,8 @@
 
 func TestEventIDAmongOtherFields(t *testing.T) {
 	var s eventSplitter
-	require.NotEmpty(t, s.add([]byte("event: e\nid: 12\ndata: a\n\nid: 13\nda")))
+	complete, err := s.add([]byte("event: e\nid: 12\ndata: a\n\nid: 13\nda"))
+	require.NoError(t, err)
+	require.NotEmpty(t, complete)
 	require.Equal(t, "12", s.lastID)
 }
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -103,6 +103,7 @@
 // handlerFixture is a handler under test with its fakes.
 type handlerFixture struct {
 	url        string
+	handler    *Handler
 	dispatcher *scriptedDispatcher
 }
 
@@ -120,16 +121,17 @@
 	for i, u := range upstreams {
 		dispatcher.add(state.Upstream(fmt.Sprintf("u%d", i)), u.address())
 	}
-	server := httptest.NewServer(NewHandler(Options{
+	handler := NewHandler(Options{
 		Dialect:      plainDialect{},
 		Dispatcher:   dispatcher,
 		Client:       upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true}),
 		Log:          zerolog.Nop(),
 		Now:          time.Now,
 		CallerClosed: func(*http.Request) bool { return dispatcher.callerClosed },
-	}))
+	})
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return &handlerFixture{url: server.URL, dispatcher: dispatcher}
+	return &handlerFixture{url: server.URL, handler: handler, dispatcher: dispatcher}
 }
 
 func (d *handlerFixture) request(t *testing.T, ctx context.Context, body string) *http.Request {
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/figstile/figstile/coordination/admission"
 	"github.com/figstile/figstile/coordination/freshness"
+	"github.com/figstile/figstile/coordination/memory"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state"
 	"github.com/figstile/figstile/state/result"
@@ -39,8 +40,11 @@
 	Dialect    Dialect
 	Dispatcher Dispatcher
 	Client     *upstream.Client
-	Observer   Observer
-	Log        zerolog.Logger
+	// AnswerMemory limits what is held of all answers at once. If nil, only each
+	// answer by itself is limited.
+	AnswerMemory *memory.Budget
+	Observer     Observer
+	Log          zerolog.Logger
 	// Now is the clock for latencies.
 	Now func() time.Time
 	// ShouldClose reports whether answers should ask callers to close their
@@ -134,8 +138,10 @@
 	// fallback is an upstream's own error answer. It is delivered if no other
 	// upstream succeeds.
 	fallback *bufferedAnswer
-	verdict  admission.Verdict
-	record   Record
+	// answerHeld is the reservation for the bodies of answers that are held.
+	answerHeld memory.Reservation
+	verdict    admission.Verdict
+	record     Record
 	// trial is set if the request has crashed upstreams and is tried once more,
 	// and trialStarted once that trial was begun or refused.
 	trial, trialStarted bool
@@ -157,6 +163,8 @@
 	stop := h.Dispatcher.Drain()
 	x := &exchange{h: h, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: h.Now()}
 	x.stopAge = stop.Age(x.arrivedAt)
+	x.answerHeld.Budget = h.AnswerMemory
+	defer x.answerHeld.Release()
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	defer x.recoverPanic()
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/figstile/figstile/coordination/memory"
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state/result"
 	"github.com/figstile/figstile/transport/upstream"
@@ -27,19 +28,22 @@
 func (x *exchange) relayStream(answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
 	defer streamBufferPool.Put(buffer)
-	var splitter eventSplitter
+	splitter := eventSplitter{held: memory.Reservation{Budget: x.h.AnswerMemory}}
+	defer splitter.held.Release()
 	started := false
 	for {
 		n, err := answer.Read(buffer[:])
-		complete := splitter.add(buffer[:n])
+		complete, splitErr := splitter.add(buffer[:n])
 		if len(complete) > 0 {
 			x.h.Dispatcher.ReportOutput(ticket, !started)
 			started = true
 			if writeErr := x.writeEvents(answer, complete, splitter.lastID); writeErr != nil {
-				x.abortConn = true
-				return attemptEnd{attemptDelivered, result.New(result.AnswerTruncated, writeErr.Error())}, placement.Withdrawn
+				return x.callerLost(writeErr)
 			}
 		}
+		if splitErr != nil {
+			return x.endStream(splitErr, answer, ticket)
+		}
 		if err == nil {
 			continue
 		}
