Bound the size and the rate of long answers

A body without end was relayed until the deadline, as fast as its upstream sent it: 8 seconds at 1,000 Mbit/s is a gigabyte and most of the processor of a small VM. An attempt that its caller broke off while such an answer was relayed counted as a loss of the upstream.

Cause: nothing bounds an answer but its deadline. The rest of an answer of more than 256 KB is now received at a rate that all such answers share (32 MB a second and core), and an answer ends at 64 MB. Both are counted at the connection, so that heads, chunk framing and trailers are covered. Receive buffers of connections to upstreams no longer grow: 128 KB each, which a long answer reserves from the memory for answers.

TestEndlessBodyBreaksOff failed before in all parts: the upstream sent its 16 MB to the end.

--- a/transport/edge/dial.go
+++ b/transport/edge/dial.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/figstile/figstile/transport/ingress"
 )
 
 const (
@@ -21,6 +24,10 @@
 	unackedTimeout = 3 * time.Second
 	// keepAliveInterval is the time between two TCP keep-alive probes.
 	keepAliveInterval = time.Second
+	// upstreamReceiveBuffer is the size in bytes that is asked for the receive
+	// buffer of a connection to an upstream. The kernel doubles it. An answer that
+	// is relayed more slowly than it is sent fills it.
+	upstreamReceiveBuffer = ingress.ReceiveBufferBytes / 2
 )
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -40,13 +47,29 @@
 	}
 }
 
+// newUpstreamDialer returns a dialer for connections to upstreams, whose receive
+// buffers do not grow.
+func newUpstreamDialer() *net.Dialer {
+	dialer := NewDialer()
+	dialer.Control = func(network, address string, raw syscall.RawConn) error {
+		return errors.Join(setUserTimeout(network, address, raw), setReceiveBuffer(raw))
+	}
+	return dialer
+}
+
+func setReceiveBuffer(raw syscall.RawConn) error {
+	return setSocketOption(raw, unix.SOL_SOCKET, unix.SO_RCVBUF, upstreamReceiveBuffer)
+}
+
 // setUserTimeout limits how long sent bytes may stay unacknowledged. Without it
 // the kernel retransmits them for a quarter of an hour.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setSocketOption(raw, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+}
+
+func setSocketOption(raw syscall.RawConn, level, option, value int) error {
 	var sockoptErr error
-	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { sockoptErr = unix.SetsockoptInt(int(fd), level, option, value) })
 	if err != nil {
 		return err
 	}
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -34,6 +34,12 @@
 	// answerMemoryShare is the fraction of the VM's memory that answers may hold
 	// until they can be passed on.
 	answerMemoryShare = 0.125
+	// maxAnswerBytes limits the size of an answer.
+	maxAnswerBytes = 64 << 20
+	// longAnswerBytesPerCore is the rate in bytes per second and core at which
+	// long answers are relayed. It leaves most of the processor to other
+	// callers, however fast an upstream sends.
+	longAnswerBytesPerCore = 32 << 20
 	// upstreamKeepIdle is how long an idle connection to an upstream is kept.
 	// It is short because a request that crosses the upstream's own close of
 	// the connection is lost with an unknown outcome.
@@ -129,11 +135,13 @@
 		Dialect:    platform,
 		Dispatcher: r.dispatcher,
 		Client: upstream.NewClient(upstream.ClientOptions{
-			Dial:            r.pressure.dial(NewDialer().DialContext),
+			Dial:            r.pressure.dial(newUpstreamDialer().DialContext),
 			EchoHeader:      platform.AttemptHeader(),
 			KeepIdle:        upstreamKeepIdle,
 			IdlePerUpstream: maxIdlePerUpstream,
 			AcceptUnframed:  true,
+			MaxAnswerBytes:  maxAnswerBytes,
+			LongAnswerRate:  int64(longAnswerBytesPerCore * r.settings.CPUCores),
 		}),
 		AnswerMemory: memory.NewBudget(int64(answerMemoryShare * float64(r.settings.MemoryBytes))),
 		Observer:     observer{metrics: r.metrics, pressure: r.pressure},
--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -19,6 +19,11 @@
 // upstream. Pages and JSON answers are far shorter.
 const maxBufferedBytes = 256 << 10
 
+// ReceiveBufferBytes is the size in bytes of the kernel's receive buffer of a
+// connection to an upstream. It is full while an answer arrives faster than it
+// is relayed.
+const ReceiveBufferBytes = 128 << 10
+
 // initialBufferBytes is the size of the buffer that an answer begins with. Most
 // answers fit.
 const initialBufferBytes = 4 << 10
@@ -114,7 +119,8 @@
 	}
 }
 
-// relayUnbuffered relays an answer that is too long to be buffered.
+// relayUnbuffered relays an answer that is too long to be buffered. Its size and
+// its rate are limited by the client.
 func (x *exchange) relayUnbuffered(answer *upstream.Answer, buffered *bufferedAnswer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	// No further output of this answer is reported to the dispatcher. The
 	// attempt must not be cancelled as stalled from here on, or the answer
@@ -130,8 +136,15 @@
 	}
 	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
 	defer streamBufferPool.Put(buffer)
+	relayed := len(buffered.body)
+	buffered.body = nil
+	x.answerHeld.Release()
 	for {
 		n, err := answer.Read(buffer[:])
+		relayed += n
+		if relayed > maxBufferedBytes && !x.answerHeld.TryGrow(ReceiveBufferBytes) {
+			err = errAnswerMemory
+		}
 		if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
 			return x.callerLost(writeErr)
 		}
--- a/transport/ingress/endless_test.go
+++ b/transport/ingress/endless_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/figstile/figstile/coordination/memory"
 	"github.com/figstile/figstile/coordination/placement"
+	"github.com/figstile/figstile/state/routing"
 )
 
 const (
@@ -137,6 +138,33 @@
 	}
 }
 
+// A body without end, of any framing and on any route, is received up to the
+// limit of an answer. Its caller sees that the answer is not complete.
+func TestEndlessBodyBreaksOff(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nSigned: 1\r\nAttempt: x\r\n"
+	for kind, route := range map[string]routing.Route{"page": nonIdempotentRoute, "repeatable page": idempotentRoute, "stream": nonResumableRoute, "resumable stream": resumableRoute} {
+		for name, answer := range map[string]struct{ beginning, part string }{
+			"one chunk":        {signed + "Transfer-Encoding: chunked\r\n\r\n" + oneChunk, "\x00"},
+			"chunks of a byte": {signed + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+			"empty lines":      {signed + "Transfer-Encoding: chunked\r\n\r\n" + oneChunk, "\n"},
+			"length":           {signed + "Content-Length: 999999999\r\n\r\n", "\x00"},
+			"no framing":       {signed + "\r\n", "\x00"},
+		} {
+			t.Run(kind+"/"+name, func(t *testing.T) {
+				endless := startEndless(t, answer.beginning, answer.part)
+				d := newHandlerFixture(t, route, endless.rawUpstream)
+				response, err := http.DefaultClient.Do(d.request(t, context.Background(), "hello"))
+				require.NoError(t, err)
+				defer response.Body.Close()
+				_, err = bodyOf(t, response)
+				require.True(t, err != nil || response.StatusCode == http.StatusBadGateway, "status %d", response.StatusCode)
+				endless.requireCutOff(t)
+				require.Zero(t, d.dispatcher.lostCount)
+			})
+		}
+	}
+}
+
 // Many upstreams send long beginnings of events at the same time. Each is within
 // its own limit; together they must stay within the memory for answers.
 func TestUnfinishedEventsShareTheMemoryForAnswers(t *testing.T) {
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -124,7 +124,7 @@
 	handler := NewHandler(Options{
 		Dialect:      plainDialect{},
 		Dispatcher:   dispatcher,
-		Client:       upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true}),
+		Client:       upstream.NewClient(upstream.ClientOptions{EchoHeader: "Attempt", AcceptUnframed: true, MaxAnswerBytes: 4 << 20}),
 		Log:          zerolog.Nop(),
 		Now:          time.Now,
 		CallerClosed: func(*http.Request) bool { return dispatcher.callerClosed },
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -162,6 +162,15 @@
 	// answer that has neither a length nor chunks. A reset is never accepted as
 	// the end.
 	AcceptUnframed bool
+	// MaxAnswerBytes limits what is received as one answer, in bytes; 0 means no
+	// limit.
+	MaxAnswerBytes int64
+	// LongAnswerRate is the rate in bytes per second at which all long answers
+	// together are received beyond their beginnings; 0 means no limit.
+	LongAnswerRate int64
+
+	// limits is shared by all connections of the client.
+	limits *receiveLimits
 }
 
 func (o ClientOptions) withDefaults() ClientOptions {
@@ -186,6 +195,7 @@
 // NewClient returns a client with its own connections.
 func NewClient(opts ClientOptions) *Client {
 	opts = opts.withDefaults()
+	opts.limits = newReceiveLimits(opts)
 	singleUse := newTransport(opts)
 	singleUse.DisableKeepAlives = true
 	return &Client{
@@ -203,7 +213,7 @@
 // bodies.
 func newTransport(opts ClientOptions) *http.Transport {
 	return &http.Transport{
-		DialContext:            fencedDial(opts.Dial),
+		DialContext:            fencedDial(opts.Dial, opts.limits),
 		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    opts.IdlePerUpstream,
@@ -214,13 +224,13 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func fencedDial(dial dialFunc) dialFunc {
+func fencedDial(dial dialFunc, limits *receiveLimits) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &fencedConn{Conn: conn}, nil
+		return newFencedConn(conn, limits), nil
 	}
 }
 
--- a/transport/upstream/fence.go
+++ b/transport/upstream/fence.go
@@ -21,17 +21,30 @@
 // did not run. And net/http replays some requests when a kept-alive connection
 // fails, which runs them twice. A write either begins before the call of fence
 // and is counted, or fails.
+//
+// It also limits what is received as one answer.
 type fencedConn struct {
 	net.Conn
+	limits    *receiveLimits
+	closed    chan struct{}
+	closeOnce sync.Once
+
 	mu         sync.Mutex
 	writeCount uint64
 	fenced     bool
 
+	// received is the number of bytes received since the last attempt began,
+	// and lastRead that of the last read.
+	received, lastRead atomic.Int64
 	// endedByPeer is set once the connection was ended by the upstream or the
 	// network, and not by this process.
 	endedByPeer atomic.Bool
 }
 
+func newFencedConn(conn net.Conn, limits *receiveLimits) *fencedConn {
+	return &fencedConn{Conn: conn, limits: limits, closed: make(chan struct{})}
+}
+
 // Write counts the write before any byte can leave.
 func (c *fencedConn) Write(p []byte) (int, error) {
 	if !c.beginWrite() {
@@ -100,6 +113,7 @@
 		return
 	}
 	t.writesBefore = t.conn.writesBegun()
+	t.conn.beginAnswer()
 	if t.sent {
 		t.conn.fence()
 		t.cancel(errFenced)
