End a stream at bytes that are no event

Callers saw: bytes that an upstream sends in the middle of a stream and that are no part of it were passed on, wherever an empty line stood among them. Without end they were relayed until the deadline: a hundred such streams kept a router of 0.4 cores out of rotation.

Cause: only empty lines were looked for. A stream is a series of events with increasing ids. It now ends at an event that is no text, that has no number while others have one, or whose number does not follow the last one, and after 64 KB of comments and empty lines without an event. What came before is passed on; a stream that can resume does so, and the request is not suspected.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -239,7 +239,7 @@
 // unusableReasons are the reasons for which an upstream's answer is not used
 // although its connection did not break. Such an answer says nothing about the
 // request.
-var unusableReasons = []error{upstream.ErrMalformed, upstream.ErrTooLong, errEventTooLong}
+var unusableReasons = []error{upstream.ErrMalformed, upstream.ErrTooLong, errEventTooLong, errNoEvent, errEventOrder}
 
 // reportBroken reports an attempt whose answer was not received completely, and
 // returns its outcome. Only an upstream that ended the connection may have been
--- a/transport/ingress/endless_test.go
+++ b/transport/ingress/endless_test.go
@@ -79,6 +79,7 @@
 func TestStreamWithEndlessEventResumesElsewhere(t *testing.T) {
 	for name, part := range map[string]string{
 		"zeros": "\x00", "one line": "data: x", "lines without an empty one": "data: x\n", "carriage returns": "\r",
+		"events without a number": "data: x\n\n", "the same event": event(1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			endless := startEndless(t, streamHead+chunk(event(1))+oneChunk, part)
@@ -95,6 +96,25 @@
 	}
 }
 
+// The same with lines that servers may send to keep a connection open: a few of
+// them are passed on.
+func TestStreamWithEndlessCommentsResumesElsewhere(t *testing.T) {
+	for name, part := range map[string]string{"empty lines": "\n", "comments": ":\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			endless := startEndless(t, streamHead+chunk(event(1))+oneChunk, part)
+			next := startUpstream(t, writeText(completeStream(2, 3)))
+			d := newHandlerFixture(t, resumableRoute, endless.rawUpstream, next)
+			body, err := bodyOf(t, d.post(t))
+			require.NoError(t, err)
+			require.True(t, strings.HasPrefix(body, event(1)))
+			require.True(t, strings.HasSuffix(body, event(2)+event(3)))
+			require.Empty(t, strings.Trim(body[len(event(1)):len(body)-len(event(2)+event(3))], ":\n"))
+			endless.requireCutOff(t)
+			require.Zero(t, d.dispatcher.lostCount)
+		})
+	}
+}
+
 // The same where the stream must not run twice: its caller sees it break off.
 func TestStreamWithEndlessEventBreaksOff(t *testing.T) {
 	endless := startEndless(t, streamHead+chunk(event(1))+oneChunk, "\x00")
--- a/transport/ingress/events.go
+++ b/transport/ingress/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
+	"unicode/utf8"
 
 	"github.com/figstile/figstile/coordination/memory"
 )
@@ -14,6 +16,10 @@
 var (
 	// errEventTooLong ends a stream whose event exceeds maxEventBytes.
 	errEventTooLong = errors.New("ingress: an event of the stream is too long")
+	// errNoEvent ends a stream with bytes that are no event: events are text.
+	errNoEvent = errors.New("ingress: the stream contains bytes that are no event")
+	// errEventOrder ends a stream whose event does not follow the one before it.
+	errEventOrder = errors.New("ingress: an event of the stream is out of order")
 	// errAnswerMemory ends a stream for whose event no memory is left.
 	errAnswerMemory = errors.New("ingress: too much of other answers is held")
 )
@@ -26,8 +32,12 @@
 	partial []byte
 	// complete is the result of the last call of add. Its memory is reused.
 	complete []byte
-	// lastID is the id of the last complete event that has one, or empty.
+	// lastID is the id of the last complete event, or that after which the
+	// stream resumes. It is empty if the stream does not number its events.
 	lastID string
+	// idleBytes is the size of the comments and empty lines since the last
+	// event.
+	idleBytes int
 }
 
 var idField = []byte("id:")
@@ -43,7 +53,10 @@
 	s.complete = append(s.complete[:0], s.partial...)
 	s.complete = append(s.complete, p[:end]...)
 	s.partial = s.partial[:0]
-	s.recordID(s.complete)
+	valid, err := s.checkEvents(s.complete)
+	if err != nil {
+		return s.complete[:valid], err
+	}
 	return s.complete, s.hold(p[end:])
 }
 
@@ -99,17 +112,88 @@
 	return 0, false
 }
 
-// recordID records the id of the last event that has one.
-func (s *eventSplitter) recordID(events []byte) {
-	for len(events) > 0 {
-		line, before := events, []byte(nil)
-		if i := bytes.LastIndexByte(events[:len(events)-1], '\n'); i >= 0 {
-			line, before = events[i+1:], events[:i+1]
+// checkEvents checks complete events and records the id of the last one. It
+// returns the length of those before the first that no upstream in order sends.
+func (s *eventSplitter) checkEvents(events []byte) (int, error) {
+	checked := 0
+	for checked < len(events) {
+		size := eventSize(events[checked:])
+		if err := s.checkEvent(events[checked : checked+size]); err != nil {
+			return checked, err
+		}
+		checked += size
+	}
+	return checked, nil
+}
+
+// eventSize returns the size of the first of complete events, with the empty
+// line that ends it.
+func eventSize(events []byte) int {
+	size := 0
+	for size < len(events) {
+		line := lineSize(events[size:])
+		size += line
+		if len(bytes.TrimRight(events[size-line:size], "\r\n")) == 0 {
+			return size
+		}
+	}
+	return size
+}
+
+// lineSize returns the size of the first line, with its end.
+func lineSize(text []byte) int {
+	if end := bytes.IndexByte(text, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(text)
+}
+
+// checkEvent checks one event. Streams number either all of their events or
+// none, in increasing order. Comments and empty lines, which some servers send
+// to keep a connection open, are no events.
+func (s *eventSplitter) checkEvent(event []byte) error {
+	if !utf8.Valid(event) || bytes.IndexByte(event, 0) >= 0 {
+		return errNoEvent
+	}
+	id, hasField := scanEvent(event)
+	if !hasField {
+		s.idleBytes += len(event)
+		if s.idleBytes > maxEventBytes {
+			return errEventTooLong
 		}
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-			return
+		return nil
+	}
+	if id == "" && s.lastID != "" || !follows(s.lastID, id) {
+		return errEventOrder
+	}
+	s.lastID, s.idleBytes = id, 0
+	return nil
+}
+
+// scanEvent returns the id of an event and whether the event has any field.
+func scanEvent(event []byte) (id string, hasField bool) {
+	for len(event) > 0 {
+		size := lineSize(event)
+		line := bytes.TrimRight(event[:size], "\r\n")
+		event = event[size:]
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		hasField = true
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(value))
 		}
-		events = before
 	}
+	return id, hasField
+}
+
+// follows reports whether an event with the id may follow the one with the id
+// last. Only numbers have an order.
+func follows(last, id string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	return err != nil || number > before
 }
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -28,7 +28,7 @@
 func (x *exchange) relayStream(answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
 	defer streamBufferPool.Put(buffer)
-	splitter := eventSplitter{held: memory.Reservation{Budget: x.h.AnswerMemory}}
+	splitter := eventSplitter{held: memory.Reservation{Budget: x.h.AnswerMemory}, lastID: x.lastEvent}
 	defer splitter.held.Release()
 	started := false
 	for {
