Let a long answer that arrives in large parts go on

Callers saw: since an answer of more than 256 KB never went on, if more than 64 KB of it were received at once.

Cause: the part was reserved as a whole from the shared rate, whose burst is 64 KB; such a reservation is never due. It is taken for 64 KB at most now. Waits of less than 20 ms add up and parts are of 64 KB, so that the process is woken less often.

TestLongAnswerInLargePartsArrivesAtTheSharedRate hung before.

--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 
 	"github.com/figstile/figstile/coordination/placement"
 	"github.com/figstile/figstile/state/result"
@@ -24,6 +25,13 @@
 // is relayed.
 const ReceiveBufferBytes = 128 << 10
 
+// longBufferBytes is the size of the buffer through which a long answer is
+// relayed. Such answers wait for the rate that they share, and larger parts wake
+// the process less often.
+const longBufferBytes = 64 << 10
+
+var longBufferPool = sync.Pool{New: func() any { return new([longBufferBytes]byte) }}
+
 // initialBufferBytes is the size of the buffer that an answer begins with. Most
 // answers fit.
 const initialBufferBytes = 4 << 10
@@ -134,15 +142,15 @@
 	if _, err := x.w.Write(buffered.body); err != nil {
 		return x.callerLost(err)
 	}
-	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
-	defer streamBufferPool.Put(buffer)
+	buffer := longBufferPool.Get().(*[longBufferBytes]byte)
+	defer longBufferPool.Put(buffer)
 	relayed := len(buffered.body)
 	buffered.body = nil
 	x.answerHeld.Release()
 	for {
 		n, err := answer.Read(buffer[:])
 		relayed += n
-		if relayed > maxBufferedBytes && !x.answerHeld.TryGrow(ReceiveBufferBytes) {
+		if relayed > maxBufferedBytes && !x.answerHeld.TryGrow(ReceiveBufferBytes+longBufferBytes) {
 			err = errAnswerMemory
 		}
 		if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
--- a/transport/upstream/receive.go
+++ b/transport/upstream/receive.go
@@ -21,6 +21,9 @@
 	// maxReadBytes is the largest part of an answer that is received at once at
 	// the shared rate.
 	maxReadBytes = 64 << 10
+	// minPause is the shortest wait for the shared rate. Shorter ones add up, so
+	// that the process is not woken for each part.
+	minPause = 20 * time.Millisecond
 )
 
 var (
@@ -74,17 +77,18 @@
 	if c.limits.longRate == nil {
 		return p, nil
 	}
-	delay := c.limits.longRate.ReserveN(time.Now(), int(c.lastRead.Load())).Delay()
+	// More than the burst can't be reserved at once.
+	delay := c.limits.longRate.ReserveN(time.Now(), min(int(c.lastRead.Load()), maxReadBytes)).Delay()
 	if !c.sleep(delay) {
 		return nil, net.ErrClosed
 	}
 	return p[:min(len(p), maxReadBytes)], nil
 }
 
-// sleep waits for the duration and reports whether the connection is still
-// open.
+// sleep waits for the duration, unless it is shorter than minPause, and reports
+// whether the connection is still open.
 func (c *fencedConn) sleep(d time.Duration) bool {
-	if d <= 0 {
+	if d < minPause {
 		return true
 	}
 	timer := time.NewTimer(d)
