Do not suspect a request of the own interface for bytes that are no answer

The fault of at the product's own interface: an attempt that ended with bytes that are no answer counted as a lost connection, and the scheduler told all peers to suspect the request.

Such an attempt ends with OutcomeUnusable, which peers are told as OutcomeLost, or with OutcomeFailed once a part of the answer was passed on. Lines of a stream that are kept to be parsed have 64 KB in place of 1 MB, and heads of answers of the store, of engines to orders, and of requests at the readiness and metrics ports 64 KB in place of the library's 10 MB and 1 MB.

TestUnusableAnswerIsReportedAsSuch failed before; TestUnusableAnswersDoNotBlockTheirRequest holds the scheduler's side.

--- a/coordination/scheduler/event.go
+++ b/coordination/scheduler/event.go
@@ -220,6 +220,10 @@
 	// OutcomeRefused means that the host refused the request itself before
 	// anything was sent, and has already answered the caller.
 	OutcomeRefused
+	// OutcomeUnusable means that the request was sent and that the received
+	// bytes are no answer. They say nothing about the request. Peers are told
+	// OutcomeLost.
+	OutcomeUnusable
 )
 
 // Progressed reports the cost of a request that this router dispatched, since
@@ -230,7 +234,7 @@
 }
 
 // Ended reports the end of a request that this router dispatched. After
-// OutcomeNotSent and OutcomeLost the caller has received nothing yet, and the
+// OutcomeNotSent, OutcomeLost and OutcomeUnusable the caller has received nothing yet, and the
 // scheduler returns another Dispatch or a Refuse.
 type Ended struct {
 	ID state.RequestID
--- a/coordination/scheduler/faults_test.go
+++ b/coordination/scheduler/faults_test.go
@@ -323,3 +323,27 @@
 	pass(10*time.Second, "3")
 	require.Empty(t, arrive(5), "it was sent after the first losses, and crashed one more")
 }
+
+// Upstreams send bytes that are no answer to a request, and are replaced later.
+// The request was suspected of crashing them, and refused at the third time.
+func TestUnusableAnswersDoNotBlockTheirRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Options{Self: Peer{Router: "a", DataCentre: "x", Incarnation: 1}})
+	pass := func(boot string) {
+		for range 100 {
+			now = now.Add(TickInterval)
+			s.Step(now, Reported{Report: state.LoadReport{Upstream: "u1", Boot: boot, Slots: 1}})
+			s.Step(now, Tick{})
+		}
+	}
+	s.Step(now, settings([]string{"u1=x"}))
+	for id, boot := range []string{"1", "2", "3", "4"} {
+		pass(boot)
+		dispatched := actionsOf[Dispatch](s.Step(now, Arrived{Request: Request{ID: state.RequestID(id + 1), Service: "draft", Workspace: "w", Fingerprint: 9}}))
+		require.Len(t, dispatched, 1)
+		actions := s.Step(now, Ended{ID: dispatched[0].ID, Outcome: OutcomeUnusable})
+		require.Empty(t, actionsOf[SendCrash](actions))
+		require.Len(t, actionsOf[Refuse](actions), 1, "a request that may have run is not repeated")
+		s.Step(now, Unreachable{Upstream: "u1"})
+	}
+}
--- a/coordination/scheduler/request.go
+++ b/coordination/scheduler/request.go
@@ -294,7 +294,7 @@
 		s.losses.Forget(item.Fingerprint)
 	case OutcomeNotSent:
 		s.retry(item, result.UpstreamUnreachable)
-	case OutcomeLost:
+	case OutcomeLost, OutcomeUnusable:
 		item.MaybeSent = true
 		s.retry(item, result.UpstreamLost)
 	}
@@ -304,6 +304,9 @@
 func (s *Scheduler) reportEnd(r *dispatchedRequest, e Ended) {
 	to, sequence := s.reportTarget(r)
 	cost := r.takeUnreported() + e.Cost
+	if e.Outcome == OutcomeUnusable {
+		e.Outcome = OutcomeLost
+	}
 	if to == s.self.Router {
 		s.settleGrant(EndedHeard{
 			From: to, Sequence: sequence, Upstream: r.upstream,
--- a/transport/caller/follow.go
+++ b/transport/caller/follow.go
@@ -235,6 +235,9 @@
 		return x.refuse(x.deadlineResult()), true
 	case upstream.StageOf(err) == upstream.StageNotSent:
 		return x.endUnsent(scheduler.OutcomeNotSent)
+	case errors.Is(err, upstream.ErrMalformed):
+		x.endAttempt(m, cost, scheduler.OutcomeUnusable)
+		return result.Result{}, false
 	default:
 		x.endAttempt(m, cost, scheduler.OutcomeLost)
 		return result.Result{}, false
--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -466,6 +466,28 @@
 	require.Equal(t, []scheduler.Outcome{scheduler.OutcomeLost}, outcomes)
 }
 
+// Bytes that are no answer say nothing about the request that waited, which must
+// not be suspected of a crash.
+func TestUnusableAnswerIsReportedAsSuch(t *testing.T) {
+	for text, want := range map[string]scheduler.Outcome{
+		"%%%%\r\n\r\n": scheduler.OutcomeUnusable,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%%%%\r\n": scheduler.OutcomeFailed,
+	} {
+		b := newHandlerFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			require.NoError(t, err)
+			_, err = io.WriteString(conn, text)
+			require.NoError(t, err)
+		}, dispatch("one"), scheduler.Refuse{ID: 1, Result: result.New(result.UpstreamLost, "")})
+		resp, _, err := b.post(t, "/bookings/map", "")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+		<-b.records
+		outcomes, _ := b.reported()
+		require.Equal(t, []scheduler.Outcome{want}, outcomes)
+	}
+}
+
 // TestCallerLeaves guards against slots that stay occupied after the caller has
 // left. The caller's connection closes while the request waits, at the moment
 // it is dispatched, or while the worker runs it.
--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -284,8 +284,11 @@
 		a.x.endAttempt(a.meter, total, scheduler.OutcomeAbandoned)
 		return a.x.endAbandoned()
 	case errors.Is(err, errAnswerTooLong):
-		a.x.endAttempt(a.meter, total, scheduler.OutcomeTruncated)
+		a.x.endAttempt(a.meter, total, scheduler.OutcomeFailed)
 		return a.abortAnswer(result.New(result.AnswerTooLong, ""))
+	case errors.Is(err, upstream.ErrMalformed):
+		a.x.endAttempt(a.meter, total, scheduler.OutcomeFailed)
+		return a.abortAnswer(result.New(result.AnswerTruncated, ""))
 	default:
 		a.x.endAttempt(a.meter, total, scheduler.OutcomeTruncated)
 		return a.abortAnswer(result.New(result.AnswerTruncated, ""))
--- a/transport/caller/sse.go
+++ b/transport/caller/sse.go
@@ -8,7 +8,7 @@
 // maxEventBytes limits the length of a stream's line that is kept for parsing.
 // A longer line is relayed in full but counted as one token without being
 // parsed.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 64 << 10
 
 var (
 	dataField   = []byte("data:")
--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -295,10 +295,10 @@
 	}
 	all := []server{
 		{r.connTracker.Listener(r.callerListener), callers},
-		{r.readyListener, &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout}},
+		{r.readyListener, &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
 	}
 	if r.metricsListener != nil {
-		all = append(all, server{r.metricsListener, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout}})
+		all = append(all, server{r.metricsListener, &http.Server{Handler: r.metrics.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}})
 	}
 	return all
 }
--- a/transport/host/host.go
+++ b/transport/host/host.go
@@ -230,7 +230,8 @@
 		return
 	}
 	waiting.dispatched = false
-	if e.Outcome == scheduler.OutcomeNotSent || e.Outcome == scheduler.OutcomeLost {
+	switch e.Outcome {
+	case scheduler.OutcomeNotSent, scheduler.OutcomeLost, scheduler.OutcomeUnusable:
 		return
 	}
 	s.finishRequest(e.ID, waiting)
--- a/transport/objectstore/client.go
+++ b/transport/objectstore/client.go
@@ -38,6 +38,8 @@
 	// connectTimeout leaves time for the call itself within DefaultTimeout.
 	connectTimeout = 2 * time.Second
 	maxIdleConns   = 16
+	// maxAnswerHeadBytes limits the size of an answer's head.
+	maxAnswerHeadBytes = 64 << 10
 	// idleConnTimeout is longer than several watches.
 	idleConnTimeout = 30 * time.Second
 )
@@ -100,6 +102,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
 	}}
 }
 
--- a/transport/orders/controller.go
+++ b/transport/orders/controller.go
@@ -111,7 +111,7 @@
 // deliver it after the lease has ended.
 func newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxAnswerHeadBytes}}
 }
 
 // SystemClock returns a function that reads the machine's clocks.
--- a/transport/orders/send.go
+++ b/transport/orders/send.go
@@ -30,6 +30,9 @@
 // order.
 const maxAnswerBytes = 1 << 20
 
+// maxAnswerHeadBytes limits the size of the head of such an answer.
+const maxAnswerHeadBytes = 64 << 10
+
 // errTooLate aborts an order that can no longer be sent safely within the
 // lease.
 var errTooLate = errors.New("orders: too little time left in the lease to send the order")
