--- a/transport/caller/handler_test.go
+++ b/transport/caller/handler_test.go
@@ -81,7 +81,7 @@
 	defer f.mu.Unlock()
 	f.cost += cost
 	f.outcomes = append(f.outcomes, outcome)
-	if outcome == scheduler.OutcomeLost || outcome == scheduler.OutcomeNotSent {
+	if outcome == scheduler.OutcomeLost || outcome == scheduler.OutcomeUnusable || outcome == scheduler.OutcomeNotSent {
 		f.sendNext()
 	}
 }
