Let only the rest of a stream follow its beginning

Callers saw: where the upstream that should resume a stream answered with an error page of more than 256 KB, the page followed the events that had been sent, under the status and signature of the first upstream, and the answer ended as if it were complete. A JSON answer on a route of streams was taken for a stream that broke off.

Cause: which way an answer takes was decided by the route and the status, and what may follow a beginning only by the buffered way, after the body was read; a body that was too long for the buffer passed it.

It is now decided once, by the head: status 200 and the type of a stream, or none. Anything else ends an attempt to resume; the body is not read. An upstream that changes the protocol has failed. A stream that begins again at its first event ends since. A stream that leaves out events can't be told from one that numbers them in larger steps. The buffer for answers grew beyond its limit by the library's rounding; it has exactly 256 KB now.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -196,8 +196,13 @@
 		return attemptEnd{attemptNotRun, result.New(result.NoUpstream, "The upstream would not take the request.").WithRetryAfter(rejectedRetryAfter)}, placement.Rejected
 	case !head.Signed:
 		return attemptEnd{attemptFailed, result.New(result.UpstreamFailed, "The answer is not an upstream's own.")}, placement.Failed
-	case x.route.Kind == routing.Stream && answer.Status == http.StatusOK:
+	case answer.Status < http.StatusOK:
+		return attemptEnd{attemptFailed, result.New(result.UpstreamFailed, "The upstream changed the protocol.")}, placement.Failed
+	case x.route.Kind == routing.Stream && isEventStream(answer):
 		return x.relayStream(answer, ticket)
+	case x.headSent:
+		// Only the rest of a stream may follow its beginning.
+		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, "The stream could not be resumed.")}, placement.Failed
 	default:
 		return x.relayBuffered(answer, ticket)
 	}
--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 
@@ -56,15 +55,11 @@
 	outcome := placement.Answered
 	if answer.Status >= http.StatusInternalServerError {
 		outcome = placement.Failed
-		if x.route.Repeatable() && !x.headSent {
+		if x.route.Repeatable() {
 			x.fallback = buffered
 			return attemptEnd{attemptFailed, result.New(result.UpstreamFailed, "The upstream answered with an error of its own.")}, outcome
 		}
 	}
-	if x.headSent {
-		// A stream was to be resumed, but the upstream sent a different answer.
-		return attemptEnd{attemptFailed, result.New(result.AnswerTruncated, "The stream could not be resumed.")}, placement.Failed
-	}
 	x.h.Dispatcher.ReportServed(x.fingerprint)
 	return attemptEnd{attemptDelivered, x.deliver(buffered)}, outcome
 }
@@ -87,7 +82,7 @@
 		case len(body) >= maxBufferedBytes || !x.answerHeld.TryGrow(int64(3*cap(body)+x.fallbackBytes())):
 			return body, nil
 		}
-		body = slices.Grow(body, cap(body))
+		body = append(make([]byte, 0, min(2*cap(body), maxBufferedBytes)), body...)
 	}
 }
 
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -235,6 +235,80 @@
 	require.Equal(t, "2", spare.receivedRequests()[0].Header.Get("Last-Event"))
 }
 
+// The upstream that shall resume a stream sends something else. It was written
+// into the stream, if it was long, and the stream ended as if it were complete.
+func TestOnlyTheRestOfAStreamFollowsItsBeginning(t *testing.T) {
+	page := strings.Repeat("error ", 2*maxBufferedBytes/6)
+	const signed = "S\r\nSigned: 1\r\nAttempt: x\r\n"
+	for name, second := range map[string]string{
+		"error page":                 completeAnswer(500, "no"),
+		"long error page":            completeAnswer(500, page),
+		"long error page, chunked":   "HTTP/1.1 500 " + signed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(page) + "0\r\n\r\n",
+		"long error page, broken":    completeAnswer(500, page)[:len(page)-100],
+		"long page without a length": "HTTP/1.1 200 " + signed + "Content-Type: text/html\r\n\r\n" + page,
+		"page":                       "HTTP/1.1 200 " + signed + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
+		"page without a type":        completeAnswer(200, page),
+		"redirect":                   "HTTP/1.1 302 " + signed + "Location: /\r\nContent-Length: 0\r\n\r\n",
+		"no content":                 "HTTP/1.1 204 " + signed + "\r\n" + event(2),
+		"not modified":               "HTTP/1.1 304 " + signed + "\r\n" + event(2),
+		"another protocol":           "HTTP/1.1 101 " + signed + "Connection: Upgrade\r\nUpgrade: x\r\n\r\n" + event(2),
+		"part of a range":            "HTTP/1.1 206 " + signed + "Content-Length: 19\r\n\r\n" + event(2),
+		"the stream from its start":  completeStream(1, 2, 3),
+		"unsigned stream":            "HTTP/1.1 200 S\r\nAttempt: x\r\nContent-Length: 19\r\n\r\n" + event(2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = conn.Write([]byte(streamHead + chunk(event(1))))
+				_ = conn.Close()
+			})
+			next := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = conn.Write([]byte(second))
+				_ = conn.Close()
+			})
+			d := newHandlerFixture(t, resumableRoute, u, next)
+			response := d.post(t)
+			body, err := bodyOf(t, response)
+			require.Error(t, err, "a stream without its end must not look complete")
+			require.Equal(t, event(1), body)
+			require.Equal(t, "first", response.Header.Get("Signed"))
+			require.Equal(t, placement.Failed, d.dispatcher.endedOutcomes()[1])
+		})
+	}
+}
+
+// The rest of a stream may have another framing than its beginning.
+func TestRestOfAStreamOfAnotherFraming(t *testing.T) {
+	rest := event(2) + event(3)
+	const signed = "HTTP/1.1 200 S\r\nSigned: 1\r\nAttempt: x\r\n"
+	for name, second := range map[string]string{
+		"chunks":       completeStream(2, 3),
+		"length":       completeAnswer(200, rest),
+		"until closed": signed + "Content-Type: text/event-stream; charset=utf-8\r\n\r\n" + rest,
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = conn.Write([]byte(streamHead + chunk(event(1))))
+				_ = conn.Close()
+			})
+			next := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = conn.Write([]byte(second))
+				_ = conn.Close()
+			})
+			body, err := bodyOf(t, newHandlerFixture(t, resumableRoute, u, next).post(t))
+			require.NoError(t, err)
+			require.Equal(t, event(1)+rest, body)
+		})
+	}
+}
+
+// A page on a route of streams is an answer like any other.
+func TestPageOnARouteOfStreams(t *testing.T) {
+	u := startUpstream(t, writeText("HTTP/1.1 200 S\r\nSigned: 1\r\nAttempt: x\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"))
+	body, err := bodyOf(t, newHandlerFixture(t, resumableRoute, u).post(t))
+	require.NoError(t, err)
+	require.Equal(t, "{}", body)
+}
+
 // A stream that cannot be resumed breaks off. The caller's HTTP library must
 // detect that it is incomplete, and the request must not run again.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/figstile/figstile/coordination/memory"
@@ -21,6 +22,14 @@
 // errPartialEvent ends a stream that stopped within an event.
 var errPartialEvent = errors.New("ingress: the stream stopped within an event")
 
+// isEventStream reports whether an answer on a route of streams is a stream, and
+// not a page or an error. An upstream need not state the type of a stream.
+func isEventStream(answer *upstream.Answer) bool {
+	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return answer.Status == http.StatusOK && (mediaType == "" || strings.EqualFold(mediaType, "text/event-stream"))
+}
+
 // relayStream relays a stream of events. It only writes complete events, so
 // that a broken stream can resume at another upstream after the last one. The
 // head is sent with the first event: until then the request can still be
