Believe an answer that names no request only on a new connection

Callers saw: a request that ran at its upstream was answered 503, and a caller that came back ran it twice. The upstream had sent additional bytes after an earlier answer, a rejection without an attempt's id, which arrived when the next request was under way on that connection.

Cause: an answer without an id was taken for the answer to the request under way. Upstreams name the attempt in their answers. An answer that does not can belong to no other request only if it is the first on its connection and the whole request was sent before; so are the rejections that upstreams may send without an id served as before. Anywhere else it proves nothing: the attempt has failed, the request may have run, and the connection is closed, so that no second answer is read from it. The request is not suspected of a crash.

TestAnswerThatNamesNoRequestProvesNothing failed before for a rejection and for an answer; the other side is held by TestAnswerThatNamesNoRequestOnANewConnection and TestRejectionThatNamesTheRequestOnAKeptConnection.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -192,6 +192,8 @@
 	defer answer.Close()
 	head := x.h.Dialect.ParseAnswerHeaders(answer.Status, answer.Header)
 	switch {
+	case !answer.Attributed:
+		return attemptEnd{attemptFailed, result.New(result.UpstreamLost, "The answer names no request.")}, placement.Failed
 	case head.NotRun:
 		return attemptEnd{attemptNotRun, result.New(result.NoUpstream, "The upstream would not take the request.").WithRetryAfter(rejectedRetryAfter)}, placement.Rejected
 	case !head.Signed:
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -117,6 +117,72 @@
 	}
 }
 
+// An upstream sends additional bytes after a complete answer, which arrive when
+// the next request is under way. If they name no request they prove nothing about
+// this one. Before, a request that ran was refused as not run.
+func TestAnswerThatNamesNoRequestProvesNothing(t *testing.T) {
+	for name, extra := range map[string]string{
+		"rejection":        "HTTP/1.1 503 S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"answer":           "HTTP/1.1 200 S\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nalien",
+		"another's answer": "HTTP/1.1 200 S\r\nSigned: 1\r\nAttempt: y\r\nContent-Length: 5\r\n\r\nalien",
+	} {
+		t.Run(name, func(t *testing.T) {
+			requests := 0
+			u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+				requests++
+				if requests == 2 {
+					_, _ = conn.Write([]byte(extra))
+				}
+				_, _ = conn.Write([]byte(completeAnswer(200, "page")))
+			})
+			d := newHandlerFixture(t, nonIdempotentRoute, u)
+			for i, want := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK} {
+				response := d.post(t)
+				body, err := bodyOf(t, response)
+				require.NoError(t, err)
+				require.Equal(t, want, response.StatusCode, "request %d", i)
+				require.NotContains(t, body, "alien")
+				if want != http.StatusOK {
+					require.Equal(t, "unknown", response.Header.Get("Figstile-Ran"))
+				}
+			}
+			require.Zero(t, d.dispatcher.lostCount)
+		})
+	}
+}
+
+// An upstream whose answers do not name the request is believed where nothing
+// else can have sent bytes: on a new connection.
+func TestAnswerThatNamesNoRequestOnANewConnection(t *testing.T) {
+	for text, want := range map[string]int{
+		"HTTP/1.1 503 S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n":               http.StatusServiceUnavailable,
+		"HTTP/1.1 200 S\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nalien":           http.StatusOK,
+		"HTTP/1.1 500 S\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nalien":           http.StatusInternalServerError,
+		"HTTP/1.1 503 S\r\nNot-Run: 1\r\nAttempt: x\r\nConnection: close\r\n\r\n": http.StatusServiceUnavailable,
+	} {
+		u := startUpstream(t, writeText(text))
+		require.Equal(t, want, newHandlerFixture(t, nonIdempotentRoute, u).post(t).StatusCode, text)
+	}
+}
+
+// A rejection that names the request counts at any time, also on a connection
+// that was used before.
+func TestRejectionThatNamesTheRequestOnAKeptConnection(t *testing.T) {
+	answers := []string{completeAnswer(200, "page"), "HTTP/1.1 503 S\r\nNot-Run: 1\r\nAttempt: x\r\nContent-Length: 0\r\n\r\n"}
+	requests := 0
+	u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = conn.Write([]byte(answers[requests]))
+		requests++
+	})
+	d := newHandlerFixture(t, nonIdempotentRoute, u)
+	response := d.post(t)
+	_, err := bodyOf(t, response)
+	require.NoError(t, err)
+	response = d.post(t)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "no", response.Header.Get("Figstile-Ran"))
+}
+
 // Retries must not multiply the load of an overloaded fleet: once the retry
 // budget is spent, a failed answer is final.
 func TestNoRetryWithoutBudget(t *testing.T) {
--- a/transport/upstream/answer.go
+++ b/transport/upstream/answer.go
@@ -12,6 +12,11 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Attributed is set if the answer certainly belongs to this attempt: it
+	// names the attempt, or it is the first answer on its connection and came
+	// after the whole request was sent. Anything else may be bytes that were
+	// left over by an earlier answer.
+	Attributed bool
 
 	body         io.ReadCloser
 	framed       bool
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -286,6 +286,7 @@
 	}
 	answer = newAnswer(ctx, cancel, resp, c.answerIdle)
 	answer.conn = tracker.currentConn()
+	answer.Attributed = resp.Header.Get(c.echoHeader) == a.token() || tracker.firstAnswerToWholeRequest()
 	answer.framed = answer.framed || c.acceptUnframed
 	return answer, false, nil
 }
--- a/transport/upstream/fence.go
+++ b/transport/upstream/fence.go
@@ -91,10 +91,26 @@
 	writesBefore uint64
 	sent         bool
 	reused       bool
+	// sentWhole is set once the whole request was written.
+	sentWhole bool
 }
 
 func (t *sendTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConn}
+	return &httptrace.ClientTrace{GotConn: t.gotConn, WroteRequest: t.wroteRequest}
+}
+
+func (t *sendTracker) wroteRequest(info httptrace.WroteRequestInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sentWhole = info.Err == nil
+}
+
+// firstAnswerToWholeRequest reports whether the whole request was sent, on a
+// connection that has carried no other one.
+func (t *sendTracker) firstAnswerToWholeRequest() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sentWhole && !t.reused
 }
 
 // gotConn is called before the first write on a connection. If an earlier
