Tell a watch that is cut off from an outage of the store

Callers saw: requests reached an upstream that had left, up to 2.3 s after its entry was removed, where it serves for 2.0 s. Orders among them got a 502. It takes a fleet of up to three routers, or four and watches cut in series, and an upstream that leaves without notice while the store cuts off a watch that waits.

Cause: one failed call, of any kind, counted as an outage of the store. Entries expire in an outage, so removals were put off for 2.2 s after the next answer. In larger fleets a router that had lost no call reads at once and has no doubt.

What tells the two apart is the next call: after a cut it is answered, in an outage it fails as well, or the store was silent for a while before. An entry expires after three heartbeats (3.6 s). A single failed call is an outage only if the store has not answered anything for 2 s.

--- a/e2e/edge_fakes_test.go
+++ b/e2e/edge_fakes_test.go
@@ -77,6 +77,8 @@
 	started chan struct{}
 	// received counts the requests that were addressed to this engine.
 	received atomic.Int64
+	// receivedAt is the time of the last of them in nanoseconds since 1970.
+	receivedAt atomic.Int64
 }
 
 func startEdgeEngine(t *testing.T, s *objectStore, id string) *edgeEngine {
@@ -96,6 +98,7 @@
 			return
 		}
 		e.received.Add(1)
+		e.receivedAt.Store(time.Now().UnixNano())
 		w.Header().Set("Server-Signature", "sig-"+id)
 		if r.Header.Get("Tenant") != "turismo" || r.Header.Get("Authorization") != "" {
 			w.WriteHeader(http.StatusInternalServerError)
--- a/transport/edge/catalogue.go
+++ b/transport/edge/catalogue.go
@@ -75,6 +75,8 @@
 	// is the time at which it last became reachable again.
 	storeUnavailable bool
 	storeReturnedAt  time.Time
+	// storeAnsweredAt is the time of the store's last answer, of any kind.
+	storeAnsweredAt time.Time
 }
 
 func newCatalogue(platform Platform, dispatcher *dispatcher, log zerolog.Logger, now func() time.Time) *catalogue {
@@ -382,6 +384,7 @@
 func (c *catalogue) markStoreAvailable() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.storeAnsweredAt = c.now()
 	if c.storeUnavailable {
 		c.storeUnavailable = false
 		c.storeReturnedAt = c.now()
@@ -389,6 +392,13 @@
 	}
 }
 
+// storeSilence returns the time since the store's last answer.
+func (c *catalogue) storeSilence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now().Sub(c.storeAnsweredAt)
+}
+
 func (c *catalogue) markStoreUnavailable(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -54,6 +54,10 @@
 	// With the maximum, a router notices the store's return within a second.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 700 * time.Millisecond
+	// maxCutSilence is the longest time since the store's last answer after which
+	// one failed call is not an outage. An upstream's entry does not expire in it:
+	// that takes three heartbeats.
+	maxCutSilence = 2 * time.Second
 )
 
 // follower keeps a catalogue up to date with one kind of the store's objects.
@@ -90,6 +94,8 @@
 	revision uint64
 	// latency is the time that the last answer took beyond the wait of its call.
 	latency time.Duration
+	// failures is the number of calls that have failed since the last answer.
+	failures int
 	// probe is set if the next watch call has to be answered at once.
 	probe bool
 	// inStep is set if other readers may begin to wait at the same time as this
@@ -149,6 +155,7 @@
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
+			f.failures = 0
 			retry.Reset()
 			f.paused = f.watchPause()
 			_ = pause.For(ctx, f.paused)
@@ -158,12 +165,24 @@
 		default:
 			f.probe = true
 			f.onFailure(f.kind)
-			f.catalogue.markStoreUnavailable(err)
+			f.reportFailure(err)
 			_ = pause.For(ctx, f.retryDelay(retry.NextBackOff()))
 		}
 	}
 }
 
+// reportFailure reports an outage of the store after a failed call. The store may
+// cut off a watch that waits at any time, and the next call is then answered; in
+// an outage it fails as well, or the store has been silent before.
+func (f *follower) reportFailure(err error) {
+	f.failures++
+	if f.failures > 1 || f.catalogue.storeSilence() > maxCutSilence {
+		f.catalogue.markStoreUnavailable(err)
+		return
+	}
+	f.log.Info().Err(err).Stringer("kind", f.kind).Msg("call to the store cut off")
+}
+
 // watchPause returns the pause before the next watch call.
 func (f *follower) watchPause() time.Duration {
 	if f.kind == KindUpstream {
