Bound the memory of bodies that are read at once

Callers saw: a router was killed with all that it had taken on when many callers sent bodies as long as the settings allow. Code 2009 says that a router holds as many requests as its memory allows; nothing kept that.

Cause: each body was bounded, all of them together were not. A body of more than 4 KB now reserves its length from a quarter of the VM's memory before it is read, one in chunks as it grows. A caller whose body does not fit is refused with 2009, to come back at another router at once.

--- a/transport/edge/router.go
+++ b/transport/edge/router.go
@@ -34,6 +34,9 @@
 	// answerMemoryShare is the fraction of the VM's memory that answers may hold
 	// until they can be passed on.
 	answerMemoryShare = 0.125
+	// bodyMemoryShare is the fraction of the VM's memory that callers' bodies may
+	// use.
+	bodyMemoryShare = 0.25
 	// maxAnswerBytes limits the size of an answer.
 	maxAnswerBytes = 64 << 20
 	// longAnswerBytesPerCore is the rate in bytes per second and core at which
@@ -143,6 +146,7 @@
 			MaxAnswerBytes:  maxAnswerBytes,
 			LongAnswerRate:  int64(longAnswerBytesPerCore * r.settings.CPUCores),
 		}),
+		BodyMemory:   memory.NewBudget(int64(bodyMemoryShare * float64(r.settings.MemoryBytes))),
 		AnswerMemory: memory.NewBudget(int64(answerMemoryShare * float64(r.settings.MemoryBytes))),
 		Observer:     observer{metrics: r.metrics, pressure: r.pressure},
 		Log:          r.log,
--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -57,33 +55,6 @@
 	return n
 }
 
-func (x *exchange) readBody() (result.Result, bool) {
-	limit := x.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return result.New(result.BodyTooLarge, ""), false
-	}
-	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
-	var err error
-	if x.r.ContentLength > 0 {
-		x.body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return result.New(result.BodyTooLarge, ""), false
-	case err != nil:
-		x.record.Abandoned = x.r.Context().Err() != nil
-		return result.New(result.BadRequest, "The body ended early."), false
-	}
-	return result.Result{}, true
-}
-
 func (x *exchange) findRoute() (result.Result, bool) {
 	route, ok := x.table.Route(x.r.Host, x.r.URL.Path)
 	if !ok {
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -26,9 +26,6 @@
 	// defaultDeadline limits a request if neither its caller nor its route sets
 	// a deadline.
 	defaultDeadline = time.Minute
-	// defaultMaxBodyBytes limits the size of a body if the configuration does
-	// not.
-	defaultMaxBodyBytes = 4 << 20
 	// maxUnsentTries limits how often a request is placed at an upstream to
 	// which no connection can be opened. Such tries reach no upstream and cost
 	// the fleet nothing, but each may take as long as the dial timeout.
@@ -43,8 +40,11 @@
 	// AnswerMemory limits what is held of all answers at once. If nil, only each
 	// answer by itself is limited.
 	AnswerMemory *memory.Budget
-	Observer     Observer
-	Log          zerolog.Logger
+	// BodyMemory limits what is held of all callers' bodies at once. If nil, only
+	// each body by itself is limited.
+	BodyMemory *memory.Budget
+	Observer   Observer
+	Log        zerolog.Logger
 	// Now is the clock for latencies.
 	Now func() time.Time
 	// ShouldClose reports whether answers should ask callers to close their
@@ -138,6 +138,8 @@
 	// fallback is an upstream's own error answer. It is delivered if no other
 	// upstream succeeds.
 	fallback *bufferedAnswer
+	// bodyHeld is the reservation for the caller's body.
+	bodyHeld memory.Reservation
 	// answerHeld is the reservation for the bodies of answers that are held.
 	answerHeld memory.Reservation
 	verdict    admission.Verdict
@@ -163,8 +165,9 @@
 	stop := h.Dispatcher.Drain()
 	x := &exchange{h: h, w: w, r: r, controller: http.NewResponseController(w), arrivedAt: h.Now()}
 	x.stopAge = stop.Age(x.arrivedAt)
-	x.answerHeld.Budget = h.AnswerMemory
+	x.answerHeld.Budget, x.bodyHeld.Budget = h.AnswerMemory, h.BodyMemory
 	defer x.answerHeld.Release()
+	defer x.bodyHeld.Release()
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	defer x.recoverPanic()
