Cancel a stalled attempt also before its callback is known

Nobody saw this: an attempt that is admitted and found to be stalled before it has registered the function that cancels it was cancelled by a call of nil, which ends the process with all that it has taken on.

The attempt is marked and cancelled when the function is registered. TestStallBeforeItsCallbackIsKnown panicked before.

--- a/transport/edge/dispatcher.go
+++ b/transport/edge/dispatcher.go
@@ -54,6 +54,9 @@
 	// router is told to stop.
 	drain          drain.Drain
 	stallCallbacks map[*placement.Ticket]func()
+	// stalledEarly holds the attempts that were to be cancelled before their
+	// callbacks were known.
+	stalledEarly map[*placement.Ticket]bool
 	// charges are the costs charged to workspaces for running attempts.
 	charges map[*placement.Ticket]charge
 	// urgentPublish triggers an immediate report of this router's load to
@@ -85,6 +88,7 @@
 		quarantined:    quarantine.New(quarantine.DefaultCapacity),
 		lostRuns:       make(map[state.Upstream]quarantine.Run),
 		stallCallbacks: make(map[*placement.Ticket]func()),
+		stalledEarly:   make(map[*placement.Ticket]bool),
 		charges:        make(map[*placement.Ticket]charge),
 		routerCount:    1,
 		urgentPublish:  make(chan struct{}, 1),
@@ -167,8 +171,13 @@
 // OnStall implements ingress.Dispatcher.
 func (d *dispatcher) OnStall(t *placement.Ticket, cancel func()) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.stallCallbacks[t] = cancel
+	stalled := d.stalledEarly[t]
+	delete(d.stalledEarly, t)
+	d.mu.Unlock()
+	if stalled {
+		cancel()
+	}
 }
 
 // ReportOutput implements ingress.Dispatcher.
@@ -192,7 +201,11 @@
 	stalled := d.loadView.TakeStalled(d.now(), d.spendRetry)
 	var cancels []func()
 	for _, t := range stalled {
-		cancels = append(cancels, d.stallCallbacks[t])
+		if cancel, ok := d.stallCallbacks[t]; ok {
+			cancels = append(cancels, cancel)
+		} else {
+			d.stalledEarly[t] = true
+		}
 	}
 	d.mu.Unlock()
 	for _, cancel := range cancels {
@@ -205,6 +218,7 @@
 func (d *dispatcher) End(t *placement.Ticket, outcome placement.Outcome) {
 	d.mu.Lock()
 	delete(d.stallCallbacks, t)
+	delete(d.stalledEarly, t)
 	if t.OnEngine() {
 		d.pressure.countStreamEnd(t.Answering(), answeredEvents(t, outcome))
 		if outcome == placement.Unconnected || outcome == placement.Rejected {
--- a/transport/edge/dispatcher_test.go
+++ b/transport/edge/dispatcher_test.go
@@ -188,6 +188,25 @@
 	require.Zero(t, *withoutBudget, "the budget for retries is spent")
 }
 
+// A request was found to be stalled before the function that cancels it was
+// known: the process ended by a call of nil.
+func TestStallBeforeItsCallbackIsKnown(t *testing.T) {
+	f := newFixture()
+	f.dispatcher.settings.RetryWindow, f.dispatcher.settings.RetrySlack = 10*time.Second, 2
+	f.dispatcher.setTable(routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", Engine: &routing.Engine{Slots: 64, CacheTokens: 1000}}}}))
+	f.dispatcher.setUpstream("slow", directory.Upstream{ID: "slow", Service: "s", Slots: 64}, true)
+	_, ticket := f.dispatcher.Admit(admission.Request{Work: placement.Work{Service: "s", Repeatable: true}}, false)
+	f.dispatcher.ReportOutput(ticket, true)
+	f.dispatcher.setUpstream("other", directory.Upstream{ID: "other", Service: "s", Slots: 64}, true)
+	f.clock.advance(2 * time.Second)
+	require.Equal(t, 1, f.dispatcher.cancelStalled())
+	cancelled := 0
+	f.dispatcher.OnStall(ticket, func() { cancelled++ })
+	require.Equal(t, 1, cancelled)
+	f.dispatcher.End(ticket, placement.Broken)
+	require.Empty(t, f.dispatcher.stalledEarly)
+}
+
 // Guards against closing or keeping connections by a limit that differs from
 // the configured one.
 func TestIdleTimeoutFollowsTheConfiguration(t *testing.T) {
