Look up a route by the path as the caller sent it

Callers saw nothing yet: a request for /a%2Fb was routed by its decoded path, so that the escaped slash ended the prefix /a/, and forwarded unchanged, so that its upstream saw a path outside of that prefix. It is now routed by what is forwarded.

TestEscapedSlashDoesNotEndAPrefix failed before.

--- a/transport/ingress/admit.go
+++ b/transport/ingress/admit.go
@@ -56,7 +56,9 @@
 }
 
 func (x *exchange) findRoute() (result.Result, bool) {
-	route, ok := x.table.Route(x.r.Host, x.r.URL.Path)
+	// The upstream receives the path as it was sent, so an escaped slash does not
+	// end a prefix.
+	route, ok := x.table.Route(x.r.Host, x.r.URL.EscapedPath())
 	if !ok {
 		return x.unknownResult(result.UnknownService), false
 	}
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -183,6 +183,24 @@
 	require.Equal(t, "no", response.Header.Get("Figstile-Ran"))
 }
 
+// A request was routed by its decoded path, in which an escaped slash ends a
+// prefix, and was forwarded with another one.
+func TestEscapedSlashDoesNotEndAPrefix(t *testing.T) {
+	u := startUpstream(t, writeText(completeAnswer(200, "page")))
+	d := newHandlerFixture(t, nonIdempotentRoute, u)
+	for path, want := range map[string]int{"/a%2Fp": http.StatusNotFound, "/a/%2Fp": http.StatusOK, "/a/p%20q": http.StatusOK} {
+		request, err := http.NewRequest(http.MethodPost, d.url+path, strings.NewReader("hello"))
+		require.NoError(t, err)
+		request.Host = "h"
+		request.Header.Set("Key", "secret")
+		request.Header.Set("Attempt", "x")
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		require.Equal(t, want, response.StatusCode, path)
+	}
+}
+
 // Retries must not multiply the load of an overloaded fleet: once the retry
 // budget is spent, a failed answer is final.
 func TestNoRetryWithoutBudget(t *testing.T) {
