Leave a caller that does not read after its deadline

Callers saw nothing; found while listing what a process holds for others. A caller that stops reading held its connection, its buffers and up to 128 KB of an answer in the kernel for as long as it kept the connection open. Its request had long passed its deadline.

Cause: the deadline ends the attempt at the upstream, not a write to the caller. Writes now end one second after the deadline of their request.

TestCallerThatDoesNotReadIsLeftAfterTheDeadline failed before, so did TestCallersLastEventOnARouteThatCannotResume; TestWriteDeadlineEndsWithItsRequest holds the other side.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -241,7 +241,7 @@
 }
 
 // ownReasons are the reasons for which the router itself ends an attempt.
-var ownReasons = []error{context.Canceled, context.DeadlineExceeded, upstream.ErrCrossed, errStalled, errAnswerMemory}
+var ownReasons = []error{context.Canceled, context.DeadlineExceeded, upstream.ErrCrossed, errStalled}
 
 // unusableReasons are the reasons for which an upstream's answer is not used
 // although its connection did not break. Such an answer says nothing about the
@@ -253,6 +253,8 @@
 // crashed by the request.
 func (x *exchange) reportBroken(err error, ticket *placement.Ticket) placement.Outcome {
 	switch {
+	case errors.Is(err, errAnswerMemory):
+		return placement.Withdrawn
 	case isAny(err, ownReasons):
 	case isAny(err, unusableReasons):
 		return placement.Failed
--- a/transport/ingress/handler.go
+++ b/transport/ingress/handler.go
@@ -26,6 +26,9 @@
 	// defaultDeadline limits a request if neither its caller nor its route sets
 	// a deadline.
 	defaultDeadline = time.Minute
+	// unreadLimit is how long after its deadline an answer may wait for its caller
+	// to read it. A caller that does not read holds its connection until then.
+	unreadLimit = time.Second
 	// maxUnsentTries limits how often a request is placed at an upstream to
 	// which no connection can be opened. Such tries reach no upstream and cost
 	// the fleet nothing, but each may take as long as the dial timeout.
@@ -177,6 +180,8 @@
 	if h.ReadDelay != nil {
 		x.readDelay = h.ReadDelay(r)
 	}
+	// The deadline for writing of an earlier request on this connection ends.
+	_ = x.controller.SetWriteDeadline(time.Time{})
 	res := x.run()
 	x.finishRecord(res)
 	if x.abortConn {
@@ -206,8 +211,11 @@
 	if res, ok := x.admit(); !ok {
 		return x.refuse(res)
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(x.h.Now()))
+	timeLeft := x.deadline.Sub(x.h.Now())
+	ctx, cancel := context.WithTimeout(x.r.Context(), timeLeft)
 	defer cancel()
+	// A server that does not support deadlines only lacks this limit.
+	_ = x.controller.SetWriteDeadline(time.Now().Add(max(timeLeft, 0) + unreadLimit))
 	return x.dispatch(ctx)
 }
 
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -37,7 +37,7 @@
 func (x *exchange) relayStream(answer *upstream.Answer, ticket *placement.Ticket) (attemptEnd, placement.Outcome) {
 	buffer := streamBufferPool.Get().(*[streamBufferBytes]byte)
 	defer streamBufferPool.Put(buffer)
-	splitter := eventSplitter{held: memory.Reservation{Budget: x.h.AnswerMemory}, lastID: x.lastEvent}
+	splitter := eventSplitter{held: memory.Reservation{Budget: x.h.AnswerMemory}, lastID: x.resumedAfter()}
 	defer splitter.held.Release()
 	started := false
 	for {
@@ -63,6 +63,16 @@
 	}
 }
 
+// resumedAfter returns the id of the event after which an upstream has to begin.
+// It is empty if the stream begins at its first event, as it does on a route
+// whose streams cannot resume, whatever the caller asks for.
+func (x *exchange) resumedAfter() string {
+	if !x.route.Resumable {
+		return ""
+	}
+	return x.lastEvent
+}
+
 // writeEvents writes complete events and flushes them at once.
 func (x *exchange) writeEvents(answer *upstream.Answer, events []byte, lastID string) error {
 	if !x.headSent {
