--- a/coordination/scheduler/event.go
+++ b/coordination/scheduler/event.go
@@ -234,8 +234,8 @@
 }
 
 // Ended reports the end of a request that this router dispatched. After
-// OutcomeNotSent, OutcomeLost and OutcomeUnusable the caller has received nothing yet, and the
-// scheduler returns another Dispatch or a Refuse.
+// OutcomeNotSent, OutcomeLost and OutcomeUnusable the caller has received nothing
+// yet, and the scheduler returns another Dispatch or a Refuse.
 type Ended struct {
 	ID state.RequestID
 	// Cost is the cost since the last Progressed, in cost units.
