Let the benchmark's engine name its attempt and number its events

BenchmarkStream failed since: its engine sent one event again and again and no attempt's id. It now sends what an upstream has to.

--- a/transport/ingress/bench_test.go
+++ b/transport/ingress/bench_test.go
@@ -65,20 +65,23 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	b.Cleanup(func() { _ = listener.Close() })
-	event := fmt.Sprintf("%x\r\nid: 1\ndata: %s\n\n\r\n", 13+60, strings.Repeat("x", 60-1+0))
+	var events []string
+	for id := range benchEvents {
+		events = append(events, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", 59))))
+	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go serveRaw(conn, event)
+			go serveRaw(conn, events)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func serveRaw(conn net.Conn, event string) {
+func serveRaw(conn net.Conn, events []string) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -86,8 +89,8 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
-		for range benchEvents {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nAttempt: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, event := range events {
 			if _, err := io.WriteString(conn, event); err != nil {
 				return
 			}
