--- a/e2e/edge_leaving_test.go
+++ b/e2e/edge_leaving_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,15 +90,8 @@
 	return f
 }
 
-// nextIndex returns the index of a router that no other test running at the same
-// time uses.
-var nextIndex = func() func() int {
-	var mu sync.Mutex
-	index := 10
-	return func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		index++
-		return index
-	}
-}()
+// leavingRouters counts the routers of tests that run at the same time.
+var leavingRouters atomic.Int64
+
+// nextIndex returns the index of a router that no other test uses.
+func nextIndex() int { return 10 + int(leavingRouters.Add(1)) }
