Deliver a long answer whose last part finds no memory left

Callers saw nothing yet: where the memory for answers was used up, a long answer broke off although its last part had arrived. The memory that the next part would have needed was asked for after the end as well. An error answer of another upstream is no longer held once a long answer is passed on.

TestLongAnswerThatEndsWithoutMemoryIsComplete failed before.

--- a/transport/ingress/buffered.go
+++ b/transport/ingress/buffered.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// fallbackBytes returns the size of the answer that is held while another
-// upstream is tried.
+// fallbackBytes returns the size of the error answer that is held while the
+// request runs at another upstream.
 func (x *exchange) fallbackBytes() int {
 	if x.fallback == nil {
 		return 0
@@ -140,12 +140,12 @@
 	buffer := longBufferPool.Get().(*[longBufferBytes]byte)
 	defer longBufferPool.Put(buffer)
 	relayed := len(buffered.body)
-	buffered.body = nil
+	buffered.body, x.fallback = nil, nil
 	x.answerHeld.Release()
 	for {
 		n, err := answer.Read(buffer[:])
 		relayed += n
-		if relayed > maxBufferedBytes && !x.answerHeld.TryGrow(ReceiveBufferBytes+longBufferBytes) {
+		if err == nil && relayed > maxBufferedBytes && !x.answerHeld.TryGrow(ReceiveBufferBytes+longBufferBytes) {
 			err = errAnswerMemory
 		}
 		if _, writeErr := x.w.Write(buffer[:n]); writeErr != nil {
--- a/transport/ingress/endless_test.go
+++ b/transport/ingress/endless_test.go
@@ -233,3 +233,15 @@
 	require.True(t, bytes.Equal([]byte(text), []byte(body)))
 	require.Zero(t, d.handler.AnswerMemory.Held())
 }
+
+// The last part of a long answer arrives when no memory is left to hold more of
+// it. The answer was complete, and broke off.
+func TestLongAnswerThatEndsWithoutMemoryIsComplete(t *testing.T) {
+	text := strings.Repeat("x", maxBufferedBytes+1)
+	u := startUpstream(t, writeText(completeAnswer(200, text)))
+	d := newHandlerFixture(t, nonIdempotentRoute, u)
+	d.handler.AnswerMemory = memory.NewBudget(1)
+	body, err := bodyOf(t, d.post(t))
+	require.NoError(t, err)
+	require.Len(t, body, len(text))
+}
