--- a/coordination/memory/budget.go
+++ b/coordination/memory/budget.go
@@ -20,11 +20,15 @@
 // TryReserve reserves n bytes and reports whether they were available. Reserved
 // bytes must be returned with Release.
 func (b *Budget) TryReserve(n int64) bool {
-	if held := b.held.Add(n); b.limit > 0 && held > b.limit {
-		b.held.Add(-n)
-		return false
+	for {
+		held := b.held.Load()
+		if b.limit > 0 && held+n > b.limit {
+			return false
+		}
+		if b.held.CompareAndSwap(held, held+n) {
+			return true
+		}
 	}
-	return true
 }
 
 // Release returns n reserved bytes.
--- a/coordination/memory/budget_test.go
+++ b/coordination/memory/budget_test.go
@@ -69,3 +69,35 @@
 	messages.Wait()
 	require.Zero(t, budget.Held())
 }
+
+// A message that does not fit must not take the room of one that does while it is
+// refused.
+func TestRefusedMessageTakesNoRoom(t *testing.T) {
+	budget := NewBudget(100)
+	ended := make(chan struct{})
+	var refused sync.WaitGroup
+	for range 4 {
+		refused.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					if budget.TryReserve(101) {
+						t.Error("a message beyond the limit was admitted")
+						return
+					}
+				}
+			}
+		})
+	}
+	for range 100_000 {
+		if !budget.TryReserve(100) {
+			t.Error("a message was refused although nothing was held")
+			break
+		}
+		budget.Release(100)
+	}
+	close(ended)
+	refused.Wait()
+}
