Take the upstreams' heartbeat and the store's largest object from the settings

Two limits of this series were constants that the settings state. How long the store may be silent before one failed call is an outage was 2 s; an entry expires after three heartbeats, so that with a heartbeat of less than a second running upstreams would have been dropped. It is now one and a half heartbeats, 1.8 s where they come every 1.2 s.

--- a/cmd/figstiled/edge.go
+++ b/cmd/figstiled/edge.go
@@ -40,7 +40,7 @@
 	defer output.Close()
 	log := logging.New(output, c.LogLevel)
 	ctx := contextUntilSignal()
-	store := platform.NewStore(settings.StoreAddress, edge.NewDialer().DialContext)
+	store := platform.NewStore(settings.StoreAddress, settings.MaxValueBytes, edge.NewDialer().DialContext)
 	router, err := edge.New(settings.Settings, platform.New(store), log)
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
--- a/devfleet/edge.go
+++ b/devfleet/edge.go
@@ -168,7 +168,7 @@
 	if i > 0 {
 		settings.Seeds = []string{f.routers[0].Addresses.Peers}
 	}
-	client := platform.NewStore(store, edge.NewDialer().DialContext)
+	client := platform.NewStore(store, 0, edge.NewDialer().DialContext)
 	router, err := edge.New(settings, platform.New(client), log.With().Str("router", string(settings.Router)).Logger())
 	if err != nil {
 		return err
--- a/standin/objects/objects_test.go
+++ b/standin/objects/objects_test.go
@@ -22,7 +22,7 @@
 		s.SetUnavailable(true)
 		server.Close()
 	})
-	return s, platform.NewStore(server.Listener.Addr().String(), (&net.Dialer{}).DialContext)
+	return s, platform.NewStore(server.Listener.Addr().String(), 0, (&net.Dialer{}).DialContext)
 }
 
 func TestListAndWatch(t *testing.T) {
--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -54,10 +54,9 @@
 	// With the maximum, a router notices the store's return within a second.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 700 * time.Millisecond
-	// maxCutSilence is the longest time since the store's last answer after which
-	// one failed call is not an outage. An upstream's entry does not expire in it:
-	// that takes three heartbeats.
-	maxCutSilence = 2 * time.Second
+	// defaultUpstreamHeartbeat is the interval at which upstreams write their
+	// entries, if the settings have none.
+	defaultUpstreamHeartbeat = 1200 * time.Millisecond
 )
 
 // follower keeps a catalogue up to date with one kind of the store's objects.
@@ -73,6 +72,9 @@
 	// the router receives changes from peers that read the store.
 	shouldRead func() bool
 	now        func() time.Time
+	// cutSilence is the longest time since the store's last answer after which
+	// one failed call is not an outage.
+	cutSilence time.Duration
 	// onCall is called before each call, which is overdue from a time on.
 	onCall func(kind Kind, overdueAt time.Time)
 	// onAnswer is called after the objects of an answer of the store were
@@ -117,6 +119,7 @@
 	for kind, period := range periods {
 		followers = append(followers, &follower{
 			kind: kind, watchPeriod: period, store: store, catalogue: fleet.catalogue, log: fleet.log, now: now,
+			cutSilence: cutSilence(settings.UpstreamHeartbeat),
 			shouldRead: fleet.shouldReadStore, onCall: fleet.onStoreCall, onAnswer: fleet.onStoreAnswer, onFailure: fleet.onStoreFailure,
 			onChanged: fleet.publishObjects, retryDelay: fleet.retryDelay, firstWaitShare: fleet.firstWaitShare,
 		})
@@ -138,6 +141,17 @@
 	return min(max(leaveLimit-leaveLimit/6-takeover, minUpstreamWatchPeriod), maxUpstreamWatchPeriod)
 }
 
+// cutSilence returns the longest silence of the store in which no entry of a
+// running upstream can expire. An entry expires after three heartbeats, and the
+// last one may have been written one heartbeat before the store fell silent. Half
+// of a heartbeat is left for late ones.
+func cutSilence(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		heartbeat = defaultUpstreamHeartbeat
+	}
+	return heartbeat * 3 / 2
+}
+
 // run follows the store until the context ends.
 func (f *follower) run(ctx context.Context) {
 	retry := backoff.NewExponentialBackOff()
@@ -176,7 +190,7 @@
 // an outage it fails as well, or the store has been silent before.
 func (f *follower) reportFailure(err error) {
 	f.failures++
-	if f.failures > 1 || f.catalogue.storeSilence() > maxCutSilence {
+	if f.failures > 1 || f.catalogue.storeSilence() > f.cutSilence {
 		f.catalogue.markStoreUnavailable(err)
 		return
 	}
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -14,7 +14,8 @@
 	changed := &[]Object{}
 	return &follower{
 		kind: kind, store: f.platform, catalogue: f.catalogue, log: zerolog.Nop(), now: f.clock.now, watchPeriod: testWatchPeriods[KindConfig],
-		onCall: func(Kind, time.Time) {}, firstWaitShare: func() float64 { return 1 },
+		cutSilence: cutSilence(0),
+		onCall:     func(Kind, time.Time) {}, firstWaitShare: func() float64 { return 1 },
 		shouldRead: func() bool { return true }, onAnswer: func(Kind, time.Time) {}, onFailure: func(Kind) {},
 		onChanged: func(_ Kind, objects []Object) { *changed = append(*changed, objects...) },
 	}, changed
@@ -93,7 +94,7 @@
 	}{
 		"one cut":           {1, time.Second, 0},
 		"outage":            {2, time.Second, 1},
-		"silence and a cut": {1, maxCutSilence + time.Millisecond, 1},
+		"silence and a cut": {1, cutSilence(0) + time.Millisecond, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
@@ -141,6 +142,14 @@
 	require.Zero(t, f.usableUpstreams())
 }
 
+// Upstreams with another heartbeat expire after another time.
+func TestCutSilenceFollowsTheHeartbeat(t *testing.T) {
+	for _, heartbeat := range []time.Duration{200 * time.Millisecond, defaultUpstreamHeartbeat, 5 * time.Second} {
+		require.Less(t, cutSilence(heartbeat)+heartbeat, 3*heartbeat)
+	}
+	require.Equal(t, cutSilence(defaultUpstreamHeartbeat), cutSilence(0))
+}
+
 func TestRouterThatDoesNotReadMakesNoCalls(t *testing.T) {
 	f := newFixture()
 	follower, _ := newFollower(f, KindConfig)
--- a/transport/edge/platform.go
+++ b/transport/edge/platform.go
@@ -127,6 +127,9 @@
 	// LeaveLimit is the time after which a leaving upstream must get no new
 	// requests; 0 means defaultLeaveLimit.
 	LeaveLimit time.Duration
+	// UpstreamHeartbeat is the interval at which upstreams write their entries; 0
+	// means defaultUpstreamHeartbeat. An entry expires after three of them.
+	UpstreamHeartbeat time.Duration
 	// EvacuationLimit is the time within which an evacuation of a data centre
 	// must be in force; 0 if data centres are never evacuated. Otherwise the
 	// router serves callers only once it knows which ones are.
