Count an expired history as an answer of the store

Two watches that were cut off, with the answer between that the history is gone, counted as two failed calls in a row and so as an outage: removals were put off for 2.2 s, as before. The store did answer.

TestExpiredHistoryIsAnAnswer failed before.

--- a/transport/edge/follower.go
+++ b/transport/edge/follower.go
@@ -175,6 +175,7 @@
 			_ = pause.For(ctx, f.paused)
 		case errors.Is(err, ErrHistoryExpired):
 			f.listed = false
+			f.failures = 0
 			f.log.Info().Stringer("kind", f.kind).Msg("store's history gone; listing anew")
 		default:
 			f.probe = true
--- a/transport/edge/follower_test.go
+++ b/transport/edge/follower_test.go
@@ -142,6 +142,33 @@
 	require.Zero(t, f.usableUpstreams())
 }
 
+// A store that has dropped its history answers, so the failures before and after
+// that answer are two cuts and no outage.
+func TestExpiredHistoryIsAnAnswer(t *testing.T) {
+	f := newFixture()
+	f.platform.list = func(Kind) ([]Object, uint64, error) { return []Object{upstreamObject("a", 3, false)}, 5, nil }
+	follower, _ := newFollower(f, KindUpstream)
+	require.NoError(t, follower.step(context.Background()))
+	cut := fmt.Errorf("%w: reset", ErrUnavailable)
+	ctx, cancel := context.WithCancel(context.Background())
+	lists, watches := 0, 0
+	f.platform.list = func(Kind) ([]Object, uint64, error) {
+		if lists++; lists == 1 {
+			return nil, 0, cut
+		}
+		cancel()
+		return nil, 9, nil
+	}
+	f.platform.watch = func(Kind, uint64) ([]Object, uint64, error) {
+		if watches++; watches == 1 {
+			return nil, 0, cut
+		}
+		return nil, 0, ErrHistoryExpired
+	}
+	follower.run(ctx)
+	require.Zero(t, f.usableUpstreams(), "the list without the upstream counts at once")
+}
+
 // Upstreams with another heartbeat expire after another time.
 func TestCutSilenceFollowsTheHeartbeat(t *testing.T) {
 	for _, heartbeat := range []time.Duration{200 * time.Millisecond, defaultUpstreamHeartbeat, 5 * time.Second} {
