Read the media type of an answer in one place

Both interfaces cut it from the header by themselves; upstream.Answer gives it now. Tests of the handler share the script that writes a text and closes.

--- a/transport/caller/relay.go
+++ b/transport/caller/relay.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -65,7 +64,7 @@
 	buffer := relayBuffers.Get().(*[relayBufferBytes]byte)
 	defer relayBuffers.Put(buffer)
 	relay := &answerRelay{x: x, answer: answer, meter: m}
-	relay.isStream = isEventStream(answer.Header)
+	relay.isStream = answer.MediaType() == upstream.EventStream
 	if x.job.isEngine() && answer.Status == http.StatusOK {
 		relay.events = &eventScanner{}
 	}
@@ -78,11 +77,6 @@
 	return relay.finishAnswer(err)
 }
 
-func isEventStream(header http.Header) bool {
-	mediaType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
-
 // copyBuffered collects the answer in the buffer, and switches to streaming if
 // it does not fit.
 func (a *answerRelay) copyBuffered(buffer []byte) error {
--- a/transport/ingress/fakes_test.go
+++ b/transport/ingress/fakes_test.go
@@ -87,6 +87,15 @@
 	return func(conn net.Conn, _ *http.Request) { _, _ = conn.Write([]byte(text)) }
 }
 
+// writeAndClose returns a script that writes a text unchanged and closes the
+// connection.
+func writeAndClose(text string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, request *http.Request) {
+		writeText(text)(conn, request)
+		_ = conn.Close()
+	}
+}
+
 // completeAnswer returns a complete signed answer that echoes the attempt id
 // "x".
 func completeAnswer(status int, body string) string {
--- a/transport/ingress/handler_test.go
+++ b/transport/ingress/handler_test.go
@@ -396,14 +396,8 @@
 		"unsigned stream":            "HTTP/1.1 200 S\r\nAttempt: x\r\nContent-Length: 19\r\n\r\n" + event(2),
 	} {
 		t.Run(name, func(t *testing.T) {
-			u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
-				_, _ = conn.Write([]byte(streamHead + chunk(event(1))))
-				_ = conn.Close()
-			})
-			next := startUpstream(t, func(conn net.Conn, _ *http.Request) {
-				_, _ = conn.Write([]byte(second))
-				_ = conn.Close()
-			})
+			u := startUpstream(t, writeAndClose(streamHead+chunk(event(1))))
+			next := startUpstream(t, writeAndClose(second))
 			d := newHandlerFixture(t, resumableRoute, u, next)
 			response := d.post(t)
 			body, err := bodyOf(t, response)
@@ -425,14 +419,8 @@
 		"until closed": signed + "Content-Type: text/event-stream; charset=utf-8\r\n\r\n" + rest,
 	} {
 		t.Run(name, func(t *testing.T) {
-			u := startUpstream(t, func(conn net.Conn, _ *http.Request) {
-				_, _ = conn.Write([]byte(streamHead + chunk(event(1))))
-				_ = conn.Close()
-			})
-			next := startUpstream(t, func(conn net.Conn, _ *http.Request) {
-				_, _ = conn.Write([]byte(second))
-				_ = conn.Close()
-			})
+			u := startUpstream(t, writeAndClose(streamHead+chunk(event(1))))
+			next := startUpstream(t, writeAndClose(second))
 			body, err := bodyOf(t, newHandlerFixture(t, resumableRoute, u, next).post(t))
 			require.NoError(t, err)
 			require.Equal(t, event(1)+rest, body)
--- a/transport/ingress/stream.go
+++ b/transport/ingress/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 
 	"github.com/figstile/figstile/coordination/memory"
@@ -25,9 +24,8 @@
 // isEventStream reports whether an answer on a route of streams is a stream, and
 // not a page or an error. An upstream need not state the type of a stream.
 func isEventStream(answer *upstream.Answer) bool {
-	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
-	mediaType = strings.TrimSpace(mediaType)
-	return answer.Status == http.StatusOK && (mediaType == "" || strings.EqualFold(mediaType, "text/event-stream"))
+	mediaType := answer.MediaType()
+	return answer.Status == http.StatusOK && (mediaType == "" || mediaType == upstream.EventStream)
 }
 
 // relayStream relays a stream of events. It only writes complete events, so
--- a/transport/upstream/answer.go
+++ b/transport/upstream/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -51,6 +52,16 @@
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
+// MediaType returns the type of the answer's body in lower case and without its
+// parameters, or an empty string if the upstream states none.
+func (a *Answer) MediaType() string {
+	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
+// EventStream is the media type of a stream of events.
+const EventStream = "text/event-stream"
+
 // Stage returns how far the answer was received.
 func (a *Answer) Stage() Stage { return a.stage }
 
